--- /dev/null
+++ b/mothstall/__init__.py
@@ -0,0 +1,1 @@
+"""mothstall: a load-balancing proxy for fleets of HTTP servers."""
--- /dev/null
+++ b/mothstall/choice.py
@@ -0,0 +1,697 @@
+"""Every decision of mothstall. The types, events and actions stand in mothstall/interface.py.
+
+The ordinary path follows "A Predictive-Adaptive Algorithm for a Web Switch" (numbers in brackets are
+its formulas): two groups of backends, round robin in each, one move at most at the end of each slot.
+Whatever goes wrong becomes a skip in the rotation, an attempt rule, or a refusal; see docs/design.md.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import deque
+
+from mothstall import interface as io
+from mothstall.interface import NS, Effect, Group, Health, Result, Scope
+
+T_NS = 10 * NS  # the paper's observation time T
+SLOT_MIN_NS, SLOT_MAX_NS = NS // 4, 5 * NS // 2  # bounds of a slot, and so of e_k
+USUAL_GAIN = 0.05  # weight of one answer in the usual latency
+SPREAD, SPREAD_FREE = 1.5, 1.0  # a backend above SPREAD x mean in flight + SPREAD_FREE misses its turn
+LATE, CUT = 0.6, 0.8  # an answer later than LATE x aim cuts the backend's room to CUT of it
+ROOM_START = 4.0
+EJECT_AT = 2.0  # run of failures that ejects
+EJECT_NS, EJECT_MAX_NS = NS // 2, 8 * NS
+RETRY_RATIO, RETRY_CAP = 0.2, 30.0  # retry budget: earned per answer, and kept at most
+HOLD = 0.25  # share of the aim for which a request may wait for room
+FINE, FULL, ILL = 0, 1, 2
+
+
+class Backend:
+    """What this proxy has seen of one backend since it last started."""
+
+    __slots__ = (
+        "arrivals", "b", "backoff", "busy_ns", "busy_since", "cell", "cut_at", "done", "est1", "est2",
+        "fails", "id", "in_flight", "kind", "limit", "marks", "out_until", "priority", "probing",
+        "progress", "slow_start", "started", "tokens", "tokens_at", "touched", "u", "util", "x", "zone",
+    )  # fmt: skip
+
+    def __init__(self, entry: io.Entry, now: int) -> None:
+        self.id, self.zone, self.kind, self.cell = entry.backend, entry.zone, entry.kind, entry.cell
+        self.started = entry.started_ns
+        self.priority = False
+        self.in_flight = self.arrivals = self.done = self.busy_ns = 0
+        self.busy_since = self.progress = now
+        self.util = -1.0
+        self.est1 = self.est2 = -1.0  # below zero: nothing measured yet
+        self.x = self.u = self.b = 0.0
+        self.marks: deque[tuple[int, int, int, bool]] = deque()  # slots of the last T
+        self.limit, self.cut_at, self.slow_start = ROOM_START, 0, True
+        self.tokens, self.tokens_at, self.touched = 1.0, now, False
+        self.fails, self.out_until, self.backoff, self.probing = 0.0, 0, EJECT_NS, False
+
+    def distance(self) -> float:
+        """(10): how far the pair of estimates lies from nought."""
+        return math.hypot(max(0.0, self.est1), max(0.0, self.est2))
+
+
+class Attempt:
+    __slots__ = ("backend", "never_ran", "out", "sent", "trial")
+
+    def __init__(self, backend: Backend, sent: int, trial: bool) -> None:
+        self.backend, self.sent, self.trial = backend, sent, trial
+        self.out, self.never_ran = True, False
+
+
+class Request:
+    __slots__ = (
+        "aim", "arrived", "attempts", "cls", "deadline", "done", "flow", "id", "out", "priority",
+        "ran_at", "ran_on", "started", "waiting",
+    )  # fmt: skip
+
+    def __init__(self, ev: io.RequestArrived, cls: io.RequestClass, flow: Flow, prio: bool, now: int) -> None:
+        self.id, self.cls, self.flow, self.priority = ev.request, cls, flow, prio
+        self.arrived, self.deadline = now, now + ev.left_ns
+        self.aim = max(1, cls.aim_ns)
+        self.attempts: list[Attempt] = []
+        self.out = 0
+        self.done = self.started = self.waiting = False
+        self.ran_at = 0  # when and where the first attempt that may have run went
+        self.ran_on: Backend | None = None
+
+
+class Flow:
+    """The requests of one profile: of a tenant where tenants are told, else of a class."""
+
+    __slots__ = ("queue", "quota", "rate", "seen", "served", "tag", "weight")
+
+    def __init__(self, weight: float, quota: float) -> None:
+        self.weight, self.quota = max(weight, 1e-6), quota
+        self.queue: deque[Request] = deque()
+        self.tag = self.rate = self.seen = 0.0
+        self.served = 0
+
+
+class Latency:
+    """Latency over aim of one side's requests in this slot, the outstanding ones at their age."""
+
+    __slots__ = ("count", "inv", "open", "since", "total")
+
+    def __init__(self) -> None:
+        self.total = self.inv = self.since = 0.0
+        self.count = self.open = 0
+
+    def take(self, req: Request) -> None:
+        self.open += 1
+        self.inv += 1.0 / req.aim
+        self.since += req.arrived / req.aim
+
+    def end(self, req: Request, spent: int) -> None:
+        self.open -= 1
+        self.inv -= 1.0 / req.aim
+        self.since -= req.arrived / req.aim
+        self.total += spent / req.aim
+        self.count += 1
+
+    def close(self, now: int) -> float:
+        seen = self.count + self.open
+        ratio = (self.total + now * self.inv - self.since) / seen if seen else 0.0
+        self.total, self.count = 0.0, 0
+        return ratio
+
+
+def stable_hash(value: int) -> int:
+    """The same number for the same id at every proxy and in every run."""
+    value = (value * 0x9E3779B97F4A7C15 + 0x632BE59BD9B4E019) & 0xFFFFFFFFFFFFFFFF
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
+    return value ^ (value >> 31)
+
+
+class Balancer:
+    """One instance: events in, actions out; it knows nothing but these and its settings."""
+
+    def __init__(self, settings: io.Settings, seed: int) -> None:
+        self.cfg = settings
+        self.rng = random.Random(seed)
+        self.now = -1
+        self.acts: list[io.Action] = []
+        self.backends: dict[int, Backend] = {}
+        self.groups: tuple[list[Backend], list[Backend]] = ([], [])  # B, P
+        self.turn = [0, 0]
+        self.requests: dict[int, Request] = {}
+        self.flows = [Flow(t.share, t.allowance_per_s) for t in settings.tenants] or [
+            Flow(c.worth, c.worth) for c in settings.classes
+        ]
+        self.priority = max(range(len(self.flows)), key=lambda i: (self._claim(i), -i))
+        self.latency = (Latency(), Latency())
+        self.ratio = [0.0, 0.0]
+        self.version = -1
+        self.in_flight = self.waiting = 0
+        self.virtual = 0.0
+        self.usual = 0.0  # usual latency of a served attempt, ns
+        self.budget = RETRY_CAP
+        self.e = T_NS / (T_NS // 10)
+        self.slot_at = 0
+        self.slots: deque[int] = deque()
+        self.b_low = 0.0
+        self.arrivals = 0
+        self.warm_rate = 0.0
+        self.heap: list[tuple[int, int, int, Request | None]] = []
+        self.seq = 0
+        self.timer_at = 0
+        self.watching = False
+        self.asked_at, self.asks_failed = -1, 0
+        self.mildest = min(c.effect for c in settings.classes)
+
+    # Events
+
+    def handle(self, now: int, events: list[io.Event]) -> list[io.Action]:
+        self.acts = []
+        if self.now < 0:
+            self._begin(now)
+        self.now = max(now, self.now)
+        for ev in events:
+            if isinstance(ev, io.AttemptEnded):
+                self._on_ended(ev)
+            elif isinstance(ev, io.RequestArrived):
+                self._on_request(ev)
+            elif isinstance(ev, io.TimerFired):
+                self.timer_at = 0 if ev.token >= self.timer_at else self.timer_at
+            elif isinstance(ev, io.BackendList):
+                self._on_list(ev)
+            elif isinstance(ev, io.ClientLeft):
+                self._on_left(ev)
+            elif isinstance(ev, io.ResponseStarted):
+                self._on_started(ev)
+        while self.heap and self.heap[0][0] <= self.now:
+            _, _, what, req = heapq.heappop(self.heap)
+            self._on_due(what, req)
+        if self.waiting:
+            self._serve_waiting()
+        if self.heap and (not self.timer_at or self.heap[0][0] < self.timer_at):
+            self.timer_at = max(self.heap[0][0], self.now + 1)
+            self.acts.append(io.SetTimer(self.timer_at, self.timer_at))
+        return self.acts
+
+    def _begin(self, now: int) -> None:
+        self.now = self.slot_at = now
+        self._at(now + T_NS // 10, SLOT)
+        if not self.cfg.discovery_push:
+            self._ask()
+
+    def _at(self, due: int, what: int, req: Request | None = None) -> None:
+        self.seq += 1
+        heapq.heappush(self.heap, (due, self.seq, what, req))
+
+    def _on_due(self, what: int, req: Request | None) -> None:
+        if what == SLOT:
+            self._close_slot()
+        elif what == ASK:
+            self._check_discovery()
+        elif req is None or req.done:
+            return
+        elif what == SECOND:
+            self._second_copy(req)
+        elif what == EXPIRE and req.waiting:
+            self._give_up(req)
+
+    # Discovery
+
+    def _on_list(self, ev: io.BackendList) -> None:
+        if ev.scope == Scope.FAILED:
+            # The old list stands; ask again after a jittered pause that grows with each failure.
+            self.watching, self.asks_failed = False, self.asks_failed + 1
+            pause = min(self.cfg.ask_within_ns // 3, (NS // 4) << min(self.asks_failed, 5))
+            self._at(self.now + int(pause * (0.5 + self.rng.random())), ASK)
+            return
+        if ev.scope != Scope.CACHED:
+            self.watching, self.asks_failed = True, 0
+        if ev.version < self.version:
+            return  # a stale word must not bring back what has left
+        self.version = ev.version
+        if ev.scope != Scope.DELTA:
+            listed = {e.backend for e in ev.entries}
+            for b in [b for b in self.backends.values() if b.id not in listed]:
+                self._drop(b)
+        first = not self.backends
+        for entry in ev.entries:
+            self._on_entry(entry, first)
+        if first:
+            self._split()
+
+    def _on_entry(self, entry: io.Entry, first: bool) -> None:
+        old = self.backends.get(entry.backend)
+        if entry.health != Health.READY:
+            if old:
+                self._drop(old)
+            return
+        if old and old.started == entry.started_ns:
+            old.zone, old.cell = entry.zone, entry.cell
+            return
+        if old:
+            self._drop(old)  # a new start under the same id is a new, cold backend
+        b = Backend(entry, self.now)
+        self.backends[b.id] = b
+        if first:
+            return
+        side = int(self.ratio[1] > self.ratio[0])
+        peers = [p for p in self.groups[side] if p.est1 >= 0]
+        if peers:
+            b.est1 = sum(p.est1 for p in peers) / len(peers)
+            b.est2 = sum(p.est2 for p in peers) / len(peers)
+        b.limit, b.slow_start = (1.0, True) if self._warmth(b) < 1 else (ROOM_START, True)
+        self._join(b, side)
+
+    def _drop(self, b: Backend) -> None:
+        self.backends.pop(b.id, None)
+        side = int(b.priority)
+        if b in self.groups[side]:
+            self.groups[side].remove(b)
+            self._turn_anywhere(side)
+
+    def _ask(self) -> None:
+        self.asked_at = self.now
+        self.acts.append(io.Subscribe(True))
+        self._at(self.now + self.cfg.ask_within_ns // 2, ASK)
+
+    def _check_discovery(self) -> None:
+        """Guards against silence: with no subscription, never let ask-within pass without a call."""
+        overdue = self.now - self.asked_at >= self.cfg.ask_within_ns // 2
+        if not self.watching and (self.asks_failed or overdue):
+            self._ask()
+
+    # The two groups
+
+    def _claim(self, i: int) -> float:
+        """Quota for each part of the traffic; without tenants the worth of the class."""
+        flow = self.flows[i]
+        if not self.cfg.tenants:
+            return flow.quota
+        seen = sum(f.seen for f in self.flows)
+        share = flow.seen / seen if seen > 0 else self.cfg.tenants[i].share
+        return flow.quota / max(share, 1e-3)
+
+    def _split(self) -> None:
+        """Start: the priority profile's part of the requests, of the backends in order of hashed id."""
+        order = sorted(self.backends.values(), key=lambda b: (stable_hash(b.id), b.id))
+        flow = self.flows[self.priority]
+        seen = sum(f.seen for f in self.flows)
+        share = flow.seen / seen if seen > 0 else flow.weight / sum(f.weight for f in self.flows)
+        count = min(max(1, round(share * len(order))), len(order) - 1)
+        for side in (0, 1):
+            self.groups[side].clear()
+        for i, b in enumerate(order):
+            b.priority = i < count
+            self.groups[int(b.priority)].append(b)
+        for side in (0, 1):
+            self._turn_anywhere(side)
+
+    def _join(self, b: Backend, side: int) -> None:
+        b.priority = bool(side)
+        self.groups[side].append(b)
+        self._turn_anywhere(side)
+
+    def _turn_anywhere(self, side: int) -> None:
+        size = len(self.groups[side])
+        self.turn[side] = self.rng.randrange(size) if size else 0
+
+    def _move(self, side: int) -> None:
+        """(9) and (10): the backend of largest distance on the other side joins this one."""
+        source = self.groups[1 - side]
+        if len(source) < 2:
+            return
+        b = max(source, key=lambda m: (m.distance(), -m.id))
+        source.remove(b)
+        self._turn_anywhere(1 - side)
+        self._join(b, side)
+
+    def _close_slot(self) -> None:
+        """The paper's computation phase, at the end of a slot."""
+        now, span = self.now, max(1, self.now - self.slot_at)
+        self.slots.append(now)
+        while self.slots[0] <= now - T_NS:
+            self.slots.popleft()
+        high, low = 0.0, 1.0
+        for b in self.backends.values():
+            self._measure(b, span)
+            high, low = max(high, b.b), min(low, b.b)
+        if not self.backends:
+            low = 0.0
+        self._note_rates(span)
+        if len(self.slots) == 1 and now - self.slot_at == T_NS // 10:
+            self._split()
+        self.ratio = [self.latency[0].close(now), self.latency[1].close(now)]
+        if self.ratio[1] > 1.0:
+            self._move(1)
+        elif self.ratio[1] < 0.5 and self.ratio[0] > 1.0:
+            self._move(0)
+        self.e = self._next_e(high, low)
+        self.b_low = low
+        self.slot_at = now
+        self._at(now + int(T_NS / self.e), SLOT)
+
+    def _next_e(self, high: float, low: float) -> float:
+        """(4), within bounds: the number of slots in T, from which (3) gives the next slot's length."""
+        if high - self.b_low > 0:
+            e = self.e + low * self.e
+        elif high != 0:
+            e = self.e + high * self.e
+        else:
+            e = self.e / max(1, len(self.slots))
+        return min(max(e, T_NS / SLOT_MAX_NS), T_NS / SLOT_MIN_NS)
+
+    def _measure(self, b: Backend, span: int) -> None:
+        """(2) and (5) to (8) for one backend."""
+        now, marks = self.now, b.marks
+        marks.append((now, span, b.arrivals, False))
+        while marks[0][0] <= now - T_NS:
+            marks.popleft()
+        mean = sum(m[2] for m in marks) / sum(m[1] for m in marks)
+        if b.arrivals / span > mean:
+            marks[-1] = (now, span, b.arrivals, True)
+        burst = sum(m[3] for m in marks) / len(marks)  # (2)
+        x = b.done * NS / span
+        if b.in_flight:
+            b.busy_ns += now - max(b.busy_since, self.slot_at)
+        if b.est1 < 0:
+            b.est1 = b.est2 = x
+        else:
+            a = (2 * self.e - 1) / (2 * self.e + 1)  # (6)
+            b.est1 = a * b.est1 + (1 - a) * (x + b.x) / 2  # (5)
+            beta = (burst - b.b) * (x - b.x) if burst > b.b else 0.0  # (7)
+            if b.b > 0:
+                b.est2 = max(0.0, b.est2 - beta * b.u / b.b)  # (8)
+        b.x, b.b = x, burst
+        b.u = b.util if b.util >= 0 else min(1.0, b.busy_ns / span)
+        b.arrivals = b.done = b.busy_ns = 0
+
+    def _note_rates(self, span: int) -> None:
+        """Per profile: traffic shares and service rates; and what a warm backend does for this proxy."""
+        keep = math.exp(-span / (3 * T_NS))
+        for f in self.flows:
+            f.rate += 0.5 * (f.served * NS / span - f.rate)
+            f.served = 0
+            f.seen *= keep
+        claims = [self._claim(i) for i in range(len(self.flows))]
+        best = max(range(len(claims)), key=lambda i: (claims[i], -i))
+        # A near tie must not swap the priority profile back and forth.
+        if len(self.slots) == 1 or claims[best] > 1.25 * claims[self.priority]:
+            self.priority = best
+        warm = [b.est1 for b in self.backends.values() if self._warmth(b) >= 1 and not b.out_until]
+        spread = self.arrivals * NS / span / max(1, len(self.backends))
+        self.warm_rate = sum(warm) / len(warm) if warm else spread
+        self.arrivals = 0
+
+    # Skips
+
+    def _warmth(self, b: Backend) -> float:
+        """The part of its capacity that a backend is sure to have, by the settings' cold rule."""
+        age = self.now - b.started
+        if not b.started or age >= self.cfg.cold_ns:
+            return 1.0
+        return self.cfg.cold_from + (1 - self.cfg.cold_from) * max(0, age) / self.cfg.cold_ns
+
+    def _skip(self, b: Backend, req: Request) -> int:
+        """Why this backend misses its turn: FINE (it does not), FULL (no room now) or ILL."""
+        now = self.now
+        if b.out_until:
+            # Guards against sending a backend back into service on a guess: one mild trial at a time.
+            ripe = now >= b.out_until and not b.probing and req.cls.effect <= self.mildest
+            return FINE if ripe else ILL
+        warmth = self._warmth(b)
+        if b.in_flight and self._stalled(b, req, warmth):
+            return ILL
+        if warmth < 1 and not self._cold_turn(b, warmth):
+            return FULL
+        if b.in_flight >= b.limit:
+            return FULL
+        mean = self.in_flight / max(1, len(self.backends))
+        return FULL if b.in_flight > SPREAD * mean * warmth + SPREAD_FREE else FINE
+
+    def _stalled(self, b: Backend, req: Request, warmth: float) -> bool:
+        """Guards against hangs: attempts are out and nothing has come back for much longer than usual."""
+        if not self.usual:
+            return False
+        quiet = self.now - max(b.progress, b.busy_since)
+        patience = self.usual * (1 + 2 / b.in_flight) / warmth + self.cfg.connect_timeout_ns / 4
+        if req.cls.effect == Effect.UNSAFE:
+            patience /= 2  # what cannot be sent again wants a backend with recent answers
+        return quiet > patience
+
+    def _cold_turn(self, b: Backend, warmth: float) -> bool:
+        """Guards against pushing a cold backend over: its turns are dealt out evenly over time."""
+        rate = max(0.5, self.warm_rate * warmth)
+        b.tokens = min(1.0, b.tokens + (self.now - b.tokens_at) * rate / NS)
+        b.tokens_at = self.now
+        return b.tokens >= 1.0
+
+    def _may_go(self, req: Request, b: Backend) -> bool:
+        """The rule on repeats: where an earlier attempt may have run, who may still get another."""
+        ran = req.ran_on
+        if ran is None or req.cls.effect == Effect.SAFE:
+            return True
+        if req.cls.effect == Effect.UNSAFE or self.now >= req.ran_at + req.cls.window_ns:
+            return False
+        if req.cls.group == Group.ZONE:
+            return b.zone == ran.zone
+        return req.cls.group != Group.CELL or b.cell == ran.cell
+
+    def _pick(self, req: Request) -> Backend | None:
+        """Round robin in the request's group; a group left empty by skips borrows the other."""
+        tried = [a.backend for a in req.attempts]
+        ill: list[Backend] = []
+        full = False
+        own = int(req.priority)
+        for side in (own, 1 - own):
+            group, start = self.groups[side], self.turn[side]
+            for step in range(len(group)):
+                at = (start + step) % len(group)
+                b = group[at]
+                if b in tried or not self._may_go(req, b):
+                    continue
+                why = self._skip(b, req)
+                if why == FINE:
+                    self.turn[side] = (at + 1) % len(group)
+                    return b
+                full = full or why == FULL
+                if why == ILL:
+                    ill.append(b)
+        if full or not ill:
+            return None
+        # Never skip all: the least bad stays.
+        return min(ill, key=lambda b: (b.in_flight >= b.limit, b.fails, b.in_flight, b.out_until))
+
+    # Requests
+
+    def _on_request(self, ev: io.RequestArrived) -> None:
+        if ev.request in self.requests or ev.cls >= len(self.cfg.classes):
+            return
+        cls = self.cfg.classes[ev.cls]
+        index = ev.tenant if self.cfg.tenants else ev.cls
+        flow = self.flows[index if index < len(self.flows) else 0]
+        req = Request(ev, cls, flow, index == self.priority, self.now)
+        self.requests[ev.request] = req
+        self.latency[int(req.priority)].take(req)
+        flow.seen += 1
+        self.arrivals += 1
+        if not flow.queue:
+            flow.tag = max(flow.tag, self.virtual)
+            b = self._pick(req) if not self.waiting or flow.tag <= self._head_tag() else None
+            if b:
+                self._admit(req, b)
+                return
+        self._hold(req)
+
+    def _head_tag(self) -> float:
+        return min(f.tag for f in self.flows if f.queue)
+
+    def _hold(self, req: Request) -> None:
+        """Wait briefly for room where room is near; else refuse at once, not late."""
+        flow, now = req.flow, self.now
+        wait = int(HOLD * min(req.aim, req.deadline - now))
+        if len(flow.queue) >= max(1.0, flow.rate * wait / NS) or wait <= 0:
+            self._give_up(req)
+            return
+        flow.queue.append(req)
+        req.waiting = True
+        self.waiting += 1
+        self._at(now + wait, EXPIRE, req)
+
+    def _serve_waiting(self) -> None:
+        """Under pressure room goes to the profile that is furthest behind its share."""
+        while self.waiting:
+            flow = min((f for f in self.flows if f.queue), key=lambda f: f.tag)
+            req = flow.queue[0]
+            b = self._pick(req)
+            if b is None:
+                break
+            flow.queue.popleft()
+            req.waiting = False
+            self.waiting -= 1
+            self._admit(req, b)
+        if self.waiting:
+            self._at(self.now + max(self.cfg.tick_ns, NS // 100), NUDGE)
+
+    def _admit(self, req: Request, b: Backend) -> None:
+        flow = req.flow
+        self.virtual = max(self.virtual, flow.tag)
+        if not req.attempts:
+            flow.tag += 1.0 / flow.weight
+            flow.served += 1
+        self._send(req, b)
+
+    def _send(self, req: Request, b: Backend) -> None:
+        now = self.now
+        trial = bool(b.out_until)
+        timeout = req.deadline - now
+        if trial:
+            b.probing = True
+            if req.cls.effect == Effect.SAFE and self.usual:
+                timeout = min(timeout, int(4 * self.usual) + self.cfg.connect_timeout_ns)
+        if self._warmth(b) < 1:
+            b.tokens -= 1.0 if b.touched else 1.5  # the first send also costs a handshake
+        b.touched = True
+        if not b.in_flight:
+            b.busy_since = now
+        b.in_flight += 1
+        b.arrivals += 1
+        self.in_flight += 1
+        req.attempts.append(Attempt(b, now, trial))
+        req.out += 1
+        if req.ran_on is None:
+            req.ran_on, req.ran_at = b, now
+        self.acts.append(io.SendAttempt(req.id, b.id, max(1, timeout)))
+        if req.cls.effect != Effect.UNSAFE and self.cfg.parallel_attempts and len(req.attempts) == 1:
+            wait = min(max(2.0 * self.usual, req.aim / 8), (req.deadline - now) / 2)
+            self._at(now + int(wait), SECOND, req)
+
+    def _second_copy(self, req: Request) -> None:
+        """A second copy for an answer that is overdue, while the budget lasts and there is room."""
+        if req.started or req.out != 1 or self.waiting or len(req.attempts) >= self.cfg.max_attempts:
+            return
+        if self.budget >= 1.0 and (b := self._pick(req)):
+            self.budget -= 1.0
+            self._send(req, b)
+
+    # Ends of attempts
+
+    def _on_started(self, ev: io.ResponseStarted) -> None:
+        req = self.requests.get(ev.request)
+        if req:
+            req.started = True
+
+    def _on_left(self, ev: io.ClientLeft) -> None:
+        req = self.requests.get(ev.request)
+        if req and not req.done:
+            self._finish(req, self.now - req.arrived)
+
+    def _finish(self, req: Request, spent: int) -> None:
+        req.done = True
+        self.latency[int(req.priority)].end(req, spent)
+        if req.waiting:
+            req.waiting = False
+            req.flow.queue.remove(req)
+            self.waiting -= 1
+        if req.out and self.cfg.may_cancel:
+            for i, a in enumerate(req.attempts):
+                if a.out:
+                    self.acts.append(io.CancelAttempt(req.id, i))
+        if not req.out:
+            self.requests.pop(req.id, None)
+
+    def _give_up(self, req: Request) -> None:
+        """Refuse where trying again is harmless, else fail; at once, and counted as late."""
+        harmless = req.ran_on is None or req.cls.effect == Effect.SAFE
+        if harmless or (req.cls.effect == Effect.KEYED and req.cls.group == Group.ALL):
+            after = min(req.aim // 4, self.cfg.max_retry_after_ns) if self.cfg.retry_after else 0
+            self.acts.append(io.Refuse(req.id, after))
+        else:
+            self.acts.append(io.Fail(req.id))
+        self._finish(req, max(self.now - req.arrived, req.cls.deadline_ns))
+
+    def _on_ended(self, ev: io.AttemptEnded) -> None:
+        req = self.requests.get(ev.request)
+        if req is None or ev.attempt >= len(req.attempts) or not req.attempts[ev.attempt].out:
+            return
+        a = req.attempts[ev.attempt]
+        a.out = False
+        req.out -= 1
+        self._learn(a, req, ev)
+        if ev.result in io.NEVER_RAN:
+            a.never_ran = True
+            ran = next((x for x in req.attempts if not x.never_ran), None)
+            req.ran_on, req.ran_at = (ran.backend, ran.sent) if ran else (None, 0)
+        if req.done:
+            if not req.out:
+                self.requests.pop(req.id, None)
+        elif ev.finished or ev.result == Result.OK:
+            spent = self.now - req.arrived
+            self._finish(req, spent if ev.result == Result.OK else max(spent, req.cls.deadline_ns))
+        elif not req.out:
+            self._again(req, ev.result)
+
+    def _again(self, req: Request, result: Result) -> None:
+        """Another try where the class allows it, the time suffices and the budget pays for it."""
+        left = req.deadline - self.now
+        free = result in io.NEVER_RAN
+        spent = len(req.attempts) >= self.cfg.max_attempts or (not free and self.budget < 1)
+        if spent or left < self.usual / 2:
+            self._give_up(req)
+            return
+        b = self._pick(req)
+        if b is None:
+            if free and req.ran_on is None:
+                self._hold(req)
+            else:
+                self._give_up(req)
+            return
+        if not free:
+            self.budget -= 1.0
+        self._send(req, b)
+
+    def _learn(self, a: Attempt, req: Request, ev: io.AttemptEnded) -> None:
+        """What the end of an attempt tells of its backend: progress, room, or illness."""
+        b, now = a.backend, self.now
+        b.in_flight -= 1
+        self.in_flight -= 1
+        if not b.in_flight:
+            b.busy_ns += now - max(b.busy_since, self.slot_at)
+        if a.trial:
+            b.probing = False
+        if ev.load and "util" in self.cfg.load_names:
+            b.util = min(1.0, max(0.0, float(ev.load[self.cfg.load_names.index("util")])))
+        result = ev.result
+        if result == Result.OK:
+            b.done += 1
+            b.progress = now
+            b.fails, b.out_until, b.backoff = 0.0, 0, EJECT_NS
+            self.budget = min(RETRY_CAP, self.budget + RETRY_RATIO)
+            self.usual += USUAL_GAIN * (ev.latency_ns - self.usual) if self.usual else ev.latency_ns
+            self._learn_room(b, a, ev.latency_ns / req.aim > LATE)
+        elif result == Result.REJECTED:
+            b.limit, b.slow_start = max(1.0, min(b.limit, b.in_flight + 1.0) * CUT), False
+        elif result in (Result.CONNECT_FAILED, Result.RESET, Result.ERROR):
+            self._note_failure(b, 0.7 if result == Result.ERROR else 1.0)
+        elif result in (Result.TIMEOUT, Result.CANCELLED) and b.progress < a.sent and not ev.finished:
+            self._note_failure(b, 1.0)
+
+    def _learn_room(self, b: Backend, a: Attempt, late: bool) -> None:
+        """Room grows while it is used and answers come early; it shrinks once for each round of late ones."""
+        used = b.in_flight + 1.0
+        if late:
+            if a.sent >= b.cut_at and used > b.limit / 2:
+                b.limit, b.cut_at, b.slow_start = max(1.0, b.limit * CUT), self.now, False
+        elif used > b.limit - 1:
+            b.limit += 1.0 if b.slow_start else 1.0 / b.limit
+
+    def _note_failure(self, b: Backend, weight: float) -> None:
+        """Guards against a dead, cut-off or failing backend: a run of failures ejects it for a while."""
+        b.fails += weight
+        if b.fails < EJECT_AT or (b.out_until and self.now < b.out_until):
+            return
+        b.out_until = self.now + int(b.backoff * (0.8 + 0.4 * self.rng.random()))
+        b.backoff = min(2 * b.backoff, EJECT_MAX_NS)
+
+
+SLOT, ASK, SECOND, EXPIRE, NUDGE = range(5)
--- /dev/null
+++ b/mothstall/interface.py
@@ -0,0 +1,238 @@
+"""What goes into a decision and what comes out: settings, events and actions, free of any wire.
+
+Times and durations are whole nanoseconds; names of zones, classes and tenants never come this far.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+NS = 1_000_000_000
+
+
+class Effect(IntEnum):
+    """What repeating a request would do, from harmless to harmful."""
+
+    SAFE = 0
+    KEYED = 1
+    UNSAFE = 2
+
+
+class Group(IntEnum):
+    """Which backends drop the repeats of a keyed request."""
+
+    ALL = 0
+    ZONE = 1
+    CELL = 2
+
+
+class Health(IntEnum):
+    """What discovery says of a backend."""
+
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class Scope(IntEnum):
+    """What a word from discovery holds."""
+
+    CACHED = 0
+    FULL = 1
+    FAILED = 2
+    DELTA = 3
+
+
+class Result(IntEnum):
+    """How an attempt or a probe ended."""
+
+    OK = 0
+    ERROR = 1  # answered with an error; may have run
+    REJECTED = 2  # turned away unseen; never ran
+    TIMEOUT = 3  # no answer in time; may have run
+    CONNECT_FAILED = 4  # never ran
+    RESET = 5  # connection lost while out; may have run
+    CANCELLED = 6  # withdrawn; may have run
+    NOT_SENT = 7  # never ran
+
+
+NEVER_RAN = frozenset((Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT))
+
+
+@dataclass(slots=True, frozen=True)
+class RequestClass:
+    aim_ns: int
+    deadline_ns: int
+    worth: float
+    late_value: float
+    effect: Effect
+    group: Group
+    window_ns: int
+    streaming: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Tenant:
+    share: float
+    allowance_per_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    classes: tuple[RequestClass, ...]
+    tenants: tuple[Tenant, ...]
+    zone: int
+    proxies: int
+    discovery_push: bool
+    ask_within_ns: int
+    drain_grace_ns: int
+    cold_from: float
+    cold_ns: int
+    fall_multiple: float
+    fall_ns: int
+    max_attempts: int
+    parallel_attempts: bool
+    may_cancel: bool
+    may_probe: bool
+    retry_after: bool
+    max_retry_after_ns: int
+    connect_timeout_ns: int
+    tick_ns: int
+    cross_zone_fee: float
+    warm_keys: bool
+    load_names: tuple[str, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    backend: int
+    zone: int
+    kind: int
+    cell: int
+    health: Health
+    weight: float
+    started_ns: int
+
+
+# Events
+
+
+@dataclass(slots=True)
+class BackendList:
+    scope: Scope
+    version: int
+    entries: list[Entry]
+
+
+@dataclass(slots=True)
+class RequestArrived:
+    request: int
+    cls: int
+    tenant: int
+    key: int
+    left_ns: int
+    cost_ns: int  # 0: not told
+    repeated: bool
+
+
+@dataclass(slots=True)
+class ResponseStarted:
+    request: int
+    attempt: int
+    backend: int
+
+
+@dataclass(slots=True)
+class AttemptEnded:
+    request: int
+    attempt: int
+    backend: int
+    result: Result
+    latency_ns: int
+    finished: bool
+    load: tuple[float, ...]
+
+
+@dataclass(slots=True)
+class ClientLeft:
+    request: int
+
+
+@dataclass(slots=True)
+class TimerFired:
+    token: int
+
+
+@dataclass(slots=True)
+class ProbeEnded:
+    backend: int
+    result: Result
+    latency_ns: int
+    load: tuple[float, ...]
+
+
+Event = BackendList | RequestArrived | ResponseStarted | AttemptEnded | ClientLeft | TimerFired | ProbeEnded
+
+
+# Actions
+
+
+@dataclass(slots=True)
+class SendAttempt:
+    request: int
+    backend: int
+    timeout_ns: int  # 0: until the client gives up
+
+
+@dataclass(slots=True)
+class CancelAttempt:
+    request: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class Refuse:
+    request: int
+    retry_after_ns: int
+
+
+@dataclass(slots=True)
+class Fail:
+    request: int
+
+
+@dataclass(slots=True)
+class SetTimer:
+    token: int
+    at_ns: int
+
+
+@dataclass(slots=True)
+class Probe:
+    backend: int
+
+
+@dataclass(slots=True)
+class CloseIdle:
+    backend: int
+
+
+@dataclass(slots=True)
+class Subscribe:
+    on: bool
+
+
+@dataclass(slots=True)
+class FetchList:
+    pass
+
+
+@dataclass(slots=True)
+class Log:
+    text: str
+
+
+Action = (
+    SendAttempt | CancelAttempt | Refuse | Fail | SetTimer | Probe | CloseIdle | Subscribe | FetchList | Log
+)
--- /dev/null
+++ b/mothstall/simhost/__main__.py
@@ -0,0 +1,32 @@
+"""Standard input to standard output: a reply for every batch, until the input ends."""
+
+from __future__ import annotations
+
+import gc
+import sys
+
+from mothstall.simhost.host import Host
+from mothstall.simwire import codec
+
+
+def main() -> int:
+    gc.freeze()
+    gc.set_threshold(50_000, 50, 50)
+    host = Host()
+    source, sink = sys.stdin.buffer, sys.stdout.buffer
+    try:
+        while (body := codec.read_frame(source)) is not None:
+            now, records = codec.decode(body)
+            sink.write(host.batch(now, records))
+            sink.flush()
+    except codec.WireError as why:
+        print(f"mothstall: bad input: {why}", file=sys.stderr)
+        return 2
+    except BrokenPipeError:
+        print("mothstall: the reader of the replies went away", file=sys.stderr)
+        return 3
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/mothstall/simwire/settings.py
@@ -0,0 +1,93 @@
+"""The settings text of a starting instance, read into the interface's terms."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TypeVar
+
+from mothstall.interface import Effect, Group, RequestClass, Settings, Tenant
+
+
+class SettingsError(ValueError):
+    """A required key is missing or holds something unreadable; the message names it."""
+
+
+T = TypeVar("T")
+
+_EFFECTS = {"pure": Effect.SAFE, "token": Effect.KEYED, "side_effect": Effect.UNSAFE}
+_GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+_FLAGS = {"true": True, "false": False}
+
+
+class _Pairs:
+    def __init__(self, text: str) -> None:
+        self.values: dict[str, str] = {}
+        for line in text.splitlines():
+            path, sep, value = line.partition("=")
+            if sep:
+                self.values[path.strip()] = value.strip()
+
+    def get(self, path: str, read: Callable[[str], T], default: T | None = None) -> T:
+        raw = self.values.get(path)
+        if raw is None:
+            if default is None:
+                raise SettingsError(f"setting {path} is missing")
+            return default
+        try:
+            return read(raw)
+        except (KeyError, ValueError) as why:
+            raise SettingsError(f"setting {path} cannot be read: {raw[:60]!r}") from why
+
+
+def parse(text: str) -> Settings:
+    pairs = _Pairs(text)
+    get = pairs.get
+    classes = []
+    for i in range(get("classes.count", int)):
+        at = f"classes.{i}."
+        classes.append(
+            RequestClass(
+                aim_ns=get(at + "aim-ns", int),
+                deadline_ns=get(at + "deadline-ns", int),
+                worth=get(at + "worth", float),
+                late_value=get(at + "late-value", float, 0.0),
+                effect=get(at + "effect", _EFFECTS.__getitem__),
+                group=get(at + "group", _GROUPS.__getitem__, Group.ALL),
+                window_ns=get(at + "window-ns", int, 0),
+                streaming=get(at + "streaming", _FLAGS.__getitem__, False),
+            )
+        )
+    if not classes:
+        raise SettingsError("setting classes.count must be 1 or more")
+    tenants = tuple(
+        Tenant(
+            share=get(f"customers.{i}.share", float),
+            allowance_per_s=get(f"customers.{i}.allowance-per-s", float, 0.0),
+        )
+        for i in range(get("customers.count", int, 0))
+    )
+    names = get("telemetry.names", str, "")
+    return Settings(
+        classes=tuple(classes),
+        tenants=tenants,
+        zone=get("zone", int),
+        proxies=max(1, get("replicas-of-me", int)),
+        discovery_push=get("discovery", {"push": True, "ask": False}.__getitem__),
+        ask_within_ns=get("contract.ask-within-ns", int, 10_000_000_000),
+        drain_grace_ns=get("contract.stop-sending-within-ns", int),
+        cold_from=get("contract.cold-from", float),
+        cold_ns=get("contract.cold-ns", int),
+        fall_multiple=get("contract.fall-multiple", float),
+        fall_ns=get("contract.fall-ns", int),
+        max_attempts=get("limits.max-attempts", int),
+        parallel_attempts=get("limits.parallel-tries", _FLAGS.__getitem__),
+        may_cancel=get("limits.cancelling", _FLAGS.__getitem__),
+        may_probe=get("limits.probes", _FLAGS.__getitem__),
+        retry_after=get("limits.retry-after", _FLAGS.__getitem__, False),
+        max_retry_after_ns=get("limits.max-retry-after-ns", int, 0),
+        connect_timeout_ns=get("limits.connect-timeout-ns", int, 250_000_000),
+        tick_ns=max(1, get("round-ns", int)),
+        cross_zone_fee=get("fees.cross-zone", float, 0.0),
+        warm_keys=get("extra.warm-keys", _FLAGS.__getitem__, False),
+        load_names=tuple(n for n in names.split(",") if n),
+    )
