--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -477,7 +477,10 @@
                 full = full or why == FULL
                 if why == ILL:
                     ill.append(b)
-        if full or not ill:
+        # Guards against a last cold or ailing backend taking all that the others turned away: only a
+        # request's first attempt may go to the ailing, and none past a cold one's budget.
+        ill = [b for b in ill if self._warmth(b) >= 1 or self._cold_turn(b, self._warmth(b))]
+        if full or req.attempts or not ill:
             return None
         # Never skip all: the least bad stays.
         return min(ill, key=lambda b: (b.in_flight >= b.limit, b.fails, b.in_flight, b.out_until))
