--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -676,8 +676,11 @@
             b.limit, b.slow_start = max(1.0, min(b.limit, b.in_flight + 1.0) * CUT), False
         elif result in (Result.CONNECT_FAILED, Result.RESET, Result.ERROR):
             self._note_failure(b, 0.7 if result == Result.ERROR else 1.0)
-        elif result in (Result.TIMEOUT, Result.CANCELLED) and b.progress < a.sent and not ev.finished:
-            self._note_failure(b, 1.0)
+        elif result == Result.TIMEOUT or (result == Result.CANCELLED and not req.done):
+            # Guards against overload that shows only as clients running out of time.
+            self._learn_room(b, a, True)
+            if b.progress < a.sent:
+                self._note_failure(b, 1.0)
 
     def _learn_room(self, b: Backend, a: Attempt, late: bool) -> None:
         """Room grows while it is used and answers come early; it shrinks once for each round of late ones."""
