A turn is missed above mean in flight plus a half

Cause: with about one attempt in flight for each proxy and backend, half again the mean plus one let some backends hold three while others idled.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -18,7 +18,7 @@
 T_NS = 10 * NS  # the paper's observation time T
 SLOT_MIN_NS, SLOT_MAX_NS = NS // 4, 5 * NS // 2  # bounds of a slot, and so of e_k
 USUAL_GAIN = 0.05  # weight of one answer in the usual latency
-SPREAD, SPREAD_FREE = 1.5, 1.0  # a backend above SPREAD x mean in flight + SPREAD_FREE misses its turn
+SPREAD, SPREAD_FREE = 1.0, 0.5  # a backend above SPREAD x mean in flight + SPREAD_FREE misses its turn
 LATE, CUT = 0.6, 0.8  # an answer later than LATE x aim cuts the backend's room to CUT of it
 ROOM_START = 4.0
 EJECT_AT = 2.0  # run of failures that ejects
