--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -566,13 +566,19 @@
             req.ran_on, req.ran_at = b, now
         self.acts.append(io.SendAttempt(req.id, b.id, max(1, timeout)))
         if req.cls.effect != Effect.UNSAFE and self.cfg.parallel_attempts and len(req.attempts) == 1:
-            wait = min(max(2.0 * self.usual, req.aim / 8), (req.deadline - now) / 2)
+            wait = min(max(3.0 * self.usual, req.aim / 8), (req.deadline - now) / 2)
             self._at(now + int(wait), SECOND, req)
 
     def _second_copy(self, req: Request) -> None:
-        """A second copy for an answer that is overdue, while the budget lasts and there is room."""
+        """A second copy, but only away from a backend from which nothing has come since the first.
+
+        Copies for merely late answers cost more work than they save: under load they make all late.
+        """
         if req.started or req.out != 1 or self.waiting or len(req.attempts) >= self.cfg.max_attempts:
             return
+        a = req.attempts[-1]
+        if a.backend.progress >= a.sent and not a.backend.out_until:
+            return
         if self.budget >= 1.0 and (b := self._pick(req)):
             self.budget -= 1.0
             self._send(req, b)
