--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -21,6 +21,7 @@
 SPREAD, SPREAD_FREE = 1.0, 0.5  # a backend above SPREAD x mean in flight + SPREAD_FREE misses its turn
 LATE, CUT = 0.6, 0.8  # an answer later than LATE x aim cuts the backend's room to CUT of it
 ROOM_START = 4.0
+ROOM_LOSS, ROOM_GAIN = 0.2, 0.1  # the proxy's room, a late and an early answer
 EJECT_AT = 2.0  # run of failures that ejects
 EJECT_NS, EJECT_MAX_NS = NS // 2, 8 * NS
 RETRY_RATIO, RETRY_CAP = 0.2, 30.0  # retry budget: earned per answer, and kept at most
@@ -148,6 +149,7 @@
         self.ratio = [0.0, 0.0]
         self.version = -1
         self.in_flight = self.waiting = 0
+        self.room = 0.0  # how many attempts this proxy may have out in all
         self.virtual = 0.0
         self.usual = 0.0  # usual latency of a served attempt, ns
         self.budget = RETRY_CAP
@@ -239,6 +241,7 @@
             self._on_entry(entry, first)
         if first:
             self._split()
+            self.room = ROOM_START * len(self.backends)
 
     def _on_entry(self, entry: io.Entry, first: bool) -> None:
         old = self.backends.get(entry.backend)
@@ -459,6 +462,8 @@
 
     def _pick(self, req: Request) -> Backend | None:
         """Round robin in the request's group; a group left empty by skips borrows the other."""
+        if self.in_flight >= self.room:
+            return None
         tried = [a.backend for a in req.attempts]
         ill: list[Backend] = []
         full = False
@@ -691,6 +696,12 @@
     def _learn_room(self, b: Backend, a: Attempt, late: bool) -> None:
         """Room grows while it is used and answers come early; it shrinks once for each round of late ones."""
         used = b.in_flight + 1.0
+        if self._warmth(b) < 1 or b.out_until or b.progress < a.sent:
+            pass  # a cold, ejected or silent backend tells nothing of the fleet's room
+        elif late:
+            self.room = max(1.0, self.room - ROOM_LOSS)
+        elif self.in_flight + 2 > self.room:
+            self.room += ROOM_GAIN
         if late:
             if a.sent >= b.cut_at and used > b.limit / 2:
                 b.limit, b.cut_at, b.slow_start = max(1.0, b.limit * CUT), self.now, False
