--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -35,7 +35,7 @@
     __slots__ = (
         "arrivals", "b", "backoff", "busy_ns", "busy_since", "cell", "cut_at", "done", "est1", "est2",
         "fails", "id", "in_flight", "kind", "limit", "marks", "out_until", "priority", "probing",
-        "progress", "slow_start", "started", "tokens", "tokens_at", "touched", "u", "util", "x", "zone",
+        "progress", "rest_until", "slow_start", "started", "tokens", "tokens_at", "touched", "u", "util", "x", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: io.Entry, now: int) -> None:
@@ -50,6 +50,7 @@
         self.marks: deque[tuple[int, int, int, bool]] = deque()  # slots of the last T
         self.limit, self.cut_at, self.slow_start = ROOM_START, 0, True
         self.tokens, self.tokens_at, self.touched = 1.0, now, False
+        self.rest_until = 0  # turned us away: full, and skipped until then
         self.fails, self.out_until, self.backoff, self.probing = 0.0, 0, EJECT_NS, False
 
     def distance(self) -> float:
@@ -58,11 +59,11 @@
 
 
 class Attempt:
-    __slots__ = ("backend", "never_ran", "out", "sent", "trial")
+    __slots__ = ("backend", "never_ran", "out", "rejected", "sent", "trial")
 
     def __init__(self, backend: Backend, sent: int, trial: bool) -> None:
         self.backend, self.sent, self.trial = backend, sent, trial
-        self.out, self.never_ran = True, False
+        self.out, self.never_ran, self.rejected = True, False, False
 
 
 class Request:
@@ -427,7 +428,7 @@
             return ILL
         if warmth < 1 and not self._cold_turn(b, warmth):
             return FULL
-        if b.in_flight >= b.limit:
+        if b.in_flight >= b.limit or now < b.rest_until:
             return FULL
         mean = self.in_flight / max(1, len(self.backends))
         return FULL if b.in_flight > SPREAD * mean * warmth + SPREAD_FREE else FINE
@@ -464,7 +465,7 @@
         """Round robin in the request's group; a group left empty by skips borrows the other."""
         if self.in_flight >= self.room:
             return None
-        tried = [a.backend for a in req.attempts]
+        tried = [a.backend for a in req.attempts if not a.rejected]
         ill: list[Backend] = []
         full = False
         own = int(req.priority)
@@ -633,7 +634,7 @@
         req.out -= 1
         self._learn(a, req, ev)
         if ev.result in io.NEVER_RAN:
-            a.never_ran = True
+            a.never_ran, a.rejected = True, ev.result == Result.REJECTED
             ran = next((x for x in req.attempts if not x.never_ran), None)
             req.ran_on, req.ran_at = (ran.backend, ran.sent) if ran else (None, 0)
         if req.done:
@@ -684,7 +685,9 @@
             self.usual += USUAL_GAIN * (ev.latency_ns - self.usual) if self.usual else ev.latency_ns
             self._learn_room(b, a, ev.latency_ns / req.aim > LATE)
         elif result == Result.REJECTED:
+            # Guards against storms of rejections: a full backend rests for about one service time.
             b.limit, b.slow_start = max(1.0, min(b.limit, b.in_flight + 1.0) * CUT), False
+            b.rest_until = now + int((0.5 + self.rng.random()) * max(self.usual, self.cfg.tick_ns))
         elif result in (Result.CONNECT_FAILED, Result.RESET, Result.ERROR):
             self._note_failure(b, 0.7 if result == Result.ERROR else 1.0)
         elif result == Result.TIMEOUT or (result == Result.CANCELLED and not req.done):
