--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -35,7 +35,8 @@
     __slots__ = (
         "arrivals", "b", "backoff", "busy_ns", "busy_since", "cell", "cut_at", "done", "est1", "est2",
         "fails", "id", "in_flight", "kind", "limit", "marks", "out_until", "priority", "probing",
-        "progress", "rest_until", "slow_start", "started", "tokens", "tokens_at", "touched", "u", "util", "x", "zone",
+        "progress", "rest_until", "slow_start", "started", "tokens", "tokens_at", "touched", "u", "util", "x",
+        "zone",
     )  # fmt: skip
 
     def __init__(self, entry: io.Entry, now: int) -> None:
@@ -469,19 +470,20 @@
         ill: list[Backend] = []
         full = False
         own = int(req.priority)
-        for side in (own, 1 - own):
+        near = self.cfg.cross_zone_fee > 0
+        for side, narrow in ((own, near), (own, False), (1 - own, near), (1 - own, False)):
             group, start = self.groups[side], self.turn[side]
             for step in range(len(group)):
                 at = (start + step) % len(group)
                 b = group[at]
-                if b in tried or not self._may_go(req, b):
+                if b in tried or (narrow and b.zone != self.cfg.zone) or not self._may_go(req, b):
                     continue
                 why = self._skip(b, req)
                 if why == FINE:
                     self.turn[side] = (at + 1) % len(group)
                     return b
                 full = full or why == FULL
-                if why == ILL:
+                if why == ILL and b not in ill:
                     ill.append(b)
         # Guards against a last cold or ailing backend taking all that the others turned away: only a
         # request's first attempt may go to the ailing, and none past a cold one's budget.
