--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -26,6 +26,7 @@
 EJECT_NS, EJECT_MAX_NS = NS // 2, 8 * NS
 RETRY_RATIO, RETRY_CAP = 0.2, 30.0  # retry budget: earned per answer, and kept at most
 HOLD = 0.25  # share of the aim for which a request may wait for room
+NEAR_FEE = 0.05  # from this fee for crossing zones on, members of our own zone take turns first
 FINE, FULL, ILL = 0, 1, 2
 
 
@@ -470,7 +471,7 @@
         ill: list[Backend] = []
         full = False
         own = int(req.priority)
-        near = self.cfg.cross_zone_fee > 0
+        near = self.cfg.cross_zone_fee >= NEAR_FEE
         for side, narrow in ((own, near), (own, False), (1 - own, near), (1 - own, False)):
             group, start = self.groups[side], self.turn[side]
             for step in range(len(group)):
