--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -152,6 +152,7 @@
         self.ratio = [0.0, 0.0]
         self.version = -1
         self.in_flight = self.waiting = 0
+        self.near_due = 0.0
         self.room = 0.0  # how many attempts this proxy may have out in all
         self.virtual = 0.0
         self.usual = 0.0  # usual latency of a served attempt, ns
@@ -471,7 +472,8 @@
         ill: list[Backend] = []
         full = False
         own = int(req.priority)
-        near = self.cfg.cross_zone_fee >= NEAR_FEE
+        self.near_due = self.near_due % 1.0 + min(1.0, self.cfg.cross_zone_fee / NEAR_FEE)
+        near = self.near_due >= 1.0
         for side, narrow in ((own, near), (own, False), (1 - own, near), (1 - own, False)):
             group, start = self.groups[side], self.turn[side]
             for step in range(len(group)):
