Room: slow opening, overload read from silence of most, no loss when unused

Cause: on fleets shared by ten proxies the first second filled every backend before any answer was late, and once all were silent nothing was learned.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -153,6 +153,7 @@
         self.version = -1
         self.in_flight = self.waiting = 0
         self.near_due = 0.0
+        self.opening = True  # until the first late answer room grows fast
         self.room = 0.0  # how many attempts this proxy may have out in all
         self.virtual = 0.0
         self.usual = 0.0  # usual latency of a served attempt, ns
@@ -245,7 +246,7 @@
             self._on_entry(entry, first)
         if first:
             self._split()
-            self.room = ROOM_START * len(self.backends)
+            self.room = max(1.0, ROOM_START * len(self.backends) / self.cfg.proxies)
 
     def _on_entry(self, entry: io.Entry, first: bool) -> None:
         old = self.backends.get(entry.backend)
@@ -704,18 +705,24 @@
     def _learn_room(self, b: Backend, a: Attempt, late: bool) -> None:
         """Room grows while it is used and answers come early; it shrinks once for each round of late ones."""
         used = b.in_flight + 1.0
-        if self._warmth(b) < 1 or b.out_until or b.progress < a.sent:
-            pass  # a cold, ejected or silent backend tells nothing of the fleet's room
+        sick = b.out_until or b.progress < a.sent
+        if self._warmth(b) < 1 or (sick and 2 * self._sick() < len(self.backends)):
+            pass  # a cold or sick backend tells nothing of the fleet's room, unless most are sick: overload
+        elif late and 2 * self.in_flight < self.room:
+            pass  # late, but not for want of room: the request is heavy or the backend busy otherwise
         elif late:
-            self.room = max(1.0, self.room - ROOM_LOSS)
+            self.room, self.opening = max(1.0, self.room - ROOM_LOSS), False
         elif self.in_flight + 2 > self.room:
-            self.room += ROOM_GAIN
+            self.room += 1.0 if self.opening else ROOM_GAIN
         if late:
             if a.sent >= b.cut_at and used > b.limit / 2:
                 b.limit, b.cut_at, b.slow_start = max(1.0, b.limit * CUT), self.now, False
         elif used > b.limit - 1:
             b.limit += 1.0 if b.slow_start else 1.0 / b.limit
 
+    def _sick(self) -> int:
+        return sum(1 for b in self.backends.values() if b.fails)
+
     def _note_failure(self, b: Backend, weight: float) -> None:
         """Guards against a dead, cut-off or failing backend: a run of failures ejects it for a while."""
         b.fails += weight
