--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -423,15 +423,17 @@
     def _skip(self, b: Backend, req: Request) -> int:
         """Why this backend misses its turn: FINE (it does not), FULL (no room now) or ILL."""
         now = self.now
-        if b.out_until:
-            # Guards against sending a backend back into service on a guess: one mild trial at a time.
-            ripe = now >= b.out_until and not b.probing and req.cls.effect <= self.mildest
-            return FINE if ripe else ILL
+        wait = now < max(b.out_until, b.rest_until) or b.probing or req.cls.effect > self.mildest
+        if b.out_until and wait:
+            return ILL  # guards against a return to service on a guess: one mild trial at a time
         warmth = self._warmth(b)
         if b.in_flight and self._stalled(b, req, warmth):
             return ILL
+        # Guards against trials past the cold budget: rejected ones would follow each other at once.
         if warmth < 1 and not self._cold_turn(b, warmth):
             return FULL
+        if b.out_until:
+            return FINE
         if b.in_flight >= b.limit or now < b.rest_until:
             return FULL
         mean = self.in_flight / max(1, len(self.backends))
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,108 @@
+"""Settings, events and a recorder of actions for tests of the decision module."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from mothstall import interface as io
+from mothstall.choice import Balancer
+from mothstall.interface import NS, Effect, Group, Health, Result, Scope
+
+MS = NS // 1000
+START = 1000 * NS
+
+
+def cls(effect: Effect = Effect.SAFE, group: Group = Group.ALL, worth: float = 1.0) -> io.RequestClass:
+    return io.RequestClass(500 * MS, 2 * NS, worth, 0.3, effect, group, NS, False)
+
+
+def settings(**changes: Any) -> io.Settings:
+    base: dict[str, Any] = {
+        "classes": (cls(), cls(Effect.KEYED), cls(Effect.UNSAFE, worth=5.0)),
+        "tenants": (),
+        "zone": 0,
+        "proxies": 2,
+        "discovery_push": True,
+        "ask_within_ns": 10 * NS,
+        "drain_grace_ns": NS // 2,
+        "cold_from": 0.1,
+        "cold_ns": 20 * NS,
+        "fall_multiple": 3.0,
+        "fall_ns": 2 * NS,
+        "max_attempts": 4,
+        "parallel_attempts": True,
+        "may_cancel": True,
+        "may_probe": True,
+        "retry_after": True,
+        "max_retry_after_ns": NS,
+        "connect_timeout_ns": 100 * MS,
+        "tick_ns": 5 * MS,
+        "cross_zone_fee": 0.0,
+        "warm_keys": False,
+        "load_names": (),
+    }
+    base.update(changes)
+    return io.Settings(**base)
+
+
+def entry(
+    backend: int, zone: int = 0, health: Health = Health.READY, started: int = 0, cell: int = 0
+) -> io.Entry:
+    return io.Entry(backend, zone, 0, cell, health, 1.0, started)
+
+
+class Drive:
+    """One instance, a clock, and all that it has done so far."""
+
+    def __init__(
+        self, backends: int = 4, seed: int = 7, entries: list[io.Entry] | None = None, **changes: Any
+    ) -> None:
+        self.balancer = Balancer(settings(**changes), seed)
+        self.now = START
+        self.log: list[tuple[int, io.Action]] = []
+        self.next_id = 1
+        self.attempts: dict[int, int] = {}
+        rows = entries if entries is not None else [entry(i + 1) for i in range(backends)]
+        self.feed(io.BackendList(Scope.CACHED, 1, rows))
+
+    def feed(self, *events: io.Event) -> list[io.Action]:
+        acts = self.balancer.handle(self.now, list(events))
+        self.log += [(self.now, a) for a in acts]
+        return acts
+
+    def wait(self, ns: int, step: int = 10 * MS) -> list[io.Action]:
+        """Let time pass with timer events alone."""
+        acts: list[io.Action] = []
+        end = self.now + ns
+        while self.now < end:
+            self.now = min(end, self.now + step)
+            acts += self.feed(io.TimerFired(self.now))
+        return acts
+
+    def ask(self, kind: int = 0, left: int = 2 * NS, tenant: int = 0) -> tuple[int, list[io.Action]]:
+        rid = self.next_id
+        self.next_id += 1
+        return rid, self.feed(io.RequestArrived(rid, kind, tenant, 0, left, 0, False))
+
+    def send(self, kind: int = 0, left: int = 2 * NS, tenant: int = 0) -> tuple[int, int]:
+        """A request that must be sent at once: its id and backend."""
+        rid, acts = self.ask(kind, left, tenant)
+        sends = [a for a in acts if isinstance(a, io.SendAttempt) and a.request == rid]
+        assert len(sends) == 1, acts
+        return rid, sends[0].backend
+
+    def end(
+        self, rid: int, backend: int, result: Result = Result.OK, attempt: int = 0, latency: int = 20 * MS
+    ) -> list[io.Action]:
+        done = result == Result.OK
+        return self.feed(io.AttemptEnded(rid, attempt, backend, result, latency, done, ()))
+
+    def serve(self, kind: int = 0, latency: int = 20 * MS, tenant: int = 0) -> int:
+        rid, backend = self.send(kind, tenant=tenant)
+        self.now += latency
+        self.end(rid, backend, latency=latency)
+        return backend
+
+
+def sends(acts: list[io.Action]) -> list[io.SendAttempt]:
+    return [a for a in acts if isinstance(a, io.SendAttempt)]
--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,306 @@
+"""One small test for each kind of trouble that the module guards against."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+from typing import Any
+
+from mothstall import interface as io
+from mothstall.choice import EJECT_AT, FINE, FULL, ILL, T_NS, Request
+from mothstall.interface import NS, Effect, Result, Scope
+from tests.helpers import MS, Drive, cls, entry, sends, settings
+
+PURE = (cls(),)
+
+
+def warmed(backends: int = 4, **changes: Any) -> Drive:
+    """An instance that has served each backend a few times."""
+    drive = Drive(backends, **{"classes": PURE, **changes})
+    for _ in range(10 * backends):
+        drive.serve()
+    return drive
+
+
+def probe_request(drive: Drive, kind: int = 0, left: int = 2 * NS) -> Request:
+    """A request to ask the skip rules about, which the instance does not hold."""
+    b = drive.balancer
+    arrived = io.RequestArrived(0, kind, 0, 0, left, 0, False)
+    return Request(arrived, b.cfg.classes[kind], b.flows[0], False, b.now)
+
+
+def skip(drive: Drive, number: int, kind: int = 0) -> int:
+    return drive.balancer._skip(drive.balancer.backends[number], probe_request(drive, kind))
+
+
+def test_a_hung_backend_is_skipped_and_a_short_pause_does_not_eject() -> None:
+    drive = warmed()
+    rid, hung = drive.send()
+    drive.wait(30 * MS)
+    assert skip(drive, hung) != ILL
+    drive.wait(500 * MS)
+    assert skip(drive, hung) == ILL
+    assert not drive.balancer.backends[hung].out_until
+    drive.end(rid, hung, latency=530 * MS)
+    assert skip(drive, hung) == FINE
+
+
+def test_an_unsafe_request_is_more_careful_of_silence() -> None:
+    drive = warmed(classes=(cls(), cls(Effect.UNSAFE)))
+    _, quiet = drive.send()
+    drive.wait(55 * MS)
+    assert skip(drive, quiet, 1) == ILL
+    assert skip(drive, quiet, 0) != ILL
+
+
+def fail(drive: Drive, number: int, result: Result = Result.CONNECT_FAILED) -> None:
+    b = drive.balancer.backends[number]
+    drive.balancer._note_failure(b, EJECT_AT)
+    assert b.out_until
+
+
+def test_a_dead_backend_is_ejected_and_comes_back_by_one_mild_trial() -> None:
+    drive = warmed(classes=(cls(), cls(Effect.UNSAFE)))
+    fail(drive, 2)
+    assert skip(drive, 2) == ILL
+    drive.wait(NS)
+    assert skip(drive, 2, 1) == ILL  # the trial is a safe request
+    assert skip(drive, 2) == FINE
+    rid = trial = 0
+    while trial != 2:
+        rid, trial = drive.send()
+    assert skip(drive, 2) == ILL  # one at a time
+    drive.end(rid, 2)
+    assert drive.balancer.backends[2].out_until == 0
+
+
+def test_a_failed_trial_doubles_the_wait() -> None:
+    drive = warmed()
+    fail(drive, 2)
+    first = drive.balancer.backends[2].backoff
+    drive.wait(NS)
+    fail(drive, 2)
+    assert drive.balancer.backends[2].backoff == 2 * first
+
+
+def test_a_backend_that_fails_fast_is_ejected_not_favoured() -> None:
+    drive = warmed(3, classes=(cls(Effect.UNSAFE),))
+    hits = 0
+    for _ in range(60):
+        rid, to = drive.send()
+        drive.now += MS if to == 1 else 20 * MS
+        hits += to == 1
+        drive.end(rid, to, Result.ERROR if to == 1 else Result.OK, latency=MS if to == 1 else 20 * MS)
+    assert hits <= 6
+
+
+def test_the_least_bad_stays_when_all_are_ill() -> None:
+    drive = warmed(3)
+    for number in (1, 2, 3):
+        fail(drive, number)
+    _, to = drive.send()
+    assert to in (1, 2, 3)
+
+
+def test_a_later_attempt_does_not_go_to_the_ailing() -> None:
+    # Found on a day with crashes: the last backend left took all that the others had turned away.
+    drive = warmed(3)
+    rid, first = drive.send()
+    for number in {1, 2, 3} - {first}:
+        fail(drive, number)
+    acts = drive.end(rid, first, Result.ERROR)
+    assert not sends(acts)
+    assert any(isinstance(a, io.Refuse) for a in acts)
+
+
+def test_rejected_trials_keep_to_the_cold_budget() -> None:
+    # Found by a hunt: rejected trials of a cold backend followed each other at once and pushed it over.
+    drive = warmed(3)
+    drive.feed(io.BackendList(Scope.DELTA, 2, [entry(9, started=drive.now)]))
+    fail(drive, 9)
+    drive.wait(NS)
+    hits = 0
+    for _ in range(200):
+        drive.now += 2 * MS
+        _, acts = drive.ask()
+        for s in sends(acts):
+            hits += s.backend == 9
+            drive.end(s.request, s.backend, Result.REJECTED if s.backend == 9 else Result.OK)
+    assert hits <= 2
+
+
+def test_a_full_backend_rests_after_a_rejection() -> None:
+    # Found on an incident: rejected requests went round the fleet, thirteen attempts each.
+    drive = warmed()
+    rid, full = drive.send()
+    drive.end(rid, full, Result.REJECTED)
+    assert skip(drive, full) == FULL
+    drive.wait(100 * MS)
+    assert skip(drive, full) == FINE
+
+
+def test_a_new_start_under_the_same_id_is_cold_again() -> None:
+    drive = warmed()
+    drive.feed(io.BackendList(Scope.DELTA, 2, [entry(1, started=drive.now)]))
+    b = drive.balancer.backends[1]
+    assert drive.balancer._warmth(b) < 0.2
+    assert b.done == 0 and b.in_flight == 0
+
+
+def test_second_copies_only_away_from_silence() -> None:
+    # Found on a rough day: copies of merely late answers made all answers late.
+    drive = warmed()
+    _, slow = drive.send()
+    drive.balancer.backends[slow].progress = drive.now + 1  # it does answer others
+    assert not sends(drive.wait(NS))
+    drive = warmed()
+    rid, silent = drive.send()
+    copies = sends(drive.wait(NS))
+    assert [c.request for c in copies] == [rid]
+    assert copies[0].backend != silent
+
+
+def test_the_other_copy_is_cancelled_once_one_is_served() -> None:
+    drive = warmed()
+    rid, _ = drive.send()
+    copy = sends(drive.wait(NS))[0]
+    assert io.CancelAttempt(rid, 0) in drive.end(rid, copy.backend, attempt=1)
+
+
+def full_house(drive: Drive, **kw: int) -> list[tuple[int, int]]:
+    """Requests out until the proxy has no room left."""
+    held: list[tuple[int, int]] = []
+    for _ in range(200):
+        rid, acts = drive.ask(**kw)
+        if not sends(acts):
+            return held
+        held.append((rid, sends(acts)[0].backend))
+    raise AssertionError("room without end")
+
+
+def test_time_outs_shrink_the_room() -> None:
+    # Found on an overloaded day: tries were given up near the aim, so late answers never came.
+    drive = warmed()
+    held = full_house(drive)
+    before = drive.balancer.room
+    drive.now += NS
+    for b in drive.balancer.backends.values():
+        b.progress = drive.now
+    for rid, to in held[:4]:
+        drive.end(rid, to, Result.TIMEOUT, latency=NS)
+    assert drive.balancer.room < before
+
+
+def test_late_answers_in_an_empty_house_do_not_shrink_it() -> None:
+    # Found on a quiet day: the room drifted down until requests were held for nothing.
+    drive = warmed()
+    before = drive.balancer.room
+    for _ in range(20):
+        drive.serve(latency=400 * MS)
+    assert drive.balancer.room == before
+
+
+def test_silence_of_a_few_is_theirs_but_of_most_is_overload() -> None:
+    # Found on an incident: with every backend silent nothing was learned and the flood went on.
+    for silent, shrinks in ((1, False), (4, True)):
+        drive = warmed()
+        held = full_house(drive)
+        quiet = [held[0][1], *({1, 2, 3, 4} - {held[0][1]})][:silent]
+        for number in quiet:
+            drive.balancer.backends[number].fails = 1.0
+        before = drive.balancer.room
+        drive.now += NS
+        mine = [h for h in held if h[1] == quiet[0]]
+        for rid, to in mine:
+            drive.end(rid, to, Result.TIMEOUT, latency=NS)
+        assert (drive.balancer.room < before) == shrinks
+
+
+def test_room_opens_from_four_a_backend_for_all_proxies_together() -> None:
+    # Found on an incident: ten proxies filled every backend before the first answer could be late.
+    assert Drive(10, proxies=10).balancer.room == 4.0
+
+
+def test_no_room_means_a_short_wait_and_then_a_refusal_in_time() -> None:
+    drive = warmed()
+    full_house(drive)
+    rid, acts = drive.ask()
+    acts += drive.wait(300 * MS)
+    refused = [t for t, a in drive.log if isinstance(a, io.Refuse) and a.request == rid]
+    assert refused and refused[0] <= drive.now
+    assert not any(isinstance(a, io.SendAttempt) and a.request == rid for _, a in drive.log)
+
+
+def test_what_waits_is_sent_as_soon_as_there_is_room() -> None:
+    drive = warmed()
+    held = full_house(drive)
+    waiting = drive.next_id - 1
+    acts = drive.end(*held[0])
+    assert [s.request for s in sends(acts)] == [waiting]
+
+
+def test_a_heavy_tenant_does_not_starve_the_others() -> None:
+    tenants = (io.Tenant(0.5, 50.0), io.Tenant(0.5, 50.0))
+    drive = warmed(3, tenants=tenants)
+    busy = full_house(drive, tenant=0)
+    served = {0: 0, 1: 0}
+    asked = {0: 0, 1: 0}
+    whose = dict.fromkeys(range(drive.next_id), 0)
+    for turn in range(300):
+        drive.now += 5 * MS
+        tenant = 1 if turn % 10 == 0 else 0
+        rid, acts = drive.ask(tenant=tenant)
+        whose[rid] = tenant
+        asked[tenant] += 1
+        if turn % 4 == 0:
+            drive.balancer.opening = False
+            acts += drive.end(*busy.pop(0))
+        for s in sends(acts):
+            served[whose[s.request]] += 1
+            busy.append((s.request, s.backend))
+    assert served[1] + 2 >= asked[1] * 0.8
+    assert served[0] > served[1]
+
+
+def test_own_zone_takes_its_part_of_turns_by_the_fee() -> None:
+    rows = [entry(i, zone=i % 2) for i in range(1, 9)]
+    near = {}
+    for fee in (0.0, 0.02, 0.1):
+        drive = Drive(entries=rows, classes=PURE, cross_zone_fee=fee)
+        near[fee] = sum(drive.serve() % 2 == 0 for _ in range(200)) / 200
+    assert near[0.0] < near[0.02] < near[0.1]
+    assert near[0.1] > 0.95
+
+
+def test_discovery_is_asked_at_once_and_again_after_a_failure() -> None:
+    drive = Drive(discovery_push=False)
+    assert [a for _, a in drive.log if isinstance(a, io.Subscribe)] == [io.Subscribe(True)]
+    drive.feed(io.BackendList(Scope.FAILED, 1, []))
+    assert set(drive.balancer.backends) == {1, 2, 3, 4}
+    again = [a for a in drive.wait(2 * NS) if isinstance(a, io.Subscribe)]
+    assert len(again) == 1
+
+
+def test_discovery_never_falls_silent() -> None:
+    drive = Drive(discovery_push=False)
+    cfg = settings()
+    asked = [drive.now]
+    for _ in range(60):
+        acts = drive.wait(NS)
+        if any(isinstance(a, io.Subscribe) for a in acts):
+            asked.append(drive.now)
+            if len(asked) % 2:
+                drive.feed(io.BackendList(Scope.FAILED, 1, []))
+    assert max(b - a for a, b in pairwise(asked)) < cfg.ask_within_ns
+
+
+def test_a_stale_list_brings_nothing_back() -> None:
+    drive = Drive(4)
+    drive.feed(io.BackendList(Scope.FULL, 5, [entry(1), entry(2)]))
+    drive.feed(io.BackendList(Scope.DELTA, 4, [entry(3)]))
+    assert set(drive.balancer.backends) == {1, 2}
+
+
+def test_slots_go_on_without_traffic() -> None:
+    drive = Drive()
+    drive.wait(2 * T_NS)
+    assert len(drive.balancer.slots) >= 3
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,253 @@
+"""Frames, settings and the hosting process."""
+
+from __future__ import annotations
+
+import io as streams
+import struct
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from mothstall import interface as io
+from mothstall.interface import Effect, Group, Health, Result, Scope
+from mothstall.simhost.host import Host
+from mothstall.simwire import codec
+from mothstall.simwire.settings import SettingsError, parse
+
+ROOT = Path(__file__).parent.parent
+
+SETUP = """classes.count=2
+classes.0.aim-ns=250000000
+classes.0.deadline-ns=600000000
+classes.0.effect=pure
+classes.0.worth=1.0
+classes.1.aim-ns=500000000
+classes.1.deadline-ns=2500000000
+classes.1.effect=token
+classes.1.group=zone
+classes.1.window-ns=1500000000
+classes.1.worth=2.0
+contract.cold-from=0.12
+contract.cold-ns=24000000000
+contract.fall-multiple=2.5
+contract.fall-ns=2000000000
+contract.stop-sending-within-ns=500000000
+discovery=push
+limits.cancelling=true
+limits.max-attempts=4
+limits.parallel-tries=true
+limits.probes=true
+replicas-of-me=4
+round-ns=5000000
+telemetry.names=util,queue
+zone=3
+zones=a,b,c,d
+some.new-key=of,a,kind,not,known
+"""
+
+
+def frame(now: int, *records: bytes) -> bytes:
+    body = struct.pack(">Q", now) + b"".join(records)
+    return struct.pack(">I", len(body)) + body
+
+
+def boot(inst: int = 3, setup: str = SETUP) -> bytes:
+    raw = setup.encode()
+    return struct.pack(">BHQI", 40, inst, 99, len(raw)) + raw
+
+
+def endpoints(inst: int = 3, scope: int = 0) -> bytes:
+    row = struct.pack(">IHBHBfQ", 0x03124A07, 0, 0, 0, 1, 1.0, 0)
+    return struct.pack(">BHBII", 10, inst, scope, 41, 1) + row
+
+
+REQUEST = bytes.fromhex(
+    "64" "0003" "000e30025d3a91c4" "00" "0000" "91f03b7c55d20a64" "000000000e4e1c00" "0000000000b71b00" "01"
+)
+
+
+def test_records_of_the_wire_page_are_read() -> None:
+    ended = bytes.fromhex(
+        "5a" "0003" "000e30025d3a91c4" "00" "03124a07" "00c8" "00000000011a49a0" "01"
+        "02" "3f1eb852" "40400000"
+    )
+    timer = bytes.fromhex("14" "0003" "000000000000004d")
+    gone = bytes.fromhex("50" "0005" "0004bdfa0e6f2b19")
+    listed = bytes.fromhex(
+        "0a" "0003" "00" "00000029" "00000002"
+        "03124a07" "0000" "00" "0000" "01" "3f800000" "0000000000000000"
+        "2c9011f2" "0001" "00" "0000" "01" "3fc00000" "000000016b969d00"
+    )  # fmt: skip
+    body = frame(0x1F568BF90, REQUEST, ended, timer, gone, listed)[4:]
+    now, records = codec.decode(body)
+    assert now == 0x1F568BF90
+    assert records[0] == (
+        3,
+        io.RequestArrived(0x000E30025D3A91C4, 0, 0, 0x91F03B7C55D20A64, 240000000, 12000000, False),
+    )
+    inst, outcome = records[1]
+    assert inst == 3 and isinstance(outcome, io.AttemptEnded)
+    assert (outcome.result, outcome.finished, outcome.latency_ns) == (Result.OK, True, 18500000)
+    assert outcome.load == pytest.approx((0.62, 3.0))
+    assert records[2] == (3, io.TimerFired(77))
+    assert records[3] == (5, io.ClientLeft(0x0004BDFA0E6F2B19))
+    _, change = records[4]
+    assert isinstance(change, io.BackendList)
+    assert (change.scope, change.version) == (Scope.CACHED, 41)
+    assert change.entries[1] == io.Entry(0x2C9011F2, 1, 0, 0, Health.READY, 1.5, 6100000000)
+
+
+def test_actions_are_written_as_on_the_wire_page() -> None:
+    reply = codec.encode(
+        [
+            (3, io.SendAttempt(0x000E30025D3A91C4, 0x03124A07, 80000000)),
+            (3, io.SetTimer(77, 0x213362490)),
+            (5, io.Log("two servers known")),
+        ],
+        [],
+    )
+    assert reply.hex() == (
+        "00000040"
+        "280003000e30025d3a91c403124a070000000004c4b400"
+        "640003000000000000004d0000000213362490"
+        "460005001174776f2073657276657273206b6e6f776e"
+    )
+
+
+def test_every_action_has_its_record() -> None:
+    actions: list[tuple[int, io.Action]] = [
+        (1, io.CloseIdle(2)),
+        (1, io.Probe(2)),
+        (1, io.Refuse(7, 9)),
+        (1, io.Subscribe(True)),
+        (1, io.FetchList()),
+        (1, io.CancelAttempt(7, 1)),
+        (1, io.Fail(7)),
+    ]
+    body = codec.encode(actions, [(1, "why")])[4:].hex()
+    assert body == (
+        "0a000100000002" "14000100000002" "1e000100000000000000070000000000000009" "3c000101" "6e0001"
+        "780001000000000000000701" "5000010000000000000007" "5a00010003776879"
+    )  # fmt: skip
+
+
+def test_peer_messages_probes_and_first_answers_are_read_past() -> None:
+    peer = struct.pack(">BHIH", 60, 3, 1, 3) + b"abc"
+    probe = struct.pack(">BHQIHBf", 30, 3, 5, 7, 200, 1, 0.5)
+    first = struct.pack(">BHQBIQ", 50, 3, 8, 0, 7, 5)
+    _, records = codec.decode(frame(1, peer, probe, first)[4:])
+    assert records[0] == (3, None)
+    assert records[1] == (3, io.ProbeEnded(7, Result.OK, 5, (0.5,)))
+    assert records[2] == (3, io.ResponseStarted(8, 0, 7))
+
+
+@pytest.mark.parametrize(
+    ("raw", "word"),
+    [
+        (b"\0\0", "inside a frame's length"),
+        (struct.pack(">I", 20) + b"\0" * 5, "inside a frame"),
+        (struct.pack(">I", 4) + b"\0" * 4, "outside"),
+        (struct.pack(">I", 0xFFFFFFFF) + b"\0" * 16, "outside"),
+    ],
+)
+def test_broken_frames_are_named(raw: bytes, word: str) -> None:
+    with pytest.raises(codec.WireError, match=word):
+        codec.read_frame(streams.BytesIO(raw))
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        b"\xee\0\1",  # unknown code
+        REQUEST[:-1],
+        endpoints()[:-1],
+        endpoints(scope=9),
+        struct.pack(">BHQI", 40, 1, 9, 1000) + b"short",
+        struct.pack(">BHQBIHQBB", 90, 1, 2, 0, 3, 777, 5, 1, 0),  # unknown outcome
+        struct.pack(">BHQBIHQBB", 90, 1, 2, 0, 3, 200, 5, 1, 2),  # load cut short
+        struct.pack(">BHIH", 60, 3, 1, 30) + b"abc",
+    ],
+)
+def test_broken_records_are_errors(record: bytes) -> None:
+    with pytest.raises(codec.WireError):
+        codec.decode(frame(1, record)[4:])
+
+
+def test_settings_are_read_and_unknown_keys_skipped() -> None:
+    cfg = parse(SETUP)
+    assert cfg.classes[1].effect == Effect.KEYED
+    assert cfg.classes[1].group == Group.ZONE
+    assert (cfg.zone, cfg.proxies, cfg.discovery_push) == (3, 4, True)
+    assert cfg.load_names == ("util", "queue")
+    assert cfg.tenants == ()
+
+
+@pytest.mark.parametrize(
+    "key", ["classes.count", "classes.1.worth", "contract.cold-from", "limits.max-attempts"]
+)
+def test_a_missing_setting_is_named(key: str) -> None:
+    text = "\n".join(line for line in SETUP.splitlines() if not line.startswith(key + "="))
+    with pytest.raises(SettingsError, match=key):
+        parse(text)
+
+
+def test_an_unreadable_setting_is_named() -> None:
+    with pytest.raises(SettingsError, match=r"classes\.0\.effect"):
+        parse(SETUP.replace("effect=pure", "effect=odd"))
+
+
+def test_host_reports_a_missing_setting_and_lives_on() -> None:
+    host = Host()
+    reply = host.batch(5, codec.decode(frame(5, boot(setup="zone=1\n"), boot(4), endpoints(4))[4:])[1])
+    assert reply[4] in (90, 100)
+    assert b"classes.count" in reply
+    assert list(host.instances) == [4]
+
+
+def test_host_reports_an_exception_as_a_fault(monkeypatch: pytest.MonkeyPatch) -> None:
+    host = Host()
+    host.batch(5, codec.decode(frame(5, boot(), endpoints())[4:])[1])
+    monkeypatch.setattr(host.instances[3], "handle", lambda *_: 1 / 0)
+    reply = host.batch(6, [(3, io.TimerFired(1))])
+    assert reply[4] == 90 and b"ZeroDivisionError" in reply
+    assert 3 not in host.instances
+
+
+def test_events_for_unknown_instances_are_ignored() -> None:
+    assert Host().batch(5, [(8, io.TimerFired(1))]) == b"\0\0\0\0"
+
+
+def test_a_kill_voids_what_came_before_it_in_the_batch() -> None:
+    host = Host()
+    host.batch(5, codec.decode(frame(5, boot(), endpoints())[4:])[1])
+    request = codec.decode(frame(6, REQUEST)[4:])[1]
+    reply = host.batch(6, [*request, (3, codec.Teardown())])
+    assert reply == b"\0\0\0\0"
+    assert host.instances == {}
+
+
+def run(raw: bytes) -> subprocess.CompletedProcess[bytes]:
+    return subprocess.run(
+        [sys.executable, "-m", "mothstall.simhost"],
+        input=raw,
+        capture_output=True,
+        cwd=ROOT,
+        timeout=60,
+        check=False,
+    )
+
+
+def test_process_answers_each_batch_and_ends_clean() -> None:
+    done = run(frame(1) + frame(5, boot(), endpoints()) + frame(6, REQUEST))
+    assert done.returncode == 0 and done.stderr == b""
+    assert done.stdout[:4] == b"\0\0\0\0"
+    assert bytes.fromhex("280003000e30025d3a91c403124a07") in done.stdout
+
+
+@pytest.mark.parametrize("raw", [b"\0\0", frame(1)[:-2], frame(1, b"\xee\0\1")])
+def test_process_ends_non_zero_with_a_plain_line_on_bad_input(raw: bytes) -> None:
+    done = run(raw)
+    assert done.returncode == 2
+    assert done.stderr.startswith(b"mothstall: bad input: ") and done.stderr.count(b"\n") == 1
