--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -21,6 +21,7 @@
 SPREAD, SPREAD_FREE = 1.0, 0.5  # a backend above SPREAD x mean in flight + SPREAD_FREE misses its turn
 LATE, CUT = 0.45, 0.8  # an answer later than LATE x aim cuts the backend's room to CUT of it
 ROOM_START = 4.0
+ROOM_USED = 1.5  # room is learned where this times what is in flight exceeds it
 ROOM_LOSS, ROOM_GAIN = 0.2, 0.1  # the proxy's room, a late and an early answer
 EJECT_AT = 2.0  # run of failures that ejects
 EJECT_NS, EJECT_MAX_NS = NS // 2, 8 * NS
@@ -710,11 +711,11 @@
         sick = b.out_until or b.progress < a.sent
         if self._warmth(b) < 1 or (sick and 2 * self._sick() < len(self.backends)):
             pass  # a cold or sick backend tells nothing of the fleet's room, unless most are sick: overload
-        elif late and 2 * self.in_flight < self.room:
-            pass  # late, but not for want of room: the request is heavy or the backend busy otherwise
+        elif ROOM_USED * self.in_flight < self.room:
+            pass  # room was not short: the request is heavy, or the backend busy otherwise
         elif late:
             self.room, self.opening = max(1.0, self.room - ROOM_LOSS), False
-        elif self.in_flight + 2 > self.room:
+        else:
             self.room += 1.0 if self.opening else ROOM_GAIN
         if late:
             if a.sent >= b.cut_at and used > b.limit / 2:
