--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -22,6 +22,8 @@
 LATE, CUT = 0.45, 0.8  # an answer later than LATE x aim cuts the backend's room to CUT of it
 ROOM_START = 4.0
 ROOM_USED = 1.5  # room is learned where this times what is in flight exceeds it
+SPARE_LOSS, SPARE_GAIN = 0.3, 0.1  # the same for what requests beyond a share may use of it
+SHARE_SLACK = 1.5  # how far above the typical tenant's pace a tenant still counts as inside its share
 ROOM_LOSS, ROOM_GAIN = 0.2, 0.1  # the proxy's room, a late and an early answer
 EJECT_AT = 2.0  # run of failures that ejects
 EJECT_NS, EJECT_MAX_NS = NS // 2, 8 * NS
@@ -71,8 +73,8 @@
 
 class Request:
     __slots__ = (
-        "aim", "arrived", "attempts", "cls", "deadline", "done", "flow", "id", "out", "priority",
-        "ran_at", "ran_on", "started", "waiting",
+        "aim", "arrived", "attempts", "beyond", "cls", "deadline", "done", "flow", "id", "out",
+        "priority", "ran_at", "ran_on", "started", "waiting",
     )  # fmt: skip
 
     def __init__(self, ev: io.RequestArrived, cls: io.RequestClass, flow: Flow, prio: bool, now: int) -> None:
@@ -82,6 +84,7 @@
         self.attempts: list[Attempt] = []
         self.out = 0
         self.done = self.started = self.waiting = False
+        self.beyond = False  # past what its tenant's share allows here
         self.ran_at = 0  # when and where the first attempt that may have run went
         self.ran_on: Backend | None = None
 
@@ -89,13 +92,14 @@
 class Flow:
     """The requests of one profile: of a tenant where tenants are told, else of a class."""
 
-    __slots__ = ("queue", "quota", "rate", "seen", "served", "tag", "weight")
+    __slots__ = ("queue", "quota", "rate", "seen", "served", "tag", "tokens", "tokens_at", "weight")
 
     def __init__(self, weight: float, quota: float) -> None:
         self.weight, self.quota = max(weight, 1e-6), quota
         self.queue: deque[Request] = deque()
         self.tag = self.rate = self.seen = 0.0
         self.served = 0
+        self.tokens, self.tokens_at = 1.0, 0  # what the flow may still ask inside its share
 
 
 class Latency:
@@ -154,6 +158,9 @@
         self.version = -1
         self.in_flight = self.waiting = 0
         self.near_due = 0.0
+        self.spare = math.inf  # the part of the room that requests beyond a share may use
+        self.part = 1.0 / settings.proxies  # this proxy's part of all traffic, as its typical tenant shows
+        self.seen_ns = 0.0
         self.opening = True  # until the first late answer room grows fast
         self.room = 0.0  # how many attempts this proxy may have out in all
         self.virtual = 0.0
@@ -402,6 +409,9 @@
             f.rate += 0.5 * (f.served * NS / span - f.rate)
             f.served = 0
             f.seen *= keep
+        self.seen_ns = self.seen_ns * keep + span
+        paces = sorted(f.seen * NS / self.seen_ns / max(f.quota, 1e-6) for f in self.flows)
+        self.part = paces[(len(paces) - 1) // 2]
         claims = [self._claim(i) for i in range(len(self.flows))]
         best = max(range(len(claims)), key=lambda i: (claims[i], -i))
         # A near tie must not swap the priority profile back and forth.
@@ -470,7 +480,7 @@
 
     def _pick(self, req: Request) -> Backend | None:
         """Round robin in the request's group; a group left empty by skips borrows the other."""
-        if self.in_flight >= self.room:
+        if self.in_flight >= (min(self.room, self.spare) if req.beyond else self.room):
             return None
         tried = [a.backend for a in req.attempts if not a.rejected]
         ill: list[Backend] = []
@@ -511,6 +521,7 @@
         req = Request(ev, cls, flow, index == self.priority, self.now)
         self.requests[ev.request] = req
         self.latency[int(req.priority)].take(req)
+        req.beyond = self._beyond(flow)
         flow.seen += 1
         self.arrivals += 1
         if not flow.queue:
@@ -521,6 +532,18 @@
                 return
         self._hold(req)
 
+    def _beyond(self, flow: Flow) -> bool:
+        """Whether a tenant asks for more than its allowance in this proxy's part of the traffic."""
+        if not self.cfg.tenants:
+            return False
+        rate = SHARE_SLACK * self.part * flow.quota
+        flow.tokens = min(max(1.0, rate), flow.tokens + (self.now - flow.tokens_at) * rate / NS)
+        flow.tokens_at = self.now
+        if flow.tokens < 1.0:
+            return True
+        flow.tokens -= 1.0
+        return False
+
     def _head_tag(self) -> float:
         return min(f.tag for f in self.flows if f.queue)
 
@@ -528,7 +551,7 @@
         """Wait briefly for room where room is near; else refuse at once, not late."""
         flow, now = req.flow, self.now
         wait = int(HOLD * min(req.aim, req.deadline - now))
-        if len(flow.queue) >= max(1.0, flow.rate * wait / NS) or wait <= 0:
+        if req.beyond or len(flow.queue) >= max(1.0, flow.rate * wait / NS) or wait <= 0:
             self._give_up(req)
             return
         flow.queue.append(req)
@@ -709,20 +732,29 @@
         """Room grows while it is used and answers come early; it shrinks once for each round of late ones."""
         used = b.in_flight + 1.0
         sick = b.out_until or b.progress < a.sent
-        if self._warmth(b) < 1 or (sick and 2 * self._sick() < len(self.backends)):
-            pass  # a cold or sick backend tells nothing of the fleet's room, unless most are sick: overload
-        elif ROOM_USED * self.in_flight < self.room:
-            pass  # room was not short: the request is heavy, or the backend busy otherwise
-        elif late:
-            self.room, self.opening = max(1.0, self.room - ROOM_LOSS), False
-        else:
-            self.room += 1.0 if self.opening else ROOM_GAIN
+        if self._warmth(b) >= 1 and (not sick or 2 * self._sick() >= len(self.backends)):
+            # A cold or sick backend tells nothing of the fleet's room, unless most are sick: overload.
+            self._learn_fleet(late)
         if late:
             if a.sent >= b.cut_at and used > b.limit / 2:
                 b.limit, b.cut_at, b.slow_start = max(1.0, b.limit * CUT), self.now, False
         elif used > b.limit - 1:
             b.limit += 1.0 if b.slow_start else 1.0 / b.limit
 
+    def _learn_fleet(self, late: bool) -> None:
+        """The proxy's room, and the spare part of it that requests beyond a share may use.
+
+        Beyond-share requests give way on milder signs of crowding. Lateness is the one sign that all
+        proxies see: so those with little in-share traffic leave room to those with much.
+        """
+        self.spare = max(0.0, min(self.spare, self.room) + (-SPARE_LOSS if late else SPARE_GAIN))
+        if ROOM_USED * self.in_flight < self.room:
+            return  # room was not short: the request is heavy, or the backend busy otherwise
+        if late:
+            self.room, self.opening = max(1.0, self.room - ROOM_LOSS), False
+        else:
+            self.room += 1.0 if self.opening else ROOM_GAIN
+
     def _sick(self) -> int:
         return sum(1 for b in self.backends.values() if b.fails)
 
