Every late answer shrinks the room, used or not

Cause: after the fleet shrank, each proxy's in-share traffic stayed under its unused room, so no proxy learned while all together kept the backends crowded.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -21,7 +21,7 @@
 SPREAD, SPREAD_FREE = 1.0, 0.5  # a backend above SPREAD x mean in flight + SPREAD_FREE misses its turn
 LATE, CUT = 0.45, 0.8  # an answer later than LATE x aim cuts the backend's room to CUT of it
 ROOM_START = 4.0
-ROOM_USED = 1.5  # room is learned where this times what is in flight exceeds it
+ROOM_USED = 2.0  # room grows no further above its start than this times what is in flight
 SPARE_LOSS, SPARE_GAIN = 0.3, 0.1  # the same for what requests beyond a share may use of it
 SHARE_SLACK = 1.5  # how far above the typical tenant's pace a tenant still counts as inside its share
 ROOM_LOSS, ROOM_GAIN = 0.2, 0.1  # the proxy's room, a late and an early answer
@@ -254,7 +254,7 @@
             self._on_entry(entry, first)
         if first:
             self._split()
-            self.room = max(1.0, ROOM_START * len(self.backends) / self.cfg.proxies)
+            self.room = self._first_room()
 
     def _on_entry(self, entry: io.Entry, first: bool) -> None:
         old = self.backends.get(entry.backend)
@@ -748,13 +748,14 @@
         proxies see: so those with little in-share traffic leave room to those with much.
         """
         self.spare = max(0.0, min(self.spare, self.room) + (-SPARE_LOSS if late else SPARE_GAIN))
-        if ROOM_USED * self.in_flight < self.room:
-            return  # room was not short: the request is heavy, or the backend busy otherwise
         if late:
             self.room, self.opening = max(1.0, self.room - ROOM_LOSS), False
-        else:
+        elif self.room < ROOM_USED * self.in_flight + self._first_room():
             self.room += 1.0 if self.opening else ROOM_GAIN
 
+    def _first_room(self) -> float:
+        return max(1.0, ROOM_START * len(self.backends) / self.cfg.proxies)
+
     def _sick(self) -> int:
         return sum(1 for b in self.backends.values() if b.fails)
 
