--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -158,6 +158,7 @@
         self.version = -1
         self.in_flight = self.waiting = 0
         self.near_due = 0.0
+        self.most_worth = max(c.worth for c in settings.classes)
         self.spare = math.inf  # the part of the room that requests beyond a share may use
         self.part = 1.0 / settings.proxies  # this proxy's part of all traffic, as its typical tenant shows
         self.seen_ns = 0.0
@@ -535,7 +536,7 @@
     def _beyond(self, flow: Flow) -> bool:
         """Whether a tenant asks for more than its allowance in this proxy's part of the traffic."""
         if not self.cfg.tenants:
-            return False
+            return flow.quota < self.most_worth
         rate = SHARE_SLACK * self.part * flow.quota
         flow.tokens = min(max(1.0, rate), flow.tokens + (self.now - flow.tokens_at) * rate / NS)
         flow.tokens_at = self.now
@@ -551,7 +552,7 @@
         """Wait briefly for room where room is near; else refuse at once, not late."""
         flow, now = req.flow, self.now
         wait = int(HOLD * min(req.aim, req.deadline - now))
-        if req.beyond or len(flow.queue) >= max(1.0, flow.rate * wait / NS) or wait <= 0:
+        if (req.beyond and self.cfg.tenants) or len(flow.queue) >= max(1.0, flow.rate * wait / NS) or wait <= 0:
             self._give_up(req)
             return
         flow.queue.append(req)
@@ -562,9 +563,11 @@
     def _serve_waiting(self) -> None:
         """Under pressure room goes to the profile that is furthest behind its share."""
         while self.waiting:
-            flow = min((f for f in self.flows if f.queue), key=lambda f: f.tag)
-            req = flow.queue[0]
-            b = self._pick(req)
+            for flow in sorted((f for f in self.flows if f.queue), key=lambda f: f.tag):
+                req = flow.queue[0]
+                b = self._pick(req)
+                if b:
+                    break
             if b is None:
                 break
             flow.queue.popleft()
