--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -552,7 +552,8 @@
         """Wait briefly for room where room is near; else refuse at once, not late."""
         flow, now = req.flow, self.now
         wait = int(HOLD * min(req.aim, req.deadline - now))
-        if (req.beyond and self.cfg.tenants) or len(flow.queue) >= max(1.0, flow.rate * wait / NS) or wait <= 0:
+        long = len(flow.queue) >= max(1.0, flow.rate * wait / NS)
+        if long or wait <= 0 or (req.beyond and self.cfg.tenants):
             self._give_up(req)
             return
         flow.queue.append(req)
