--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -19,6 +19,9 @@
 SLOT_MIN_NS, SLOT_MAX_NS = NS // 4, 5 * NS // 2  # bounds of a slot, and so of e_k
 USUAL_GAIN = 0.05  # weight of one answer in the usual latency
 SPREAD, SPREAD_FREE = 1.0, 0.5  # a backend above SPREAD x mean in flight + SPREAD_FREE misses its turn
+CALM_OUT = 2.0  # a mean is calm only while each backend has no more than these out, over all proxies
+CALM, CALM_COUNT = 1.6, 50.0  # nor is one late below this times its class's calmest mean of so many
+CALM_RISE = 0.002  # what the calmest mean forgets in a second
 LATE, CUT = 0.45, 0.8  # an answer later than LATE x aim cuts the backend's room to CUT of it
 ROOM_START = 4.0
 ROOM_USED = 2.0  # room grows no further above its start than this times what is in flight
@@ -73,11 +76,12 @@
 
 class Request:
     __slots__ = (
-        "aim", "arrived", "attempts", "beyond", "cls", "deadline", "done", "flow", "id", "out",
+        "aim", "arrived", "attempts", "beyond", "cls", "cls_index", "deadline", "done", "flow", "id", "out",
         "priority", "ran_at", "ran_on", "started", "waiting",
     )  # fmt: skip
 
     def __init__(self, ev: io.RequestArrived, cls: io.RequestClass, flow: Flow, prio: bool, now: int) -> None:
+        self.cls_index = ev.cls
         self.id, self.cls, self.flow, self.priority = ev.request, cls, flow, prio
         self.arrived, self.deadline = now, now + ev.left_ns
         self.aim = max(1, cls.aim_ns)
@@ -158,6 +162,7 @@
         self.version = -1
         self.in_flight = self.waiting = 0
         self.near_due = 0.0
+        self.calm = [[0.0, 0.0, 0.0] for _ in settings.classes]  # a class's mean latency, the calmest, count
         self.most_worth = max(c.worth for c in settings.classes)
         self.spare = math.inf  # the part of the room that requests beyond a share may use
         self.part = 1.0 / settings.proxies  # this proxy's part of all traffic, as its typical tenant shows
@@ -413,6 +418,8 @@
         self.seen_ns = self.seen_ns * keep + span
         paces = sorted(f.seen * NS / self.seen_ns / max(f.quota, 1e-6) for f in self.flows)
         self.part = paces[(len(paces) - 1) // 2]
+        for calm in self.calm:
+            calm[1] *= 1.0 + CALM_RISE * span / NS
         claims = [self._claim(i) for i in range(len(self.flows))]
         best = max(range(len(claims)), key=lambda i: (claims[i], -i))
         # A near tie must not swap the priority profile back and forth.
@@ -537,7 +544,7 @@
         """Whether a tenant asks for more than its allowance in this proxy's part of the traffic."""
         if not self.cfg.tenants:
             return flow.quota < self.most_worth
-        rate = SHARE_SLACK * self.part * flow.quota
+        rate = max(SHARE_SLACK * self.part, 1.0 / self.cfg.proxies) * flow.quota
         flow.tokens = min(max(1.0, rate), flow.tokens + (self.now - flow.tokens_at) * rate / NS)
         flow.tokens_at = self.now
         if flow.tokens < 1.0:
@@ -719,7 +726,8 @@
             b.fails, b.out_until, b.backoff = 0.0, 0, EJECT_NS
             self.budget = min(RETRY_CAP, self.budget + RETRY_RATIO)
             self.usual += USUAL_GAIN * (ev.latency_ns - self.usual) if self.usual else ev.latency_ns
-            self._learn_room(b, a, ev.latency_ns / req.aim > LATE)
+            late, calm = LATE * req.aim, self._above_calm(req, ev.latency_ns)
+            self._learn_room(b, a, ev.latency_ns > late, ev.latency_ns > max(late, calm))
         elif result == Result.REJECTED:
             # Guards against storms of rejections: a full backend rests for about one service time.
             b.limit, b.slow_start = max(1.0, min(b.limit, b.in_flight + 1.0) * CUT), False
@@ -728,32 +736,47 @@
             self._note_failure(b, 0.7 if result == Result.ERROR else 1.0)
         elif result == Result.TIMEOUT or (result == Result.CANCELLED and not req.done):
             # Guards against overload that shows only as clients running out of time.
-            self._learn_room(b, a, True)
+            self._learn_room(b, a, True, True)
             if b.progress < a.sent:
                 self._note_failure(b, 1.0)
 
-    def _learn_room(self, b: Backend, a: Attempt, late: bool) -> None:
+    def _above_calm(self, req: Request, latency: int) -> float:
+        """What latency is well over the calmest mean that the class has shown while little was out.
+
+        Guards against aims so near the work that an idle fleet's answers would shrink the room to nothing.
+        """
+        calm = self.calm[req.cls_index]
+        if self.in_flight * self.cfg.proxies <= CALM_OUT * len(self.backends):
+            calm[2] += 1.0
+            calm[0] += (latency - calm[0]) / min(calm[2], CALM_COUNT)
+            if calm[2] >= CALM_COUNT:
+                calm[1] = min(calm[0], calm[1]) if calm[1] else calm[0]
+        return CALM * (calm[1] or calm[0])
+
+    def _learn_room(self, b: Backend, a: Attempt, late: bool, crowded: bool) -> None:
         """Room grows while it is used and answers come early; it shrinks once for each round of late ones."""
         used = b.in_flight + 1.0
         sick = b.out_until or b.progress < a.sent
         if self._warmth(b) >= 1 and (not sick or 2 * self._sick() >= len(self.backends)):
             # A cold or sick backend tells nothing of the fleet's room, unless most are sick: overload.
-            self._learn_fleet(late)
+            self._learn_fleet(late, crowded)
         if late:
             if a.sent >= b.cut_at and used > b.limit / 2:
                 b.limit, b.cut_at, b.slow_start = max(1.0, b.limit * CUT), self.now, False
         elif used > b.limit - 1:
             b.limit += 1.0 if b.slow_start else 1.0 / b.limit
 
-    def _learn_fleet(self, late: bool) -> None:
+    def _learn_fleet(self, late: bool, crowded: bool) -> None:
         """The proxy's room, and the spare part of it that requests beyond a share may use.
 
         Beyond-share requests give way on milder signs of crowding. Lateness is the one sign that all
         proxies see: so those with little in-share traffic leave room to those with much.
         """
-        self.spare = max(0.0, min(self.spare, self.room) + (-SPARE_LOSS if late else SPARE_GAIN))
-        if late:
-            self.room, self.opening = max(1.0, self.room - ROOM_LOSS), False
+        # One attempt for each backend, over all proxies, is no crowd: less would leave backends idle.
+        least = len(self.backends) / self.cfg.proxies
+        self.spare = max(least / 2, min(self.spare, self.room) + (-SPARE_LOSS if late else SPARE_GAIN))
+        if crowded:
+            self.room, self.opening = max(1.0, least, self.room - ROOM_LOSS), False
         elif self.room < ROOM_USED * self.in_flight + self._first_room():
             self.room += 1.0 if self.opening else ROOM_GAIN
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -336,3 +336,40 @@
     drive = Drive()
     drive.wait(2 * T_NS)
     assert len(drive.balancer.slots) >= 3
+
+
+def test_aims_near_the_work_do_not_shrink_the_room_of_an_idle_fleet() -> None:
+    # Found on a day drawn with tight aims: answers as fast as can be counted as late for ever.
+    drive = warmed(backends=4, proxies=2)
+    for _ in range(100):
+        drive.serve(latency=300 * MS)  # over 0.45 of an aim of 500 ms, yet as calm as it gets
+    calm = drive.balancer.room
+    for _ in range(100):
+        drive.serve(latency=300 * MS)
+    assert drive.balancer.room >= calm
+    for _ in range(100):
+        drive.serve(latency=495 * MS)
+    assert drive.balancer.room < calm + 1
+
+
+def test_room_never_falls_below_one_attempt_a_backend_over_all_proxies() -> None:
+    drive = warmed(6, proxies=2)
+    for _ in range(100):
+        drive.serve(latency=NS)
+    assert drive.balancer.room == 3.0
+    assert drive.balancer.spare == 1.5
+
+
+def test_an_even_part_of_the_allowance_is_inside_the_share() -> None:
+    # Found on a quiet day with tight aims: where all send little the typical pace is below any share.
+    tenants = (io.Tenant(0.5, 20.0), io.Tenant(0.5, 20.0))
+    drive = warmed(3, tenants=tenants, proxies=2)
+    drive.balancer.spare, drive.balancer.part = 0.0, 0.01
+    served = 0
+    for _ in range(20):
+        drive.wait(100 * MS)
+        rid, acts = drive.ask(tenant=0)
+        for s in sends(acts):
+            served += 1
+            drive.end(rid, s.backend)
+    assert served >= 18
