--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -774,7 +774,11 @@
         """
         # One attempt for each backend, over all proxies, is no crowd: less would leave backends idle.
         least = len(self.backends) / self.cfg.proxies
-        self.spare = max(least / 2, min(self.spare, self.room) + (-SPARE_LOSS if late else SPARE_GAIN))
+        if self.cfg.tenants:  # what is beyond a share is worth next to nothing and gives way early
+            gain = -SPARE_LOSS if late else SPARE_GAIN
+        else:
+            gain = -SPARE_LOSS if crowded else 1.0 if self.opening else SPARE_GAIN
+        self.spare = max(least / 2, min(self.spare, self.room) + gain)
         if crowded:
             self.room, self.opening = max(1.0, least, self.room - ROOM_LOSS), False
         elif self.room < ROOM_USED * self.in_flight + self._first_room():
