Answers past the aim shrink room four times as fast; far above calm counts as late

Cause, on incidents with nine to fifteen proxies: crowded backends lose efficiency and answer few, so room shrank too slowly and the crowd stayed.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -20,13 +20,15 @@
 USUAL_GAIN = 0.05  # weight of one answer in the usual latency
 SPREAD, SPREAD_FREE = 1.0, 0.5  # a backend above SPREAD x mean in flight + SPREAD_FREE misses its turn
 CALM_OUT = 2.0  # a mean is calm only while each backend has no more than these out, over all proxies
-CALM, CALM_COUNT = 1.6, 50.0  # nor is one late below this times its class's calmest mean of so many
+CALM, CALM_MOST = 1.6, 3.0  # nor below, but surely above, these times its class's calmest mean
+CALM_COUNT = 50.0  # answers in that mean
 CALM_RISE = 0.002  # what the calmest mean forgets in a second
 LATE, CUT = 0.45, 0.8  # an answer later than LATE x aim cuts the backend's room to CUT of it
 ROOM_START = 4.0
 ROOM_USED = 2.0  # room grows no further above its start than this times what is in flight
 SPARE_LOSS, SPARE_GAIN = 0.3, 0.1  # the same for what requests beyond a share may use of it
 SHARE_SLACK = 1.5  # how far above the typical tenant's pace a tenant still counts as inside its share
+TOO_LATE = 4.0  # an answer past its aim takes so many times as much room as a late one
 ROOM_LOSS, ROOM_GAIN = 0.2, 0.1  # the proxy's room, a late and an early answer
 EJECT_AT = 2.0  # run of failures that ejects
 EJECT_NS, EJECT_MAX_NS = NS // 2, 8 * NS
@@ -726,8 +728,9 @@
             b.fails, b.out_until, b.backoff = 0.0, 0, EJECT_NS
             self.budget = min(RETRY_CAP, self.budget + RETRY_RATIO)
             self.usual += USUAL_GAIN * (ev.latency_ns - self.usual) if self.usual else ev.latency_ns
-            late, calm = LATE * req.aim, self._above_calm(req, ev.latency_ns)
-            self._learn_room(b, a, ev.latency_ns > late, ev.latency_ns > max(late, calm))
+            calm = self._calmest(req, ev.latency_ns)
+            late = min(LATE * req.aim, CALM_MOST * calm or math.inf)
+            self._learn_room(b, a, req, ev.latency_ns > late, ev.latency_ns > max(late, CALM * calm))
         elif result == Result.REJECTED:
             # Guards against storms of rejections: a full backend rests for about one service time.
             b.limit, b.slow_start = max(1.0, min(b.limit, b.in_flight + 1.0) * CUT), False
@@ -736,14 +739,15 @@
             self._note_failure(b, 0.7 if result == Result.ERROR else 1.0)
         elif result == Result.TIMEOUT or (result == Result.CANCELLED and not req.done):
             # Guards against overload that shows only as clients running out of time.
-            self._learn_room(b, a, True, True)
+            self._learn_room(b, a, req, True, True)
             if b.progress < a.sent:
                 self._note_failure(b, 1.0)
 
-    def _above_calm(self, req: Request, latency: int) -> float:
-        """What latency is well over the calmest mean that the class has shown while little was out.
+    def _calmest(self, req: Request, latency: int) -> float:
+        """The calmest mean latency that the class has shown while little was out.
 
-        Guards against aims so near the work that an idle fleet's answers would shrink the room to nothing.
+        Guards against aims so near the work that an idle fleet's answers would shrink the room to nothing,
+        and against aims so far from it that queues grow long before an answer is late.
         """
         calm = self.calm[req.cls_index]
         if self.in_flight * self.cfg.proxies <= CALM_OUT * len(self.backends):
@@ -751,22 +755,22 @@
             calm[0] += (latency - calm[0]) / min(calm[2], CALM_COUNT)
             if calm[2] >= CALM_COUNT:
                 calm[1] = min(calm[0], calm[1]) if calm[1] else calm[0]
-        return CALM * (calm[1] or calm[0])
+        return calm[1] or calm[0]
 
-    def _learn_room(self, b: Backend, a: Attempt, late: bool, crowded: bool) -> None:
+    def _learn_room(self, b: Backend, a: Attempt, req: Request, late: bool, crowded: bool) -> None:
         """Room grows while it is used and answers come early; it shrinks once for each round of late ones."""
         used = b.in_flight + 1.0
         sick = b.out_until or b.progress < a.sent
         if self._warmth(b) >= 1 and (not sick or 2 * self._sick() >= len(self.backends)):
             # A cold or sick backend tells nothing of the fleet's room, unless most are sick: overload.
-            self._learn_fleet(late, crowded)
+            self._learn_fleet(late, crowded, TOO_LATE if self.now - a.sent > req.aim else 1.0)
         if late:
             if a.sent >= b.cut_at and used > b.limit / 2:
                 b.limit, b.cut_at, b.slow_start = max(1.0, b.limit * CUT), self.now, False
         elif used > b.limit - 1:
             b.limit += 1.0 if b.slow_start else 1.0 / b.limit
 
-    def _learn_fleet(self, late: bool, crowded: bool) -> None:
+    def _learn_fleet(self, late: bool, crowded: bool, weight: float) -> None:
         """The proxy's room, and the spare part of it that requests beyond a share may use.
 
         Beyond-share requests give way on milder signs of crowding. Lateness is the one sign that all
@@ -780,7 +784,7 @@
             gain = -SPARE_LOSS if crowded else 1.0 if self.opening else SPARE_GAIN
         self.spare = max(least / 2, min(self.spare, self.room) + gain)
         if crowded:
-            self.room, self.opening = max(1.0, least, self.room - ROOM_LOSS), False
+            self.room, self.opening = max(1.0, least, self.room - weight * ROOM_LOSS), False
         elif self.room < ROOM_USED * self.in_flight + self._first_room():
             self.room += 1.0 if self.opening else ROOM_GAIN
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -373,3 +373,24 @@
             served += 1
             drive.end(rid, s.backend)
     assert served >= 18
+
+
+def test_answers_past_the_aim_shrink_the_room_faster() -> None:
+    # Found on incidents: crowded backends that lose efficiency stayed crowded for fifteen seconds.
+    lost = {}
+    for latency in (400 * MS, 600 * MS):
+        drive = warmed(30, proxies=2)
+        before = drive.balancer.room
+        drive.serve(latency=latency)
+        lost[latency] = before - drive.balancer.room
+    assert lost[600 * MS] > 3 * lost[400 * MS] > 0
+
+
+def test_far_aims_do_not_let_queues_grow() -> None:
+    # Found on an incident: with an aim of many service times each backend held a long queue.
+    drive = warmed(4, classes=(cls(),), proxies=1)
+    for _ in range(60):
+        drive.serve(latency=20 * MS)
+    before = drive.balancer.room
+    drive.serve(latency=100 * MS)  # far under the aim, but five times the calmest mean
+    assert drive.balancer.room < before
