--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -441,7 +441,7 @@
             return 1.0
         return self.cfg.cold_from + (1 - self.cfg.cold_from) * max(0, age) / self.cfg.cold_ns
 
-    def _skip(self, b: Backend, req: Request) -> int:
+    def _skip(self, b: Backend, req: Request, slack: float = 0.0) -> int:
         """Why this backend misses its turn: FINE (it does not), FULL (no room now) or ILL."""
         now = self.now
         wait = now < max(b.out_until, b.rest_until) or b.probing or req.cls.effect > self.mildest
@@ -458,7 +458,7 @@
         if b.in_flight >= b.limit or now < b.rest_until:
             return FULL
         mean = self.in_flight / max(1, len(self.backends))
-        return FULL if b.in_flight > SPREAD * mean * warmth + SPREAD_FREE else FINE
+        return FULL if b.in_flight > SPREAD * mean * warmth + SPREAD_FREE + slack else FINE
 
     def _stalled(self, b: Backend, req: Request, warmth: float) -> bool:
         """Guards against hangs: attempts are out and nothing has come back for much longer than usual."""
@@ -496,7 +496,8 @@
         ill: list[Backend] = []
         full = False
         own = int(req.priority)
-        self.near_due = self.near_due % 1.0 + min(1.0, self.cfg.cross_zone_fee / NEAR_FEE)
+        share = min(1.0, self.cfg.cross_zone_fee / NEAR_FEE)  # the part of requests that stay near
+        self.near_due = self.near_due % 1.0 + share
         near = self.near_due >= 1.0
         for side, narrow in ((own, near), (own, False), (1 - own, near), (1 - own, False)):
             group, start = self.groups[side], self.turn[side]
@@ -505,7 +506,7 @@
                 b = group[at]
                 if b in tried or (narrow and b.zone != self.cfg.zone) or not self._may_go(req, b):
                     continue
-                why = self._skip(b, req)
+                why = self._skip(b, req, math.floor(share) if narrow else 0.0)
                 if why == FINE:
                     self.turn[side] = (at + 1) % len(group)
                     return b
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -394,3 +394,10 @@
     before = drive.balancer.room
     drive.serve(latency=100 * MS)  # far under the aim, but five times the calmest mean
     assert drive.balancer.room < before
+
+
+def test_where_crossing_is_dear_a_near_member_may_hold_one_more() -> None:
+    rows = [entry(i, zone=i % 2) for i in range(1, 5)]
+    drive = warmed(entries=rows, cross_zone_fee=0.1)
+    near = [drive.send()[1] for _ in range(3)]
+    assert {n % 2 for n in near} == {0}
