--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -30,6 +30,7 @@
 SHARE_SLACK = 1.5  # how far above the typical tenant's pace a tenant still counts as inside its share
 TOO_LATE = 4.0  # an answer past its aim takes so many times as much room as a late one
 ROOM_LOSS, ROOM_GAIN = 0.2, 0.1  # the proxy's room, a late and an early answer
+COLD_PART = 0.45  # the part used of what would push a cold backend over
 EJECT_AT = 2.0  # run of failures that ejects
 EJECT_NS, EJECT_MAX_NS = NS // 2, 8 * NS
 RETRY_RATIO, RETRY_CAP = 0.2, 30.0  # retry budget: earned per answer, and kept at most
@@ -472,7 +473,7 @@
 
     def _cold_turn(self, b: Backend, warmth: float) -> bool:
         """Guards against pushing a cold backend over: its turns are dealt out evenly over time."""
-        rate = max(0.5, self.warm_rate * warmth)
+        rate = max(0.5, COLD_PART * self.cfg.fall_multiple * self.warm_rate * warmth)
         b.tokens = min(1.0, b.tokens + (self.now - b.tokens_at) * rate / NS)
         b.tokens_at = self.now
         return b.tokens >= 1.0
