--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -44,13 +44,13 @@
 
     __slots__ = (
         "arrivals", "b", "backoff", "busy_ns", "busy_since", "cell", "cut_at", "done", "est1", "est2",
-        "fails", "id", "in_flight", "kind", "limit", "marks", "out_until", "priority", "probing",
-        "progress", "rest_until", "slow_start", "started", "tokens", "tokens_at", "touched", "u", "util", "x",
+        "fails", "id", "in_flight", "limit", "marks", "out_until", "priority", "probing",
+        "progress", "rest_until", "started", "tokens", "tokens_at", "touched", "u", "util", "x",
         "zone",
     )  # fmt: skip
 
     def __init__(self, entry: io.Entry, now: int) -> None:
-        self.id, self.zone, self.kind, self.cell = entry.backend, entry.zone, entry.kind, entry.cell
+        self.id, self.zone, self.cell = entry.backend, entry.zone, entry.cell
         self.started = entry.started_ns
         self.priority = False
         self.in_flight = self.arrivals = self.done = self.busy_ns = 0
@@ -59,7 +59,7 @@
         self.est1 = self.est2 = -1.0  # below zero: nothing measured yet
         self.x = self.u = self.b = 0.0
         self.marks: deque[tuple[int, int, int, bool]] = deque()  # slots of the last T
-        self.limit, self.cut_at, self.slow_start = ROOM_START, 0, True
+        self.limit, self.cut_at = ROOM_START, 0
         self.tokens, self.tokens_at, self.touched = 1.0, now, False
         self.rest_until = 0  # turned us away: full, and skipped until then
         self.fails, self.out_until, self.backoff, self.probing = 0.0, 0, EJECT_NS, False
@@ -285,7 +285,7 @@
         if peers:
             b.est1 = sum(p.est1 for p in peers) / len(peers)
             b.est2 = sum(p.est2 for p in peers) / len(peers)
-        b.limit, b.slow_start = (1.0, True) if self._warmth(b) < 1 else (ROOM_START, True)
+        b.limit = 1.0 if self._warmth(b) < 1 else ROOM_START
         self._join(b, side)
 
     def _drop(self, b: Backend) -> None:
@@ -735,7 +735,7 @@
             self._learn_room(b, a, req, ev.latency_ns > late, ev.latency_ns > max(late, CALM * calm))
         elif result == Result.REJECTED:
             # Guards against storms of rejections: a full backend rests for about one service time.
-            b.limit, b.slow_start = max(1.0, min(b.limit, b.in_flight + 1.0) * CUT), False
+            b.limit = max(1.0, min(b.limit, b.in_flight + 1.0) * CUT)
             b.rest_until = now + int((0.5 + self.rng.random()) * max(self.usual, self.cfg.tick_ns))
         elif result in (Result.CONNECT_FAILED, Result.RESET, Result.ERROR):
             self._note_failure(b, 0.7 if result == Result.ERROR else 1.0)
@@ -768,9 +768,9 @@
             self._learn_fleet(late, crowded, TOO_LATE if self.now - a.sent > req.aim else 1.0)
         if late:
             if a.sent >= b.cut_at and used > b.limit / 2:
-                b.limit, b.cut_at, b.slow_start = max(1.0, b.limit * CUT), self.now, False
+                b.limit, b.cut_at = max(1.0, b.limit * CUT), self.now
         elif used > b.limit - 1:
-            b.limit += 1.0 if b.slow_start else 1.0 / b.limit
+            b.limit += 1.0 / b.limit
 
     def _learn_fleet(self, late: bool, crowded: bool, weight: float) -> None:
         """The proxy's room, and the spare part of it that requests beyond a share may use.
