--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -629,12 +629,13 @@
         """
         if req.started or req.out != 1 or self.waiting or len(req.attempts) >= self.cfg.max_attempts:
             return
-        a = req.attempts[-1]
-        if a.backend.progress >= a.sent and not a.backend.out_until:
+        a, b = req.attempts[-1], req.attempts[-1].backend
+        # One silent attempt may just be heavy: a copy wants a second one silent there, or earlier failures.
+        if not b.out_until and (b.progress >= a.sent or (b.in_flight < 2 and not b.fails)):
             return
-        if self.budget >= 1.0 and (b := self._pick(req)):
+        if self.budget >= 1.0 and (other := self._pick(req)):
             self.budget -= 1.0
-            self._send(req, b)
+            self._send(req, other)
 
     # Ends of attempts
 
