--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -30,6 +30,7 @@
 SHARE_SLACK = 1.5  # how far above the typical tenant's pace a tenant still counts as inside its share
 TOO_LATE = 4.0  # an answer past its aim takes so many times as much room as a late one
 ROOM_LOSS, ROOM_GAIN = 0.2, 0.1  # the proxy's room, a late and an early answer
+LEAST_SEEN = 10  # requests that a latency must rest on before backends move by it
 COLD_PART = 0.45  # the part used of what would push a cold backend over
 EJECT_AT = 2.0  # run of failures that ejects
 EJECT_NS, EJECT_MAX_NS = NS // 2, 8 * NS
@@ -131,8 +132,11 @@
         self.count += 1
 
     def close(self, now: int) -> float:
+        """Guards against moves on a single late answer: what is too little to judge by is carried on."""
         seen = self.count + self.open
-        ratio = (self.total + now * self.inv - self.since) / seen if seen else 0.0
+        if seen < LEAST_SEEN:
+            return 0.0
+        ratio = (self.total + now * self.inv - self.since) / seen
         self.total, self.count = 0.0, 0
         return ratio
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -406,3 +406,13 @@
     drive = warmed(entries=rows, cross_zone_fee=0.1)
     near = [drive.send()[1] for _ in range(3)]
     assert {n % 2 for n in near} == {0}
+
+
+def test_a_single_late_priority_request_moves_nobody() -> None:
+    # Found on a quiet day: one late request a slot grew P at the cost of even turns.
+    drive = Drive(6)
+    drive.wait(T_NS // 10 + 1)
+    before = len(drive.balancer.groups[1])
+    drive.serve(2, latency=900 * MS)  # the priority class, past its aim
+    drive.wait(T_NS // 4)
+    assert len(drive.balancer.groups[1]) == before
