--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -11,6 +11,8 @@
 import math
 import random
 from collections import deque
+from collections.abc import Callable
+from functools import partial
 
 from mothstall import interface as io
 from mothstall.interface import NS, Effect, Group, Health, Result, Scope
@@ -37,23 +39,25 @@
 RETRY_RATIO, RETRY_CAP = 0.2, 30.0  # retry budget: earned per answer, and kept at most
 HOLD = 0.25  # share of the aim for which a request may wait for room
 NEAR_FEE = 0.05  # from this fee for crossing zones on, members of our own zone take turns first
-FINE, FULL, ILL = 0, 1, 2
+LEAST_MEMBERS = 4
+MEMBER_CONNS = 16.0  # before traffic is measured: connections a backend gets from all proxies together
+MEMBER_RATE = 1.0  # afterwards: requests a second that each member should see from this proxy
+GOLDEN = 0.6180339887498949  # its multiples spread any run of positions evenly over a ring
+PRIOR = 6.0  # requests that the even part of a tenant's allowance weighs in its pace
+FEW = 2.0  # chance bursts over a small mean: so many of its square roots
+HERD_NS = NS // 10  # between two proxies' first calls to discovery
+SLOW_GAIN, SLOW_NS = 0.3, 2 * NS  # weight of one answer in how slow a member is, and how soon that fades
+SLOW_MOST = 4.0
+FINE, FULL, ILL, SLOW = range(4)
 
 
 class Backend:
     """What this proxy has seen of one backend since it last started."""
 
-    __slots__ = (
-        "arrivals", "b", "backoff", "busy_ns", "busy_since", "cell", "cut_at", "done", "est1", "est2",
-        "fails", "id", "in_flight", "limit", "marks", "out_until", "priority", "probing",
-        "progress", "rest_until", "started", "tokens", "tokens_at", "touched", "u", "util", "x",
-        "zone",
-    )  # fmt: skip
-
-    def __init__(self, entry: io.Entry, now: int) -> None:
+    def __init__(self, entry: io.Entry, now: int, token: float = 1.0) -> None:
         self.id, self.zone, self.cell = entry.backend, entry.zone, entry.cell
         self.started = entry.started_ns
-        self.priority = False
+        self.priority = self.member = False
         self.in_flight = self.arrivals = self.done = self.busy_ns = 0
         self.busy_since = self.progress = now
         self.util = -1.0
@@ -61,7 +65,8 @@
         self.x = self.u = self.b = 0.0
         self.marks: deque[tuple[int, int, int, bool]] = deque()  # slots of the last T
         self.limit, self.cut_at = ROOM_START, 0
-        self.tokens, self.tokens_at, self.touched = 1.0, now, False
+        self.tokens, self.tokens_at, self.touched = token, now, False
+        self.slow = 1.0  # latency of its last answers over the calmest mean
         self.rest_until = 0  # turned us away: full, and skipped until then
         self.fails, self.out_until, self.backoff, self.probing = 0.0, 0, EJECT_NS, False
 
@@ -71,19 +76,12 @@
 
 
 class Attempt:
-    __slots__ = ("backend", "never_ran", "out", "rejected", "sent", "trial")
-
     def __init__(self, backend: Backend, sent: int, trial: bool) -> None:
         self.backend, self.sent, self.trial = backend, sent, trial
         self.out, self.never_ran, self.rejected = True, False, False
 
 
 class Request:
-    __slots__ = (
-        "aim", "arrived", "attempts", "beyond", "cls", "cls_index", "deadline", "done", "flow", "id", "out",
-        "priority", "ran_at", "ran_on", "started", "waiting",
-    )  # fmt: skip
-
     def __init__(self, ev: io.RequestArrived, cls: io.RequestClass, flow: Flow, prio: bool, now: int) -> None:
         self.cls_index = ev.cls
         self.id, self.cls, self.flow, self.priority = ev.request, cls, flow, prio
@@ -100,12 +98,10 @@
 class Flow:
     """The requests of one profile: of a tenant where tenants are told, else of a class."""
 
-    __slots__ = ("queue", "quota", "rate", "seen", "served", "tag", "tokens", "tokens_at", "weight")
-
     def __init__(self, weight: float, quota: float) -> None:
         self.weight, self.quota = max(weight, 1e-6), quota
         self.queue: deque[Request] = deque()
-        self.tag = self.rate = self.seen = 0.0
+        self.tag = self.rate = self.seen = self.good = 0.0
         self.served = 0
         self.tokens, self.tokens_at = 1.0, 0  # what the flow may still ask inside its share
 
@@ -113,8 +109,6 @@
 class Latency:
     """Latency over aim of one side's requests in this slot, the outstanding ones at their age."""
 
-    __slots__ = ("count", "inv", "open", "since", "total")
-
     def __init__(self) -> None:
         self.total = self.inv = self.since = 0.0
         self.count = self.open = 0
@@ -153,10 +147,14 @@
 
     def __init__(self, settings: io.Settings, seed: int) -> None:
         self.cfg = settings
-        self.rng = random.Random(seed)
-        self.now = -1
+        self.near_share = min(1.0, settings.cross_zone_fee / NEAR_FEE)  # part of requests to stay near
+        self.rng, self.now = random.Random(seed), -1
         self.acts: list[io.Action] = []
         self.backends: dict[int, Backend] = {}
+        self.near: list[Backend] = []  # the list as two rings, own zone and others, in order of hashed id
+        self.far: list[Backend] = []
+        self.members: list[Backend] = []  # those of the list that this proxy sends to
+        self.size, self.rate, self.sick = 0, 0.0, 0
         self.groups: tuple[list[Backend], list[Backend]] = ([], [])  # B, P
         self.turn = [0, 0]
         self.requests: dict[int, Request] = {}
@@ -176,20 +174,16 @@
         self.seen_ns = 0.0
         self.opening = True  # until the first late answer room grows fast
         self.room = 0.0  # how many attempts this proxy may have out in all
-        self.virtual = 0.0
+        self.virtual = self.warm_rate = self.b_low = 0.0
         self.usual = 0.0  # usual latency of a served attempt, ns
-        self.budget = RETRY_CAP
+        self.budget = self.budget_cap = RETRY_CAP
+        self.grain = 1.0  # backends for each proxy, one at most: how coarse one attempt is here
         self.e = T_NS / (T_NS // 10)
-        self.slot_at = 0
         self.slots: deque[int] = deque()
-        self.b_low = 0.0
-        self.arrivals = 0
-        self.warm_rate = 0.0
-        self.heap: list[tuple[int, int, int, Request | None]] = []
-        self.seq = 0
-        self.timer_at = 0
+        self.heap: list[tuple[int, int, Callable[[], None]]] = []
+        self.slot_at = self.seq = self.timer_at = self.sent = 0
         self.watching = False
-        self.asked_at, self.asks_failed = -1, 0
+        self.asked_at, self.asks_failed, self.herd = -1, 0, 0
         self.mildest = min(c.effect for c in settings.classes)
 
     # Events
@@ -213,8 +207,7 @@
             elif isinstance(ev, io.ResponseStarted):
                 self._on_started(ev)
         while self.heap and self.heap[0][0] <= self.now:
-            _, _, what, req = heapq.heappop(self.heap)
-            self._on_due(what, req)
+            heapq.heappop(self.heap)[2]()
         if self.waiting:
             self._serve_waiting()
         if self.heap and (not self.timer_at or self.heap[0][0] < self.timer_at):
@@ -224,25 +217,17 @@
 
     def _begin(self, now: int) -> None:
         self.now = self.slot_at = now
-        self._at(now + T_NS // 10, SLOT)
+        self._at(now + T_NS // 10, self._close_slot)
         if not self.cfg.discovery_push:
-            self._ask()
+            # Guards against a herd at boot: discovery takes one call after the other.
+            self.herd = min(self.cfg.ask_within_ns * 4 // 5, HERD_NS * (self.cfg.proxies - 1))
+            self.asked_at = now
+            self._at(now + int(self.herd * self._point()), self._check_discovery)
+            self.asks_failed = 1
 
-    def _at(self, due: int, what: int, req: Request | None = None) -> None:
+    def _at(self, due: int, what: Callable[[], None]) -> None:
         self.seq += 1
-        heapq.heappush(self.heap, (due, self.seq, what, req))
-
-    def _on_due(self, what: int, req: Request | None) -> None:
-        if what == SLOT:
-            self._close_slot()
-        elif what == ASK:
-            self._check_discovery()
-        elif req is None or req.done:
-            return
-        elif what == SECOND:
-            self._second_copy(req)
-        elif what == EXPIRE and req.waiting:
-            self._give_up(req)
+        heapq.heappush(self.heap, (due, self.seq, what))
 
     # Discovery
 
@@ -250,8 +235,9 @@
         if ev.scope == Scope.FAILED:
             # The old list stands; ask again after a jittered pause that grows with each failure.
             self.watching, self.asks_failed = False, self.asks_failed + 1
-            pause = min(self.cfg.ask_within_ns // 3, (NS // 4) << min(self.asks_failed, 5))
-            self._at(self.now + int(pause * (0.5 + self.rng.random())), ASK)
+            pause = max(self.herd // 2, (NS // 4) << min(self.asks_failed, 5))
+            pause = min(max(self.cfg.ask_within_ns // 3, self.herd), pause)
+            self._at(self.now + int(pause * (0.5 + self.rng.random())), self._check_discovery)
             return
         if ev.scope != Scope.CACHED:
             self.watching, self.asks_failed = True, 0
@@ -265,8 +251,14 @@
         first = not self.backends
         for entry in ev.entries:
             self._on_entry(entry, first)
+        rows = sorted(self.backends.values(), key=lambda b: (stable_hash(b.id), b.id))
+        self.near = [b for b in rows if b.zone == self.cfg.zone]
+        self.far = [b for b in rows if b.zone != self.cfg.zone]
+        self._choose_members()
         if first:
-            self._split()
+            self.grain = min(1.0, len(rows) / self.cfg.proxies)
+            self.budget_cap = max(2.0, min(RETRY_CAP, 10.0 * len(rows) / self.cfg.proxies))
+            self.budget = self.budget_cap * (self.rng.random() if self.grain < 1 else 1.0)
             self.room = self._first_room()
 
     def _on_entry(self, entry: io.Entry, first: bool) -> None:
@@ -280,29 +272,77 @@
             return
         if old:
             self._drop(old)  # a new start under the same id is a new, cold backend
-        b = Backend(entry, self.now)
+        # Guards against every proxy's first send at once: the first token comes at a random time.
+        b = Backend(entry, self.now, 1.0 if first else self.rng.random())
         self.backends[b.id] = b
-        if first:
-            return
-        side = int(self.ratio[1] > self.ratio[0])
-        peers = [p for p in self.groups[side] if p.est1 >= 0]
-        if peers:
-            b.est1 = sum(p.est1 for p in peers) / len(peers)
-            b.est2 = sum(p.est2 for p in peers) / len(peers)
-        b.limit = 1.0 if self._warmth(b) < 1 else ROOM_START
-        self._join(b, side)
+        if not first and self._warmth(b) < 1:
+            b.limit = 1.0
 
     def _drop(self, b: Backend) -> None:
         self.backends.pop(b.id, None)
+        self.sick -= b.fails > 0
+        self._leave(b)
+
+    # Members
+
+    def _point(self) -> float:
+        return self.cfg.position * GOLDEN % 1.0
+
+    def _choose_members(self) -> None:
+        """Guards against every proxy holding connections to all backends, and learning each hang alone.
+
+        Members are the part of the list that this proxy's own traffic can keep measured.
+        """
+        size = max(LEAST_MEMBERS, self.rate / MEMBER_RATE)
+        if not self.rate:
+            size = max(size, MEMBER_CONNS * len(self.backends) / self.cfg.proxies)
+        if not self.size or size > self.size or size < 0.7 * self.size:
+            self.size = math.ceil(size)
+        share = max(self.near_share, len(self.near) / max(1, len(self.backends)))
+        goal, short = max(1, round(share * self.size)), 0
+        chosen: list[Backend] = []
+        for ring, want in ((self.near, goal), (self.far, max(2, self.size - goal))):
+            want += short
+            start, well = int(self._point() * len(ring)), 0
+            for i in range(min(len(ring), 2 * want)):
+                if well >= want:
+                    break
+                b = ring[(start + i) % len(ring)]
+                chosen.append(b)
+                well += not b.out_until and self._warmth(b) >= 1
+            short = want - well
+        news = [b for b in chosen if not b.member]
+        keep = set(chosen)
+        for b in [b for b in self.members if b not in keep]:
+            self._leave(b)
+            if not b.in_flight:
+                self.acts.append(io.CloseIdle(b.id))
+        if 2 * len(news) >= len(chosen):
+            self.members = chosen
+            self._split()
+            return
+        side = int(self.ratio[1] > self.ratio[0])
+        peers = [p for p in self.groups[side] if p.est1 >= 0]
+        for b in news:
+            if peers:
+                b.est1 = sum(p.est1 for p in peers) / len(peers)
+                b.est2 = sum(p.est2 for p in peers) / len(peers)
+            self.members.append(b)
+            self._join(b, side)
+
+    def _leave(self, b: Backend) -> None:
+        if not b.member:
+            return
+        b.member, b.est1, b.est2 = False, -1.0, -1.0
+        self.members.remove(b)
         side = int(b.priority)
-        if b in self.groups[side]:
-            self.groups[side].remove(b)
-            self._turn_anywhere(side)
+        self.groups[side].remove(b)
+        self._turn_anywhere(side)
 
     def _ask(self) -> None:
         self.asked_at = self.now
         self.acts.append(io.Subscribe(True))
-        self._at(self.now + self.cfg.ask_within_ns // 2, ASK)
+        self._at(self.now + self.cfg.ask_within_ns // 2, self._check_discovery)
 
     def _check_discovery(self) -> None:
         """Guards against silence: with no subscription, never let ask-within pass without a call."""
@@ -318,12 +358,11 @@
         if not self.cfg.tenants:
             return flow.quota
         seen = sum(f.seen for f in self.flows)
-        share = flow.seen / seen if seen > 0 else self.cfg.tenants[i].share
-        return flow.quota / max(share, 1e-3)
+        return flow.quota / max(flow.seen / seen if seen > 0 else self.cfg.tenants[i].share, 1e-3)
 
     def _split(self) -> None:
         """Start: the priority profile's part of the requests, of the backends in order of hashed id."""
-        order = sorted(self.backends.values(), key=lambda b: (stable_hash(b.id), b.id))
+        order = sorted(self.members, key=lambda b: (stable_hash(b.id), b.id))
         flow = self.flows[self.priority]
         seen = sum(f.seen for f in self.flows)
         share = flow.seen / seen if seen > 0 else flow.weight / sum(f.weight for f in self.flows)
@@ -331,13 +370,13 @@
         for side in (0, 1):
             self.groups[side].clear()
         for i, b in enumerate(order):
-            b.priority = i < count
+            b.priority, b.member = i < count, True
             self.groups[int(b.priority)].append(b)
         for side in (0, 1):
             self._turn_anywhere(side)
 
     def _join(self, b: Backend, side: int) -> None:
-        b.priority = bool(side)
+        b.priority, b.member = bool(side), True
         self.groups[side].append(b)
         self._turn_anywhere(side)
 
@@ -362,12 +401,15 @@
         while self.slots[0] <= now - T_NS:
             self.slots.popleft()
         high, low = 0.0, 1.0
-        for b in self.backends.values():
+        fade = math.exp(-span / SLOW_NS)
+        for b in self.members:
             self._measure(b, span)
+            b.slow = 1.0 + (b.slow - 1.0) * fade
             high, low = max(high, b.b), min(low, b.b)
-        if not self.backends:
+        if not self.members:
             low = 0.0
         self._note_rates(span)
+        self._choose_members()
         if len(self.slots) == 1 and now - self.slot_at == T_NS // 10:
             self._split()
         self.ratio = [self.latency[0].close(now), self.latency[1].close(now)]
@@ -378,7 +420,7 @@
         self.e = self._next_e(high, low)
         self.b_low = low
         self.slot_at = now
-        self._at(now + int(T_NS / self.e), SLOT)
+        self._at(now + int(T_NS / self.e), self._close_slot)
 
     def _next_e(self, high: float, low: float) -> float:
         """(4), within bounds: the number of slots in T, from which (3) gives the next slot's length."""
@@ -422,8 +464,14 @@
             f.rate += 0.5 * (f.served * NS / span - f.rate)
             f.served = 0
             f.seen *= keep
+            f.good *= keep
         self.seen_ns = self.seen_ns * keep + span
-        paces = sorted(f.seen * NS / self.seen_ns / max(f.quota, 1e-6) for f in self.flows)
+        # Guards against clients' own repeats swelling all shares (only what was served counts), and against a
+        # part read off a handful of requests: an even part weighs as much as PRIOR of them.
+        paces = sorted(
+            (f.good + PRIOR) / (max(f.quota, 1e-6) * self.seen_ns / NS + PRIOR * self.cfg.proxies)
+            for f in self.flows
+        )
         self.part = paces[(len(paces) - 1) // 2]
         for calm in self.calm:
             calm[1] *= 1.0 + CALM_RISE * span / NS
@@ -432,15 +480,19 @@
         # A near tie must not swap the priority profile back and forth.
         if len(self.slots) == 1 or claims[best] > 1.25 * claims[self.priority]:
             self.priority = best
-        warm = [b.est1 for b in self.backends.values() if self._warmth(b) >= 1 and not b.out_until]
-        spread = self.arrivals * NS / span / max(1, len(self.backends))
-        self.warm_rate = sum(warm) / len(warm) if warm else spread
-        self.arrivals = 0
+        warm = [b.est1 for b in self.members if self._warmth(b) >= 1 and not b.out_until]
+        pace = self.sent * NS / span
+        # Guards against a cold zone's proxies counting by the few that are still warm.
+        self.warm_rate = (sum(warm) if warm else pace) / max(1, len(self.members))
+        self.rate += (1 - math.exp(-3 * span / T_NS)) * (pace - self.rate) if self.rate else pace
+        if self.sent >= LEAST_SEEN:
+            self.rate = max(self.rate, pace)
+        self.sent = 0
 
     # Skips
 
     def _warmth(self, b: Backend) -> float:
-        """The part of its capacity that a backend is sure to have, by the settings' cold rule."""
+        """The part of its capacity that the settings' cold rule promises."""
         age = self.now - b.started
         if not b.started or age >= self.cfg.cold_ns:
             return 1.0
@@ -450,8 +502,8 @@
         """Why this backend misses its turn: FINE (it does not), FULL (no room now) or ILL."""
         now = self.now
         wait = now < max(b.out_until, b.rest_until) or b.probing or req.cls.effect > self.mildest
-        if b.out_until and wait:
-            return ILL  # guards against a return to service on a guess: one mild trial at a time
+        if b.out_until and wait:  # guards against a return on a guess: one mild trial at a time
+            return ILL
         warmth = self._warmth(b)
         if b.in_flight and self._stalled(b, req, warmth):
             return ILL
@@ -462,8 +514,11 @@
             return FINE
         if b.in_flight >= b.limit or now < b.rest_until:
             return FULL
-        mean = self.in_flight / max(1, len(self.backends))
-        return FULL if b.in_flight > SPREAD * mean * warmth + SPREAD_FREE + slack else FINE
+        mean = self.in_flight / max(1, len(self.members))
+        if b.in_flight > SPREAD * mean * warmth + SPREAD_FREE + slack:
+            return FULL
+        # Guards against crowding by others, which shows only in answers where our own are few in flight.
+        return SLOW if self.grain < 1 and b.slow > 1 and self.rng.random() > b.slow**-2 else FINE
 
     def _stalled(self, b: Backend, req: Request, warmth: float) -> bool:
         """Guards against hangs: attempts are out and nothing has come back for much longer than usual."""
@@ -477,7 +532,7 @@
 
     def _cold_turn(self, b: Backend, warmth: float) -> bool:
         """Guards against pushing a cold backend over: its turns are dealt out evenly over time."""
-        rate = max(0.5, COLD_PART * self.cfg.fall_multiple * self.warm_rate * warmth)
+        rate = COLD_PART * self.cfg.fall_multiple * self.warm_rate * warmth
         b.tokens = min(1.0, b.tokens + (self.now - b.tokens_at) * rate / NS)
         b.tokens_at = self.now
         return b.tokens >= 1.0
@@ -495,14 +550,16 @@
 
     def _pick(self, req: Request) -> Backend | None:
         """Round robin in the request's group; a group left empty by skips borrows the other."""
-        if self.in_flight >= (min(self.room, self.spare) if req.beyond else self.room):
+        # Guards against whole numbers where a room holds few: what is over them is kept by chance.
+        held = self.in_flight + (self.rng.random() if self.grain < 1 else 0.0)
+        if held >= (min(self.room, self.spare) if req.beyond else self.room):
             return None
         tried = [a.backend for a in req.attempts if not a.rejected]
         ill: list[Backend] = []
+        slow: tuple[int, int, Backend] | None = None
         full = False
         own = int(req.priority)
-        share = min(1.0, self.cfg.cross_zone_fee / NEAR_FEE)  # the part of requests that stay near
-        self.near_due = self.near_due % 1.0 + share
+        self.near_due = self.near_due % 1.0 + self.near_share
         near = self.near_due >= 1.0
         for side, narrow in ((own, near), (own, False), (1 - own, near), (1 - own, False)):
             group, start = self.groups[side], self.turn[side]
@@ -511,13 +568,18 @@
                 b = group[at]
                 if b in tried or (narrow and b.zone != self.cfg.zone) or not self._may_go(req, b):
                     continue
-                why = self._skip(b, req, math.floor(share) if narrow else 0.0)
+                why = self._skip(b, req, math.floor(self.near_share) if narrow else 0.0)
                 if why == FINE:
                     self.turn[side] = (at + 1) % len(group)
                     return b
                 full = full or why == FULL
+                if why == SLOW and not slow:
+                    slow = (side, at, b)
                 if why == ILL and b not in ill:
                     ill.append(b)
+        if slow:  # all miss their turn: then the first of them does not
+            self.turn[slow[0]] = (slow[1] + 1) % len(self.groups[slow[0]])
+            return slow[2]
         # Guards against a last cold or ailing backend taking all that the others turned away: only a
         # request's first attempt may go to the ailing, and none past a cold one's budget.
         ill = [b for b in ill if self._warmth(b) >= 1 or self._cold_turn(b, self._warmth(b))]
@@ -539,7 +601,6 @@
         self.latency[int(req.priority)].take(req)
         req.beyond = self._beyond(flow)
         flow.seen += 1
-        self.arrivals += 1
         if not flow.queue:
             flow.tag = max(flow.tag, self.virtual)
             b = self._pick(req) if not self.waiting or flow.tag <= self._head_tag() else None
@@ -553,7 +614,8 @@
         if not self.cfg.tenants:
             return flow.quota < self.most_worth
         rate = max(SHARE_SLACK * self.part, 1.0 / self.cfg.proxies) * flow.quota
-        flow.tokens = min(max(1.0, rate), flow.tokens + (self.now - flow.tokens_at) * rate / NS)
+        most = max(1.0 + FEW * (self.grain < 1), rate)
+        flow.tokens = min(most, flow.tokens + (self.now - flow.tokens_at) * rate / NS)
         flow.tokens_at = self.now
         if flow.tokens < 1.0:
             return True
@@ -574,7 +636,11 @@
         flow.queue.append(req)
         req.waiting = True
         self.waiting += 1
-        self._at(now + wait, EXPIRE, req)
+        self._at(now + wait, partial(self._expire, req))
+
+    def _expire(self, req: Request) -> None:
+        if req.waiting:
+            self._give_up(req)
 
     def _serve_waiting(self) -> None:
         """Under pressure room goes to the profile that is furthest behind its share."""
@@ -591,14 +657,13 @@
             self.waiting -= 1
             self._admit(req, b)
         if self.waiting:
-            self._at(self.now + max(self.cfg.tick_ns, NS // 100), NUDGE)
+            self._at(self.now + max(self.cfg.tick_ns, NS // 100), self._serve_waiting)
 
     def _admit(self, req: Request, b: Backend) -> None:
-        flow = req.flow
-        self.virtual = max(self.virtual, flow.tag)
+        self.virtual = max(self.virtual, req.flow.tag)
         if not req.attempts:
-            flow.tag += 1.0 / flow.weight
-            flow.served += 1
+            req.flow.tag += 1.0 / req.flow.weight
+            req.flow.served += 1
         self._send(req, b)
 
     def _send(self, req: Request, b: Backend) -> None:
@@ -612,10 +677,14 @@
         if self._warmth(b) < 1:
             b.tokens -= 1.0 if b.touched else 1.5  # the first send also costs a handshake
         b.touched = True
-        if not b.in_flight:
-            b.busy_since = now
+        b.busy_since = b.busy_since if b.in_flight else now
         b.in_flight += 1
         b.arrivals += 1
+        self.sent += 1
+        if self.sent > 2 * len(self.members) + LEAST_SEEN and len(self.members) < len(self.backends):
+            # Guards against a proxy turned hot crowding its few members until the slot ends.
+            self.rate = max(self.rate, self.sent * NS / max(NS, now - self.slot_at))
+            self._choose_members()
         self.in_flight += 1
         req.attempts.append(Attempt(b, now, trial))
         req.out += 1
@@ -624,14 +693,12 @@
         self.acts.append(io.SendAttempt(req.id, b.id, max(1, timeout)))
         if req.cls.effect != Effect.UNSAFE and self.cfg.parallel_attempts and len(req.attempts) == 1:
             wait = min(max(3.0 * self.usual, req.aim / 8), (req.deadline - now) / 2)
-            self._at(now + int(wait), SECOND, req)
+            self._at(now + int(wait), partial(self._second_copy, req))
 
     def _second_copy(self, req: Request) -> None:
-        """A second copy, but only away from a backend from which nothing has come since the first.
-
-        Copies for merely late answers cost more work than they save: under load they make all late.
-        """
-        if req.started or req.out != 1 or self.waiting or len(req.attempts) >= self.cfg.max_attempts:
+        """A second copy, only away from silence: for merely late answers, copies make all of them late."""
+        spent = req.done or req.started or req.out != 1 or len(req.attempts) >= self.cfg.max_attempts
+        if spent or self.waiting:
             return
         a, b = req.attempts[-1], req.attempts[-1].backend
         # One silent attempt may just be heavy: a copy wants a second one silent there, or earlier failures.
@@ -644,13 +711,11 @@
     # Ends of attempts
 
     def _on_started(self, ev: io.ResponseStarted) -> None:
-        req = self.requests.get(ev.request)
-        if req:
+        if req := self.requests.get(ev.request):
             req.started = True
 
     def _on_left(self, ev: io.ClientLeft) -> None:
-        req = self.requests.get(ev.request)
-        if req and not req.done:
+        if (req := self.requests.get(ev.request)) and not req.done:
             self._finish(req, self.now - req.arrived)
 
     def _finish(self, req: Request, spent: int) -> None:
@@ -703,6 +768,7 @@
         left = req.deadline - self.now
         free = result in io.NEVER_RAN
         spent = len(req.attempts) >= self.cfg.max_attempts or (not free and self.budget < 1)
+        spent = spent or (req.beyond and self.grain < 1)  # what is beyond a share takes no second turn
         if spent or left < self.usual / 2:
             self._give_up(req)
             return
@@ -728,47 +794,54 @@
             b.probing = False
         if ev.load and "util" in self.cfg.load_names:
             b.util = min(1.0, max(0.0, float(ev.load[self.cfg.load_names.index("util")])))
-        result = ev.result
-        if result == Result.OK:
+        if (result := ev.result) == Result.OK:
             b.done += 1
+            req.flow.good += 1.0
             b.progress = now
+            self.sick -= b.fails > 0 and self.backends.get(b.id) is b
             b.fails, b.out_until, b.backoff = 0.0, 0, EJECT_NS
-            self.budget = min(RETRY_CAP, self.budget + RETRY_RATIO)
+            self.budget = min(self.budget_cap, self.budget + RETRY_RATIO)
             self.usual += USUAL_GAIN * (ev.latency_ns - self.usual) if self.usual else ev.latency_ns
             calm = self._calmest(req, ev.latency_ns)
+            if calm:
+                b.slow += SLOW_GAIN * (min(SLOW_MOST, ev.latency_ns / calm) - b.slow)
             late = min(LATE * req.aim, CALM_MOST * calm or math.inf)
             self._learn_room(b, a, req, ev.latency_ns > late, ev.latency_ns > max(late, CALM * calm))
         elif result == Result.REJECTED:
             # Guards against storms of rejections: a full backend rests for about one service time.
             b.limit = max(1.0, min(b.limit, b.in_flight + 1.0) * CUT)
             b.rest_until = now + int((0.5 + self.rng.random()) * max(self.usual, self.cfg.tick_ns))
+            b.slow += SLOW_GAIN * (SLOW_MOST - b.slow)
+            if self.grain < 1:
+                self._learn_fleet(True, False, 1.0)
         elif result in (Result.CONNECT_FAILED, Result.RESET, Result.ERROR):
             self._note_failure(b, 0.7 if result == Result.ERROR else 1.0)
         elif result == Result.TIMEOUT or (result == Result.CANCELLED and not req.done):
             # Guards against overload that shows only as clients running out of time.
             self._learn_room(b, a, req, True, True)
+            b.slow += SLOW_GAIN * (SLOW_MOST - b.slow)
             if b.progress < a.sent:
                 self._note_failure(b, 1.0)
 
     def _calmest(self, req: Request, latency: int) -> float:
         """The calmest mean latency that the class has shown while little was out.
 
-        Guards against aims so near the work that an idle fleet's answers would shrink the room to nothing,
-        and against aims so far from it that queues grow long before an answer is late.
+        Guards against aims so near the work that an idle fleet looks late, or so far that queues grow long.
         """
         calm = self.calm[req.cls_index]
         if self.in_flight * self.cfg.proxies <= CALM_OUT * len(self.backends):
             calm[2] += 1.0
             calm[0] += (latency - calm[0]) / min(calm[2], CALM_COUNT)
             if calm[2] >= CALM_COUNT:
-                calm[1] = min(calm[0], calm[1]) if calm[1] else calm[0]
-        return calm[1] or calm[0]
+                calm[1] = min(calm[0], calm[1] or calm[0])
+        # Guards against a jam that was there from the start: its answers are not calm.
+        return min(calm[1] or calm[0], LATE * req.aim)
 
     def _learn_room(self, b: Backend, a: Attempt, req: Request, late: bool, crowded: bool) -> None:
         """Room grows while it is used and answers come early; it shrinks once for each round of late ones."""
         used = b.in_flight + 1.0
         sick = b.out_until or b.progress < a.sent
-        if self._warmth(b) >= 1 and (not sick or 2 * self._sick() >= len(self.backends)):
+        if self._warmth(b) >= 1 and (not sick or 2 * self.sick >= len(self.members)):
             # A cold or sick backend tells nothing of the fleet's room, unless most are sick: overload.
             self._learn_fleet(late, crowded, TOO_LATE if self.now - a.sent > req.aim else 1.0)
         if late:
@@ -780,34 +853,31 @@
     def _learn_fleet(self, late: bool, crowded: bool, weight: float) -> None:
         """The proxy's room, and the spare part of it that requests beyond a share may use.
 
-        Beyond-share requests give way on milder signs of crowding. Lateness is the one sign that all
-        proxies see: so those with little in-share traffic leave room to those with much.
+        Lateness is the one sign all proxies see: those with little in-share traffic leave room to the rest.
         """
         # One attempt for each backend, over all proxies, is no crowd: less would leave backends idle.
-        least = len(self.backends) / self.cfg.proxies
+        least, grain = len(self.backends) / self.cfg.proxies, self.grain
         if self.cfg.tenants:  # what is beyond a share is worth next to nothing and gives way early
             gain = -SPARE_LOSS if late else SPARE_GAIN
         else:
             gain = -SPARE_LOSS if crowded else 1.0 if self.opening else SPARE_GAIN
-        self.spare = max(least / 2, min(self.spare, self.room) + gain)
+        self.spare = max(least / 2, min(self.spare, self.room) + gain * grain)
         if crowded:
-            self.room, self.opening = max(1.0, least, self.room - weight * ROOM_LOSS), False
+            self.room, self.opening = max(grain, least, self.room - weight * grain * ROOM_LOSS), False
         elif self.room < ROOM_USED * self.in_flight + self._first_room():
-            self.room += 1.0 if self.opening else ROOM_GAIN
+            self.room += grain * (1.0 if self.opening else ROOM_GAIN)
 
     def _first_room(self) -> float:
-        return max(1.0, ROOM_START * len(self.backends) / self.cfg.proxies)
-
-    def _sick(self) -> int:
-        return sum(1 for b in self.backends.values() if b.fails)
+        room = ROOM_START * len(self.backends) / self.cfg.proxies
+        return max(room, 1.0 + FEW * math.sqrt(room)) if self.grain < 1 else max(1.0, room)
 
     def _note_failure(self, b: Backend, weight: float) -> None:
         """Guards against a dead, cut-off or failing backend: a run of failures ejects it for a while."""
+        self.sick += not b.fails and self.backends.get(b.id) is b
         b.fails += weight
         if b.fails < EJECT_AT or (b.out_until and self.now < b.out_until):
             return
         b.out_until = self.now + int(b.backoff * (0.8 + 0.4 * self.rng.random()))
         b.backoff = min(2 * b.backoff, EJECT_MAX_NS)
-
-
-SLOT, ASK, SECOND, EXPIRE, NUDGE = range(5)
+        if b.member and len(self.members) < len(self.backends):
+            self._choose_members()
--- a/mothstall/interface.py
+++ b/mothstall/interface.py
@@ -83,6 +83,7 @@
     classes: tuple[RequestClass, ...]
     tenants: tuple[Tenant, ...]
     zone: int
+    position: int  # this proxy, of `proxies`; any number is taken
     proxies: int
     discovery_push: bool
     ask_within_ns: int
--- a/mothstall/simwire/settings.py
+++ b/mothstall/simwire/settings.py
@@ -71,6 +71,7 @@
         classes=tuple(classes),
         tenants=tenants,
         zone=get("zone", int),
+        position=get("position", int, 0),
         proxies=max(1, get("replicas-of-me", int)),
         discovery_push=get("discovery", {"push": True, "ask": False}.__getitem__),
         ask_within_ns=get("contract.ask-within-ns", int, 10_000_000_000),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -21,6 +21,7 @@
         "classes": (cls(), cls(Effect.KEYED), cls(Effect.UNSAFE, worth=5.0)),
         "tenants": (),
         "zone": 0,
+        "position": 0,
         "proxies": 2,
         "discovery_push": True,
         "ask_within_ns": 10 * NS,
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -243,7 +243,7 @@
         held = full_house(drive)
         quiet = [held[0][1], *({1, 2, 3, 4} - {held[0][1]})][:silent]
         for number in quiet:
-            drive.balancer.backends[number].fails = 1.0
+            drive.balancer._note_failure(drive.balancer.backends[number], 1.0)
         before = drive.balancer.room
         drive.now += NS
         mine = [h for h in held if h[1] == quiet[0]]
