--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -180,8 +180,8 @@
         self.grain = 1.0  # backends for each proxy, one at most: how coarse one attempt is here
         self.e = T_NS / (T_NS // 10)
         self.slots: deque[int] = deque()
-        self.heap: list[tuple[int, int, Callable[[], None]]] = []
-        self.slot_at = self.seq = self.timer_at = self.sent = 0
+        self.heap: list[tuple[int, int, Callable[[], object]]] = []
+        self.slot_at = self.seq = self.timer_at = self.nudge_at = self.sent = 0
         self.watching = False
         self.asked_at, self.asks_failed, self.herd = -1, 0, 0
         self.mildest = min(c.effect for c in settings.classes)
@@ -225,7 +225,7 @@
             self._at(now + int(self.herd * self._point()), self._check_discovery)
             self.asks_failed = 1
 
-    def _at(self, due: int, what: Callable[[], None]) -> None:
+    def _at(self, due: int, what: Callable[[], object]) -> None:
         self.seq += 1
         heapq.heappush(self.heap, (due, self.seq, what))
 
@@ -656,8 +656,10 @@
             req.waiting = False
             self.waiting -= 1
             self._admit(req, b)
-        if self.waiting:
-            self._at(self.now + max(self.cfg.tick_ns, NS // 100), self._serve_waiting)
+        # Guards against nudges that breed: at most one is due, and it does nothing by itself.
+        if self.waiting and self.nudge_at <= self.now:
+            self.nudge_at = self.now + max(self.cfg.tick_ns, NS // 100)
+            self._at(self.nudge_at, bool)
 
     def _admit(self, req: Request, b: Backend) -> None:
         self.virtual = max(self.virtual, req.flow.tag)
@@ -851,10 +853,7 @@
             b.limit += 1.0 / b.limit
 
     def _learn_fleet(self, late: bool, crowded: bool, weight: float) -> None:
-        """The proxy's room, and the spare part of it that requests beyond a share may use.
-
-        Lateness is the one sign all proxies see: those with little in-share traffic leave room to the rest.
-        """
+        """The room, and the spare part of it for what is beyond a share; all proxies see lateness alike."""
         # One attempt for each backend, over all proxies, is no crowd: less would leave backends idle.
         least, grain = len(self.backends) / self.cfg.proxies, self.grain
         if self.cfg.tenants:  # what is beyond a share is worth next to nothing and gives way early
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -416,3 +416,15 @@
     drive.serve(2, latency=900 * MS)  # the priority class, past its aim
     drive.wait(T_NS // 4)
     assert len(drive.balancer.groups[1]) == before
+
+
+def test_waiting_requests_do_not_breed_timers() -> None:
+    # Found on a day of overload: each nudge for what waits set two more, and the day ran out of CPU.
+    drive = warmed()
+    full_house(drive)
+    for _ in range(3):
+        drive.ask()
+    for _ in range(30):
+        drive.now += 10 * MS
+        drive.feed(io.TimerFired(drive.now))
+    assert len(drive.balancer.heap) < 30
