--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -47,7 +47,7 @@
 FEW = 2.0  # chance bursts over a small mean: so many of its square roots
 HERD_NS = NS // 10  # between two proxies' first calls to discovery
 SLOW_GAIN, SLOW_NS = 0.3, 2 * NS  # weight of one answer in how slow a member is, and how soon that fades
-SLOW_MOST = 4.0
+SLOW_MOST, SLOW_FREE = 4.0, 1.4
 FINE, FULL, ILL, SLOW = range(4)
 
 
@@ -252,11 +252,14 @@
         for entry in ev.entries:
             self._on_entry(entry, first)
         rows = sorted(self.backends.values(), key=lambda b: (stable_hash(b.id), b.id))
-        self.near = [b for b in rows if b.zone == self.cfg.zone]
-        self.far = [b for b in rows if b.zone != self.cfg.zone]
-        self._choose_members()
         if first:
             self.grain = min(1.0, len(rows) / self.cfg.proxies)
+            if self.grain < 1 and self.near_share < 1:
+                self.near_share = 0.0  # few members cannot keep to a zone in part and be covered evenly
+        self.near = [b for b in rows if b.zone == self.cfg.zone and self.near_share]
+        self.far = [b for b in rows if b.zone != self.cfg.zone or not self.near_share]
+        self._choose_members()
+        if first:
             self.budget_cap = max(2.0, min(RETRY_CAP, 10.0 * len(rows) / self.cfg.proxies))
             self.budget = self.budget_cap * (self.rng.random() if self.grain < 1 else 1.0)
             self.room = self._first_room()
@@ -315,8 +318,7 @@
         keep = set(chosen)
         for b in [b for b in self.members if b not in keep]:
             self._leave(b)
-            if not b.in_flight:
-                self.acts.append(io.CloseIdle(b.id))
+            self.acts.append(io.CloseIdle(b.id))
         if 2 * len(news) >= len(chosen):
             self.members = chosen
             self._split()
@@ -381,8 +383,7 @@
         self._turn_anywhere(side)
 
     def _turn_anywhere(self, side: int) -> None:
-        size = len(self.groups[side])
-        self.turn[side] = self.rng.randrange(size) if size else 0
+        self.turn[side] = self.rng.randrange(max(1, len(self.groups[side])))
 
     def _move(self, side: int) -> None:
         """(9) and (10): the backend of largest distance on the other side joins this one."""
@@ -466,8 +467,7 @@
             f.seen *= keep
             f.good *= keep
         self.seen_ns = self.seen_ns * keep + span
-        # Guards against clients' own repeats swelling all shares (only what was served counts), and against a
-        # part read off a handful of requests: an even part weighs as much as PRIOR of them.
+        # Guards against clients' repeats (only the served counts) and few requests (an even part is PRIOR).
         paces = sorted(
             (f.good + PRIOR) / (max(f.quota, 1e-6) * self.seen_ns / NS + PRIOR * self.cfg.proxies)
             for f in self.flows
@@ -518,17 +518,16 @@
         if b.in_flight > SPREAD * mean * warmth + SPREAD_FREE + slack:
             return FULL
         # Guards against crowding by others, which shows only in answers where our own are few in flight.
-        return SLOW if self.grain < 1 and b.slow > 1 and self.rng.random() > b.slow**-2 else FINE
+        slow = b.slow / SLOW_FREE if self.grain < 1 else 0.0
+        return SLOW if slow > 1 and self.rng.random() > slow**-2 else FINE
 
     def _stalled(self, b: Backend, req: Request, warmth: float) -> bool:
         """Guards against hangs: attempts are out and nothing has come back for much longer than usual."""
-        if not self.usual:
-            return False
         quiet = self.now - max(b.progress, b.busy_since)
         patience = self.usual * (1 + 2 / b.in_flight) / warmth + self.cfg.connect_timeout_ns / 4
         if req.cls.effect == Effect.UNSAFE:
             patience /= 2  # what cannot be sent again wants a backend with recent answers
-        return quiet > patience
+        return self.usual > 0 and quiet > patience
 
     def _cold_turn(self, b: Backend, warmth: float) -> bool:
         """Guards against pushing a cold backend over: its turns are dealt out evenly over time."""
@@ -550,9 +549,11 @@
 
     def _pick(self, req: Request) -> Backend | None:
         """Round robin in the request's group; a group left empty by skips borrows the other."""
-        # Guards against whole numbers where a room holds few: what is over them is kept by chance.
+        # Guards against whole numbers in a small room: chance keeps what is over them, and makes bursts.
         held = self.in_flight + (self.rng.random() if self.grain < 1 else 0.0)
-        if held >= (min(self.room, self.spare) if req.beyond else self.room):
+        slack = FEW * math.sqrt(self.room) if self.grain < 1 else 0.0
+        room = min(self.room, self.spare) if req.beyond else self.room + slack
+        if held >= room:
             return None
         tried = [a.backend for a in req.attempts if not a.rejected]
         ill: list[Backend] = []
@@ -643,7 +644,7 @@
             self._give_up(req)
 
     def _serve_waiting(self) -> None:
-        """Under pressure room goes to the profile that is furthest behind its share."""
+        """Under pressure room goes to the profile furthest behind its share."""
         while self.waiting:
             for flow in sorted((f for f in self.flows if f.queue), key=lambda f: f.tag):
                 req = flow.queue[0]
@@ -855,20 +856,19 @@
     def _learn_fleet(self, late: bool, crowded: bool, weight: float) -> None:
         """The room, and the spare part of it for what is beyond a share; all proxies see lateness alike."""
         # One attempt for each backend, over all proxies, is no crowd: less would leave backends idle.
-        least, grain = len(self.backends) / self.cfg.proxies, self.grain
+        least, grain = len(self.backends) / self.cfg.proxies, math.sqrt(self.grain)
         if self.cfg.tenants:  # what is beyond a share is worth next to nothing and gives way early
             gain = -SPARE_LOSS if late else SPARE_GAIN
         else:
             gain = -SPARE_LOSS if crowded else 1.0 if self.opening else SPARE_GAIN
         self.spare = max(least / 2, min(self.spare, self.room) + gain * grain)
         if crowded:
-            self.room, self.opening = max(grain, least, self.room - weight * grain * ROOM_LOSS), False
+            self.room, self.opening = max(self.grain, least, self.room - weight * grain * ROOM_LOSS), False
         elif self.room < ROOM_USED * self.in_flight + self._first_room():
             self.room += grain * (1.0 if self.opening else ROOM_GAIN)
 
     def _first_room(self) -> float:
-        room = ROOM_START * len(self.backends) / self.cfg.proxies
-        return max(room, 1.0 + FEW * math.sqrt(room)) if self.grain < 1 else max(1.0, room)
+        return max(self.grain, ROOM_START * len(self.backends) / self.cfg.proxies)
 
     def _note_failure(self, b: Backend, weight: float) -> None:
         """Guards against a dead, cut-off or failing backend: a run of failures ejects it for a while."""
