--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -815,8 +815,7 @@
             b.limit = max(1.0, min(b.limit, b.in_flight + 1.0) * CUT)
             b.rest_until = now + int((0.5 + self.rng.random()) * max(self.usual, self.cfg.tick_ns))
             b.slow += SLOW_GAIN * (SLOW_MOST - b.slow)
-            if self.grain < 1:
-                self._learn_fleet(True, True, 1.0)
+            self._learn_fleet(True, True, 1.0)
         elif result in (Result.CONNECT_FAILED, Result.RESET, Result.ERROR):
             self._note_failure(b, 0.7 if result == Result.ERROR else 1.0)
         elif result == Result.TIMEOUT or (result == Result.CANCELLED and not req.done):
