--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -47,7 +47,7 @@
 FEW = 2.0  # chance bursts over a small mean: so many of its square roots
 HERD_NS = NS // 10  # between two proxies' first calls to discovery
 SLOW_GAIN, SLOW_NS = 0.3, 2 * NS  # weight of one answer in how slow a member is, and how soon that fades
-SLOW_MOST, SLOW_FREE = 4.0, 1.4
+SLOW_MOST, SLOW_FREE = 4.0, 1.2
 FINE, FULL, ILL, SLOW = range(4)
 
 
@@ -261,7 +261,10 @@
         self._choose_members()
         if first:
             self.budget_cap = max(2.0, min(RETRY_CAP, 10.0 * len(rows) / self.cfg.proxies))
+            # Guards against starting sums that all proxies spend at once.
             self.budget = self.budget_cap * (self.rng.random() if self.grain < 1 else 1.0)
+            for flow in self.flows:
+                flow.tokens = self.rng.random() if self.grain < 1 else 1.0
             self.room = self._first_room()
 
     def _on_entry(self, entry: io.Entry, first: bool) -> None:
