--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -54,7 +54,7 @@
 class Backend:
     """What this proxy has seen of one backend since it last started."""
 
-    def __init__(self, entry: io.Entry, now: int, token: float = 1.0) -> None:
+    def __init__(self, entry: io.Entry, now: int, token: float) -> None:
         self.id, self.zone, self.cell = entry.backend, entry.zone, entry.cell
         self.started = entry.started_ns
         self.priority = self.member = False
@@ -98,12 +98,12 @@
 class Flow:
     """The requests of one profile: of a tenant where tenants are told, else of a class."""
 
-    def __init__(self, weight: float, quota: float) -> None:
+    def __init__(self, weight: float, quota: float, first: float) -> None:
         self.weight, self.quota = max(weight, 1e-6), quota
         self.queue: deque[Request] = deque()
         self.tag = self.rate = self.seen = self.good = 0.0
         self.served = 0
-        self.tokens, self.tokens_at = 1.0, 0  # what the flow may still ask inside its share
+        self.tokens, self.tokens_at = first, 0  # what the flow may still ask inside its share
 
 
 class Latency:
@@ -147,7 +147,7 @@
 
     def __init__(self, settings: io.Settings, seed: int) -> None:
         self.cfg = settings
-        self.near_share = min(1.0, settings.cross_zone_fee / NEAR_FEE)  # part of requests to stay near
+        self.near_share = 0.0  # part of requests that stay in the own zone
         self.rng, self.now = random.Random(seed), -1
         self.acts: list[io.Action] = []
         self.backends: dict[int, Backend] = {}
@@ -158,8 +158,10 @@
         self.groups: tuple[list[Backend], list[Backend]] = ([], [])  # B, P
         self.turn = [0, 0]
         self.requests: dict[int, Request] = {}
-        self.flows = [Flow(t.share, t.allowance_per_s) for t in settings.tenants] or [
-            Flow(c.worth, c.worth) for c in settings.classes
+        # Guards against starting sums that all proxies spend at once: they are drawn at random.
+        first = self.rng.random()
+        self.flows = [Flow(t.share, t.allowance_per_s, first) for t in settings.tenants] or [
+            Flow(c.worth, c.worth, first) for c in settings.classes
         ]
         self.priority = max(range(len(self.flows)), key=lambda i: (self._claim(i), -i))
         self.latency = (Latency(), Latency())
@@ -250,24 +252,21 @@
                 self._drop(b)
         first = not self.backends
         for entry in ev.entries:
-            self._on_entry(entry, first)
+            self._on_entry(entry)
         rows = sorted(self.backends.values(), key=lambda b: (stable_hash(b.id), b.id))
-        if first:
-            self.grain = min(1.0, len(rows) / self.cfg.proxies)
-            if self.grain < 1 and self.near_share < 1:
-                self.near_share = 0.0  # few members cannot keep to a zone in part and be covered evenly
+        self.grain = min(1.0, len(rows) / self.cfg.proxies)
+        share = min(1.0, self.cfg.cross_zone_fee / NEAR_FEE)
+        # Guards against hot zones: few members cannot keep to a zone in part and cover all evenly.
+        self.near_share = share if self.grain == 1 or share == 1 else 0.0
         self.near = [b for b in rows if b.zone == self.cfg.zone and self.near_share]
         self.far = [b for b in rows if b.zone != self.cfg.zone or not self.near_share]
         self._choose_members()
         if first:
             self.budget_cap = max(2.0, min(RETRY_CAP, 10.0 * len(rows) / self.cfg.proxies))
-            # Guards against starting sums that all proxies spend at once.
-            self.budget = self.budget_cap * (self.rng.random() if self.grain < 1 else 1.0)
-            for flow in self.flows:
-                flow.tokens = self.rng.random() if self.grain < 1 else 1.0
+            self.budget = self.budget_cap * self.rng.random()
             self.room = self._first_room()
 
-    def _on_entry(self, entry: io.Entry, first: bool) -> None:
+    def _on_entry(self, entry: io.Entry) -> None:
         old = self.backends.get(entry.backend)
         if entry.health != Health.READY:
             if old:
@@ -278,11 +277,8 @@
             return
         if old:
             self._drop(old)  # a new start under the same id is a new, cold backend
-        # Guards against every proxy's first send at once: the first token comes at a random time.
-        b = Backend(entry, self.now, 1.0 if first else self.rng.random())
-        self.backends[b.id] = b
-        if not first and self._warmth(b) < 1:
-            b.limit = 1.0
+        b = self.backends[entry.backend] = Backend(entry, self.now, self.rng.random())
+        b.limit = ROOM_START if self._warmth(b) >= 1 else 1.0
 
     def _drop(self, b: Backend) -> None:
         self.backends.pop(b.id, None)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -28,13 +28,13 @@
 
 
 def test_first_measure_is_taken_as_it_is() -> None:
-    b = Backend(entry(1), START)
+    b = Backend(entry(1), START, 1.0)
     measured(b, START + NS, NS, 8, 8, 10)
     assert (b.est1, b.est2, b.x) == (8.0, 8.0, 8.0)
 
 
 def test_filter_5_with_weight_6() -> None:
-    b = Backend(entry(1), START)
+    b = Backend(entry(1), START, 1.0)
     measured(b, START + NS, NS, 10, 10, 10)
     measured(b, START + 2 * NS, NS, 4, 4, 4.5)
     # (6): A = (9 - 1) / (9 + 1) = 0.8; (5): 0.8 * 10 + 0.2 * (4 + 10) / 2 = 9.4
@@ -42,7 +42,7 @@
 
 
 def test_burst_estimate_7_8() -> None:
-    b = Backend(entry(1), START)
+    b = Backend(entry(1), START, 1.0)
     measured(b, START + 1 * NS, NS, 4, 4, 10)  # b = 0: its own mean is not exceeded
     measured(b, START + 2 * NS, NS, 8, 8, 10)  # above the mean of 6: b = 1/2; b was 0, so (8) adds nothing
     assert b.b == 0.5
@@ -53,7 +53,7 @@
 
 
 def test_burst_estimate_rests_when_burstiness_falls_and_never_goes_below_zero() -> None:
-    b = Backend(entry(1), START)
+    b = Backend(entry(1), START, 1.0)
     measured(b, START + 1 * NS, NS, 4, 4, 10)
     measured(b, START + 2 * NS, NS, 8, 8, 10)
     before = b.est2
@@ -105,7 +105,7 @@
 
 
 def test_distance_10() -> None:
-    b = Backend(entry(1), START)
+    b = Backend(entry(1), START, 1.0)
     b.est1, b.est2 = 3.0, 4.0
     assert b.distance() == 5.0
     b.est1 = b.est2 = -1.0
