--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -770,7 +770,8 @@
         left = req.deadline - self.now
         free = result in io.NEVER_RAN
         spent = len(req.attempts) >= self.cfg.max_attempts or (not free and self.budget < 1)
-        spent = spent or (req.beyond and self.grain < 1)  # what is beyond a share takes no second turn
+        # What is beyond a share takes no second turn.
+        spent = spent or (req.beyond and bool(self.cfg.tenants) and self.grain < 1)
         if spent or left < self.usual / 2:
             self._give_up(req)
             return
@@ -821,8 +822,8 @@
             # Guards against overload that shows only as clients running out of time.
             self._learn_room(b, a, req, True, True)
             b.slow += SLOW_GAIN * (SLOW_MOST - b.slow)
-            if b.progress < a.sent:
-                self._note_failure(b, 1.0)
+            if b.progress < a.sent:  # the longer than usual, the surer
+                self._note_failure(b, max(1.0, (now - a.sent) / (1.5 * self.usual or NS)))
 
     def _calmest(self, req: Request, latency: int) -> float:
         """The calmest mean latency that the class has shown while little was out.
@@ -862,7 +863,7 @@
         self.spare = max(least / 2, min(self.spare, self.room) + gain * grain)
         if crowded:
             self.room, self.opening = max(self.grain, least, self.room - weight * grain * ROOM_LOSS), False
-        elif self.room < ROOM_USED * self.in_flight + self._first_room():
+        elif self.room < ROOM_USED * (self.in_flight + 1) + self._first_room():
             self.room += grain * (1.0 if self.opening else ROOM_GAIN)
 
     def _first_room(self) -> float:
