--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -40,8 +40,8 @@
 HOLD = 0.25  # share of the aim for which a request may wait for room
 NEAR_FEE = 0.05  # from this fee for crossing zones on, members of our own zone take turns first
 LEAST_MEMBERS = 3
-MEMBER_CONNS = 16.0  # before traffic is measured: connections a backend gets from all proxies together
-MEMBER_RATE = 3.0  # afterwards: requests a second that each member should see from this proxy
+MEMBER_CONNS = 10.0  # connections that a backend gets at least, from all proxies together
+MEMBER_RATE = 3.0  # requests a second from this proxy for which one more member is worth measuring
 GOLDEN = 0.6180339887498949  # its multiples spread any run of positions evenly over a ring
 PRIOR = 6.0  # requests that the even part of a tenant's allowance weighs in its pace
 FEW = 2.0  # chance bursts over a small mean: so many of its square roots
@@ -295,9 +295,8 @@
 
         Members are the part of the list that this proxy's own traffic can keep measured.
         """
-        size = max(LEAST_MEMBERS, self.rate / MEMBER_RATE)
-        if not self.rate:
-            size = max(size, MEMBER_CONNS * len(self.backends) / self.cfg.proxies)
+        few = max(LEAST_MEMBERS, MEMBER_CONNS * len(self.backends) / self.cfg.proxies)
+        size = max(few, self.rate / MEMBER_RATE)
         if not self.size or size > self.size or size < 0.7 * self.size:
             self.size = math.ceil(size)
         share = max(self.near_share, len(self.near) / max(1, len(self.backends)))
