--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -281,6 +281,8 @@
         b.limit = ROOM_START if self._warmth(b) >= 1 else 1.0
 
     def _drop(self, b: Backend) -> None:
+        # Guards against the room of the whole fleet falling on what is left of it.
+        self.room = max(self.grain, self.room * (1.0 - 1.0 / len(self.backends)))
         self.backends.pop(b.id, None)
         self.sick -= b.fails > 0
         self._leave(b)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -7,8 +7,8 @@
 
 from mothstall import interface as io
 from mothstall.choice import EJECT_AT, FINE, FULL, ILL, T_NS, Request
-from mothstall.interface import NS, Effect, Result, Scope
-from tests.helpers import MS, Drive, cls, entry, sends, settings
+from mothstall.interface import NS, Effect, Health, Result, Scope
+from tests.helpers import MS, START, Drive, cls, entry, sends, settings
 
 PURE = (cls(),)
 
@@ -429,3 +429,16 @@
         drive.now += 10 * MS
         drive.feed(io.TimerFired(drive.now))
     assert len(drive.balancer.heap) < 30
+
+
+def test_room_falls_with_what_leaves_the_list_and_never_to_nothing() -> None:
+    # Found on an incident: a fleet shrunk to a third kept the room of the whole, and late answers piled up.
+    drive = Drive(8, classes=PURE)
+    before = drive.balancer.room
+    drive.feed(io.BackendList(Scope.DELTA, 2, [entry(i, health=Health.DRAINING) for i in (1, 2, 3, 4)]))
+    assert drive.balancer.room == before / 2
+    alone = Drive(1, classes=PURE)
+    alone.feed(io.BackendList(Scope.DELTA, 2, [entry(1, started=START)]))
+    assert alone.balancer.room > 0
+    alone.wait(25 * NS)
+    alone.serve()
