--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -67,7 +67,7 @@
         self.limit, self.cut_at = ROOM_START, 0
         self.tokens, self.tokens_at, self.touched = token, now, False
         self.slow = 1.0  # latency of its last answers over the calmest mean
-        self.rest_until = 0  # turned us away: full, and skipped until then
+        self.rest_until, self.rests = 0, 1.0  # turned us away: full, and skipped until then
         self.fails, self.out_until, self.backoff, self.probing = 0.0, 0, EJECT_NS, False
 
     def distance(self) -> float:
@@ -800,6 +800,7 @@
             b.util = min(1.0, max(0.0, float(ev.load[self.cfg.load_names.index("util")])))
         if (result := ev.result) == Result.OK:
             b.done += 1
+            b.rests = 1.0
             req.flow.good += 1.0
             b.progress = now
             self.sick -= b.fails > 0 and self.backends.get(b.id) is b
@@ -814,7 +815,8 @@
         elif result == Result.REJECTED:
             # Guards against storms of rejections: a full backend rests for about one service time.
             b.limit = max(1.0, min(b.limit, b.in_flight + 1.0) * CUT)
-            b.rest_until = now + int((0.5 + self.rng.random()) * max(self.usual, self.cfg.tick_ns))
+            rest = (0.5 + self.rng.random()) * b.rests * max(self.usual, self.cfg.tick_ns)
+            b.rest_until, b.rests = now + min(int(rest), EJECT_MAX_NS), min(2 * b.rests, 32.0)
             b.slow += SLOW_GAIN * (SLOW_MOST - b.slow)
             self._learn_fleet(True, True, 1.0)
         elif result in (Result.CONNECT_FAILED, Result.RESET, Result.ERROR):
