--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -293,9 +293,9 @@
         return self.cfg.position * GOLDEN % 1.0
 
     def _choose_members(self) -> None:
-        """Guards against every proxy holding connections to all backends, and learning each hang alone.
+        """Members: the part of the list that this proxy's own traffic can keep measured.
 
-        Members are the part of the list that this proxy's own traffic can keep measured.
+        Guards against every proxy holding connections to all backends, and learning each hang alone.
         """
         few = max(LEAST_MEMBERS, MEMBER_CONNS * len(self.backends) / self.cfg.proxies)
         size = max(few, self.rate / MEMBER_RATE)
@@ -333,13 +333,11 @@
             self._join(b, side)
 
     def _leave(self, b: Backend) -> None:
-        if not b.member:
-            return
-        b.member, b.est1, b.est2 = False, -1.0, -1.0
-        self.members.remove(b)
-        side = int(b.priority)
-        self.groups[side].remove(b)
-        self._turn_anywhere(side)
+        if b.member:
+            b.member, b.est1, b.est2 = False, -1.0, -1.0
+            self.members.remove(b)
+            self.groups[int(b.priority)].remove(b)
+            self._turn_anywhere(int(b.priority))
 
     def _ask(self) -> None:
         self.asked_at = self.now
@@ -799,8 +797,7 @@
         if ev.load and "util" in self.cfg.load_names:
             b.util = min(1.0, max(0.0, float(ev.load[self.cfg.load_names.index("util")])))
         if (result := ev.result) == Result.OK:
-            b.done += 1
-            b.rests = 1.0
+            b.done, b.rests = b.done + 1, 1.0
             req.flow.good += 1.0
             b.progress = now
             self.sick -= b.fails > 0 and self.backends.get(b.id) is b
