--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -817,7 +817,8 @@
             b.slow += SLOW_GAIN * (SLOW_MOST - b.slow)
             self._learn_fleet(True, True, 1.0)
         elif result in (Result.CONNECT_FAILED, Result.RESET, Result.ERROR):
-            self._note_failure(b, 0.7 if result == Result.ERROR else 1.0)
+            sure = EJECT_AT if result == Result.CONNECT_FAILED else 1.0
+            self._note_failure(b, 0.7 if result == Result.ERROR else sure)
         elif result == Result.TIMEOUT or (result == Result.CANCELLED and not req.done):
             # Guards against overload that shows only as clients running out of time.
             self._learn_room(b, a, req, True, True)
