--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -838,7 +838,7 @@
             if calm[2] >= CALM_COUNT:
                 calm[1] = min(calm[0], calm[1] or calm[0])
         # Guards against a jam that was there from the start: its answers are not calm.
-        return min(calm[1] or calm[0], LATE * req.aim)
+        return min(calm[1] or calm[0], LATE * req.aim if self.grain < 1 else math.inf)
 
     def _learn_room(self, b: Backend, a: Attempt, req: Request, late: bool, crowded: bool) -> None:
         """Room grows while it is used and answers come early; it shrinks once for each round of late ones."""
