--- /dev/null
+++ b/tests/test_crowd.py
@@ -0,0 +1,307 @@
+"""Many proxies with little traffic each: members, summed allowances, first seconds, odd settings."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from mothstall import interface as io
+from mothstall.choice import LEAST_MEMBERS, Balancer
+from mothstall.interface import NS, Effect, Health, Result, Scope
+from mothstall.simwire.settings import parse
+from tests.helpers import MS, START, Drive, cls, entry, sends, settings
+from tests.test_wire import SETUP
+
+PURE = (cls(),)
+
+
+def crowd(proxies: int, rows: list[io.Entry], **changes: object) -> list[Balancer]:
+    """All proxies of a site, told the same list at the same time."""
+    tier = []
+    for i in range(proxies):
+        balancer = Balancer(settings(classes=PURE, proxies=proxies, position=i, **changes), 1000 + i)
+        balancer.handle(START, [io.BackendList(Scope.CACHED, 1, rows)])
+        tier.append(balancer)
+    return tier
+
+
+def members(balancer: Balancer) -> set[int]:
+    return {b.id for b in balancer.members}
+
+
+def test_small_sites_use_their_whole_list() -> None:
+    for proxies, backends in ((2, 8), (3, 14), (6, 17)):
+        for balancer in crowd(proxies, [entry(i, zone=i % 2) for i in range(1, backends + 1)]):
+            assert len(members(balancer)) == backends
+
+
+@pytest.mark.parametrize(("proxies", "backends", "fee"), [(335, 60, 0.03), (434, 80, 0.01), (411, 70, 0.12)])
+def test_members_are_few_and_cover_all_backends_evenly(proxies: int, backends: int, fee: float) -> None:
+    """Guards against tables of connections that overfill, and against backends that nobody uses."""
+    rows = [entry(7919 * i, zone=i % 2) for i in range(1, backends + 1)]
+    tier = crowd(proxies, rows, cross_zone_fee=fee)
+    assert max(len(b.members) for b in tier) <= LEAST_MEMBERS + 3
+    near = Counter(i for b in tier for i in members(b))
+    if fee < 0.05:
+        assert max(near.values()) - min(near.values()) <= 3
+    else:  # the proxies of this test all stand in zone 0
+        covered = [near[r.backend] for r in rows if r.zone == 0]
+        assert max(covered) - min(covered) <= 3
+
+
+def test_a_list_change_moves_few_members() -> None:
+    rows = [entry(31 * i) for i in range(1, 81)]
+    tier = crowd(400, rows)
+    before = [members(b) for b in tier]
+    for b in tier:
+        b.handle(START + NS, [io.BackendList(Scope.DELTA, 2, [entry(31, health=Health.GONE)])])
+    lost = sum(len(was - members(b) - {31}) for was, b in zip(before, tier, strict=True))
+    assert lost <= 0.2 * sum(len(was) for was in before)
+    assert all(len(b.members) >= LEAST_MEMBERS for b in tier)
+
+
+def test_a_proxy_turned_hot_widens_at_once() -> None:
+    drive = Drive(80, classes=PURE, proxies=400)
+    few = len(drive.balancer.members)
+    for _ in range(120):
+        drive.balancer.room = drive.balancer.spare = 500.0
+        drive.serve(latency=2 * MS)
+    assert drive.now < START + NS // 2
+    assert len(drive.balancer.members) > 4 * few
+
+
+def test_members_that_fail_are_replaced() -> None:
+    drive = Drive(60, classes=PURE, proxies=300)
+    before = members(drive.balancer)
+    for number in before:
+        drive.balancer._note_failure(drive.balancer.backends[number], 2.0)
+    well = [b for b in drive.balancer.members if not b.out_until]
+    assert len(well) >= LEAST_MEMBERS
+
+
+def test_a_member_left_behind_gives_its_idle_connections_back() -> None:
+    drive = Drive(60, classes=PURE, proxies=300)
+    drive.balancer.rate = 90.0
+    drive.balancer._choose_members()
+    wide = members(drive.balancer)
+    drive.balancer.rate = 1.0
+    drive.balancer.acts = []
+    drive.balancer._choose_members()
+    closed = {a.backend for a in drive.balancer.acts if isinstance(a, io.CloseIdle)}
+    assert closed == wide - members(drive.balancer)
+    assert closed
+
+
+@hypothesis_settings(derandomize=True, max_examples=6, deadline=None, database=None)
+@given(seed=st.integers(0, 2**32), backends=st.integers(6, 20), rate=st.sampled_from((2, 6)))
+def test_all_proxies_together_keep_the_cold_budget(seed: int, backends: int, rate: int) -> None:
+    """The fourth rule over the whole tier: floors and first tokens of many proxies would add up."""
+    proxies, rng = 60, random.Random(seed)
+    cold = 1 + rng.randrange(backends)
+    tier = crowd(proxies, [entry(i) for i in range(1, backends + 1)])
+    cfg = tier[0].cfg
+    pending: list[list[tuple[int, int, int]]] = [[] for _ in tier]
+    hits: list[int] = []
+    warm_sends, rid, now, born = 0, 0, START, START + 6 * NS
+    told = False
+    while now < START + 14 * NS:
+        now += 20 * MS
+        for k, balancer in enumerate(tier):
+            events: list[io.Event] = []
+            for due, r, b in [p for p in pending[k] if p[0] <= now]:
+                pending[k].remove((due, r, b))
+                events.append(io.AttemptEnded(r, 0, b, Result.OK, 60 * MS, True, ()))
+            if now >= born and not told:
+                events.append(io.BackendList(Scope.DELTA, 2, [entry(cold, started=born)]))
+            if rng.random() < rate * 0.02:
+                rid += 1
+                events.append(io.RequestArrived(rid, 0, 0, 0, NS, 0, False))
+            events.append(io.TimerFired(now))
+            for act in balancer.handle(now, events):
+                if isinstance(act, io.SendAttempt):
+                    pending[k].append((now + 60 * MS, act.request, act.backend))
+                    if now >= born and act.backend == cold:
+                        hits.append(now)
+                    elif now >= born:
+                        warm_sends += 1
+        told = told or now >= born
+    assert hits, "a cold backend must warm up"
+    warm_rate = warm_sends / (backends - 1) / 8
+    for at in hits:
+        window = sum(1 for h in hits if at - cfg.fall_ns < h <= at)
+        warmth = cfg.cold_from + (1 - cfg.cold_from) * (at - born) / cfg.cold_ns
+        assert window <= cfg.fall_multiple * warmth * warm_rate * cfg.fall_ns / NS + 2
+
+
+def test_first_calls_to_discovery_are_spread_and_in_time() -> None:
+    """Guards against a herd at boot: one service answers all proxies, one call after the other."""
+    proxies, rows = 300, [entry(i) for i in range(1, 61)]
+    tier = crowd(proxies, rows, discovery_push=False)
+    asked: Counter[int] = Counter()
+    calls = 0
+    for tick in range(1, 100):
+        now = START + tick * 100 * MS
+        for balancer in tier:
+            acts = balancer.handle(now, [io.TimerFired(now)])
+            n = sum(isinstance(a, io.Subscribe) for a in acts)
+            asked[tick // 10] += n
+            calls += n
+            if n:
+                balancer.handle(now, [io.BackendList(Scope.DELTA, 1, [])])
+    assert calls == proxies
+    assert max(asked.values()) < proxies / 5
+
+
+def test_starting_sums_do_not_add_up() -> None:
+    tier = crowd(400, [entry(i) for i in range(1, 81)])
+    assert sum(b.budget for b in tier) < 2 * 400
+    assert sum(b.room for b in tier) <= 4.1 * 80
+    assert all(b.budget_cap < 30 for b in tier)
+
+
+def test_tenants_of_little_traffic_keep_their_share() -> None:
+    """Guards against chance: one request in ten seconds must not count as beyond its share."""
+    tenants = (io.Tenant(0.5, 40.0), io.Tenant(0.25, 20.0), io.Tenant(0.25, 20.0))
+    rng = random.Random(4)
+    beyond = asked = heavy = 0
+    for seed in range(20):
+        drive = Drive(60, classes=PURE, proxies=300, tenants=tenants)
+        balancer = drive.balancer
+        balancer.rng.seed(seed)
+        for _ in range(600):
+            drive.now += 100 * MS
+            drive.feed(io.TimerFired(drive.now))
+            balancer.now = drive.now
+            if rng.random() < 0.1 * 0.8 * 20 / 300:
+                asked += 1
+                beyond += balancer._beyond(balancer.flows[1])
+            if rng.random() < 0.1 * 3 * 40 / 300:
+                heavy += not balancer._beyond(balancer.flows[0])
+    assert beyond < 0.25 * asked
+    assert heavy < 1.8 * 20 * 60 * 40 / 300
+
+
+def test_a_slow_member_misses_turns_but_not_all() -> None:
+    drive = Drive(60, classes=PURE, proxies=300)
+    balancer = drive.balancer
+    slow = balancer.groups[1][0]
+    got: Counter[int] = Counter()
+    for _ in range(40):
+        balancer.spare = balancer.room = 50.0
+        slow.slow = 3.0
+        got[drive.serve(latency=400 * MS)] += 1
+    rest = [got[b.id] for b in balancer.groups[1] if b is not slow]
+    assert 0 < got[slow.id] < 0.6 * max(rest)
+
+
+def test_a_rejecting_backend_rests_longer_each_time_until_it_serves() -> None:
+    # Found on an incident: a fleet full for all was asked again within one usual latency, for ever.
+    drive = Drive(4, classes=PURE)
+    b = drive.balancer.groups[1][0]
+    for _ in range(20):
+        drive.serve()
+    rests: list[int] = []
+    while len(rests) < 5:
+        drive.now += 20 * MS
+        rid, to = drive.send()
+        if to != b.id:
+            drive.end(rid, to)
+            continue
+        again = sends(drive.end(rid, to, Result.REJECTED, latency=MS))
+        rests.append(b.rest_until - drive.now)
+        drive.end(rid, again[0].backend, attempt=1)
+        drive.now = b.rest_until
+    assert rests[-1] > 3 * rests[0]
+    while drive.serve() != b.id:
+        pass
+    assert b.rests == 1.0
+
+
+@pytest.mark.parametrize("position", [-1, 2, 10**9])
+def test_a_position_outside_the_count_is_taken(position: int) -> None:
+    drive = Drive(30, classes=PURE, proxies=90, position=position)
+    assert len({drive.serve() for _ in range(40)}) >= LEAST_MEMBERS
+
+
+def test_odd_lists_have_a_sensible_outcome() -> None:
+    empty = Drive(entries=[], classes=PURE)
+    rid, acts = empty.ask()
+    acts += empty.wait(NS)
+    assert [a.request for a in acts if isinstance(a, io.Refuse)] == [rid]
+    empty.feed(io.BackendList(Scope.FULL, 2, [entry(1)]))
+    assert empty.serve() == 1
+    assert Drive(1, classes=PURE, proxies=400).serve() == 1
+    assert len({Drive(5, classes=PURE, proxies=1).serve() for _ in range(3)}) == 1
+    away = Drive(entries=[entry(i, zone=1) for i in range(1, 41)], proxies=300, cross_zone_fee=0.12)
+    assert len({away.serve() for _ in range(40)}) >= 2
+
+
+def test_settings_without_fees_or_position_are_read() -> None:
+    lines = [x for x in SETUP.splitlines() if not x.startswith(("fees.", "position", "limits.keepalive"))]
+    cfg = parse("\n".join(lines))
+    assert (cfg.position, cfg.cross_zone_fee) == (0, 0.0)
+
+
+def test_the_lesser_effect_is_not_needed_for_members() -> None:
+    drive = Drive(40, classes=(cls(Effect.UNSAFE, worth=5.0),), proxies=200)
+    assert drive.serve(0) in members(drive.balancer)
+
+
+def test_a_cold_backend_has_no_floor_of_its_own_at_each_proxy() -> None:
+    # Found on the first grown days: half a request a second from each of hundreds pushed cold ones over.
+    drive = Drive(60, classes=PURE, proxies=300)
+    drive.feed(io.BackendList(Scope.DELTA, 2, [entry(1, started=START)]))
+    cold = drive.balancer.backends[1]
+    drive.balancer.warm_rate, cold.tokens = 0.01, 0.0
+    for _ in range(50):
+        drive.balancer.now += 100 * MS
+        assert not drive.balancer._cold_turn(cold, drive.balancer._warmth(cold))
+    assert cold.tokens < 0.1
+
+
+def test_rejections_shrink_the_room() -> None:
+    # Found on an incident: a fleet full for all rejected at once, and each proxy sent again at once.
+    drive = Drive(4, classes=PURE)
+    for _ in range(20):
+        drive.serve()
+    before = drive.balancer.room
+    rid, to = drive.send()
+    drive.end(rid, to, Result.REJECTED, latency=MS)
+    assert drive.balancer.room < before
+
+
+def test_one_failed_connect_or_one_long_silence_ejects() -> None:
+    for result, after in ((Result.CONNECT_FAILED, MS), (Result.TIMEOUT, NS)):
+        drive = Drive(4, classes=PURE)
+        for _ in range(20):
+            drive.serve()
+        rid, to = drive.send()
+        drive.now += after
+        drive.end(rid, to, result, latency=after)
+        assert drive.balancer.backends[to].out_until, result
+
+
+def test_a_jam_from_the_start_is_not_taken_for_calm() -> None:
+    # Found on the first grown days: answers of a jam set the calmest mean, and nothing looked crowded.
+    drive = Drive(10, classes=PURE, proxies=40)
+    first = drive.balancer.room
+    for _ in range(30):
+        drive.serve(latency=480 * MS)
+    assert drive.balancer.room < first
+
+
+def test_a_part_of_the_traffic_is_read_off_what_was_served() -> None:
+    # Found on the first grown days: clients' repeats swelled every share, the heavy tenant's most.
+    tenants = (io.Tenant(0.5, 40.0), io.Tenant(0.5, 40.0))
+    drive = Drive(60, classes=PURE, proxies=300, tenants=tenants)
+    drive.balancer.room = drive.balancer.spare = 0.0
+    for i in range(60):
+        drive.ask(tenant=i % 2)
+        drive.wait(150 * MS)
+    assert drive.balancer.part < 1.0 / 300
+    assert drive.balancer.part > 0.2 / 300
