--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -480,8 +480,9 @@
             self.priority = best
         warm = [b.est1 for b in self.members if self._warmth(b) >= 1 and not b.out_until]
         pace = self.sent * NS / span
-        # Guards against a cold zone's proxies counting by the few that are still warm.
-        self.warm_rate = (sum(warm) if warm else pace) / max(1, len(self.members))
+        # Guards against a cold zone's proxies counting by the few far ones that are warm, which fewer cover.
+        uneven = not warm or (self.near_share > 0 and self.grain < 1)
+        self.warm_rate = (sum(warm) if warm else pace) / max(1, len(self.members if uneven else warm))
         self.rate += (1 - math.exp(-3 * span / T_NS)) * (pace - self.rate) if self.rate else pace
         if self.sent >= LEAST_SEEN:
             self.rate = max(self.rate, pace)
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -305,3 +305,15 @@
         drive.wait(150 * MS)
     assert drive.balancer.part < 1.0 / 300
     assert drive.balancer.part > 0.2 / 300
+
+
+def test_a_growing_fleet_does_not_starve_its_cold_backends() -> None:
+    # Found on an incident: sixteen backends grew to seventy-five, and the cold rate shared out what the few
+    # warm ones serve over all of them.
+    drive = Drive(4, classes=PURE)
+    for _ in range(100):
+        drive.serve()
+    before = drive.balancer.warm_rate
+    drive.feed(io.BackendList(Scope.DELTA, 2, [entry(i, started=drive.now) for i in range(10, 30)]))
+    drive.balancer._note_rates(NS)
+    assert drive.balancer.warm_rate > 0.8 * before
