--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -154,6 +154,7 @@
         self.near: list[Backend] = []  # the list as two rings, own zone and others, in order of hashed id
         self.far: list[Backend] = []
         self.members: list[Backend] = []  # those of the list that this proxy sends to
+        self.point = settings.position * GOLDEN % 1.0  # where on a ring they begin
         self.size, self.rate, self.sick = 0, 0.0, 0
         self.groups: tuple[list[Backend], list[Backend]] = ([], [])  # B, P
         self.turn = [0, 0]
@@ -168,15 +169,13 @@
         self.ratio = [0.0, 0.0]
         self.version = -1
         self.in_flight = self.waiting = 0
-        self.near_due = 0.0
         self.calm = [[0.0, 0.0, 0.0] for _ in settings.classes]  # a class's mean latency, the calmest, count
         self.most_worth = max(c.worth for c in settings.classes)
         self.spare = math.inf  # the part of the room that requests beyond a share may use
         self.part = 1.0 / settings.proxies  # this proxy's part of all traffic, as its typical tenant shows
-        self.seen_ns = 0.0
         self.opening = True  # until the first late answer room grows fast
         self.room = 0.0  # how many attempts this proxy may have out in all
-        self.virtual = self.warm_rate = self.b_low = 0.0
+        self.virtual = self.warm_rate = self.b_low = self.near_due = self.seen_ns = 0.0
         self.usual = 0.0  # usual latency of a served attempt, ns
         self.budget = self.budget_cap = RETRY_CAP
         self.grain = 1.0  # backends for each proxy, one at most: how coarse one attempt is here
@@ -224,7 +223,7 @@
             # Guards against a herd at boot: discovery takes one call after the other.
             self.herd = min(self.cfg.ask_within_ns * 4 // 5, HERD_NS * (self.cfg.proxies - 1))
             self.asked_at = now
-            self._at(now + int(self.herd * self._point()), self._check_discovery)
+            self._at(now + int(self.herd * self.point), self._check_discovery)
             self.asks_failed = 1
 
     def _at(self, due: int, what: Callable[[], object]) -> None:
@@ -289,9 +288,6 @@
 
     # Members
 
-    def _point(self) -> float:
-        return self.cfg.position * GOLDEN % 1.0
-
     def _choose_members(self) -> None:
         """Members: the part of the list that this proxy's own traffic can keep measured.
 
@@ -306,7 +302,7 @@
         chosen: list[Backend] = []
         for ring, want in ((self.near, goal), (self.far, max(2, self.size - goal))):
             want += short
-            start, well = int(self._point() * len(ring)), 0
+            start, well = int(self.point * len(ring)), 0
             for i in range(min(len(ring), 2 * want)):
                 if well >= want:
                     break
@@ -399,14 +395,12 @@
         self.slots.append(now)
         while self.slots[0] <= now - T_NS:
             self.slots.popleft()
-        high, low = 0.0, 1.0
+        high, low = 0.0, 1.0 if self.members else 0.0
         fade = math.exp(-span / SLOW_NS)
         for b in self.members:
             self._measure(b, span)
             b.slow = 1.0 + (b.slow - 1.0) * fade
             high, low = max(high, b.b), min(low, b.b)
-        if not self.members:
-            low = 0.0
         self._note_rates(span)
         self._choose_members()
         if len(self.slots) == 1 and now - self.slot_at == T_NS // 10:
