--- /dev/null
+++ b/mothstall/cli.py
@@ -0,0 +1,54 @@
+"""The command line: serve, check-config, version."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import sys
+from collections.abc import Mapping, Sequence
+
+from mothstall import __version__
+from mothstall.config import LOG_LEVELS, Config, ConfigError, load
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="mothstall", description="A load-balancing proxy for HTTP fleets.")
+    commands = parser.add_subparsers(dest="command", metavar="COMMAND")
+    serve = commands.add_parser("serve", help="run the proxy (the default)")
+    check = commands.add_parser("check-config", help="read and check the configuration, then end")
+    for command in (serve, check):
+        command.add_argument("--config", metavar="FILE", help="the JSON file (default: $LB_CONFIG)")
+    serve.add_argument("--log-level", choices=LOG_LEVELS, help="overrides log_level of the file")
+    commands.add_parser("version", help="print the version")
+    return parser
+
+
+def main(argv: Sequence[str] | None = None, env: Mapping[str, str] = os.environ) -> int:
+    words = list(sys.argv[1:] if argv is None else argv)
+    args = _parser().parse_args(words or ["serve"])
+    if args.command == "version":
+        print(f"mothstall {__version__}")
+        return 0
+    try:
+        config = load(args.config, env)
+    except ConfigError as why:
+        print(f"mothstall: {why}", file=sys.stderr)
+        return 2
+    if args.command == "check-config":
+        print(f"mothstall: {config.name}: {len(config.settings.classes)} classes, listens on {config.listen}")
+        return 0
+    return _serve(config, args.log_level or config.log_level)
+
+
+def _serve(config: Config, level: str) -> int:
+    from mothstall.net import logs
+    from mothstall.net.proxy import run
+
+    logs.set_up(level)
+    try:
+        asyncio.run(run(config))
+    except OSError as why:
+        print(f"mothstall: listen {config.listen}: {why.strerror or why}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/mothstall/config.py
@@ -0,0 +1,163 @@
+"""Where the proxy's configuration is read, checked and given defaults.
+
+Everything comes from one JSON file, named by `--config` or `LB_CONFIG`; `LB_NAME`, `LB_LISTEN` and
+`LB_DISCOVERY` go before what it says.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from mothstall import settings
+from mothstall.interface import NS, Settings
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+LEAST_DESCRIPTORS = 64
+
+
+class ConfigError(ValueError):
+    """The configuration cannot be used; the message names the key at fault."""
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """What the settings call things, in the order of the interface's indexes."""
+
+    classes: tuple[str, ...]
+    tenants: tuple[str, ...]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    descriptors: int  # limits.sockets
+    known: Mapping[str, Any] | None
+    settings: Settings
+    names: Names
+    idle_ns: int  # after which a backend closes an idle connection
+    answer_slack_ns: int
+    log_level: str
+
+
+def parse_address(text: str) -> Address:
+    host, sep, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    if not sep or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise ValueError(f"{text[:60]!r} is not host:port")
+    return Address(host, int(port))
+
+
+def load(path: str | None, env: Mapping[str, str]) -> Config:
+    path = path or env.get("LB_CONFIG")
+    if not path:
+        raise ConfigError("LB_CONFIG is not set and no --config was given")
+    try:
+        tree = json.loads(Path(path).read_bytes())
+    except OSError as why:
+        raise ConfigError(f"LB_CONFIG: cannot read {path}: {why.strerror}") from why
+    except ValueError as why:
+        raise ConfigError(f"LB_CONFIG: {path} is not JSON: {why}") from why
+    if not isinstance(tree, dict):
+        raise ConfigError(f"LB_CONFIG: {path} holds no JSON object")
+    for key in ("name", "listen", "discovery"):
+        if env.get(f"LB_{key.upper()}"):
+            tree[key] = env[f"LB_{key.upper()}"]
+    return from_tree(tree)
+
+
+def from_tree(tree: Mapping[str, Any]) -> Config:
+    raw = _of(tree, "settings", dict)
+    try:
+        parsed = settings.from_json(raw)
+        idle_ns = settings.whole_number(raw, "limits.keepalive-ns", 60 * NS)
+        slack_ns = settings.whole_number(raw, "contract.answer-slack-ns", 20_000_000)
+    except settings.SettingsError as why:
+        raise ConfigError(str(why)) from why
+    limits = _of(tree, "limits", dict, {})
+    descriptors = _of(limits, "sockets", int, 1024, "limits.")
+    if descriptors < LEAST_DESCRIPTORS:
+        raise ConfigError(f"limits.sockets must be {LEAST_DESCRIPTORS} or more, not {descriptors}")
+    seed = _of(tree, "seed", str, "0")
+    try:
+        number = int(seed, 16)
+    except ValueError as why:
+        raise ConfigError(f"seed must be a hexadecimal number, not {seed[:60]!r}") from why
+    level = _of(tree, "log_level", str, "info")
+    if level not in LOG_LEVELS:
+        raise ConfigError(f"log_level must be one of {', '.join(LOG_LEVELS)}, not {level[:60]!r}")
+    return Config(
+        name=_of(tree, "name", str, "mothstall"),
+        listen=_address(tree, "listen"),
+        discovery=_address(tree, "discovery"),
+        seed=number,
+        descriptors=descriptors,
+        known=_of(tree, "known", dict, {}) or None,
+        settings=parsed,
+        names=Names(
+            classes=_names(raw, "classes"),
+            tenants=_names(raw, "customers"),
+            zones=_words(raw, "zones"),
+            kinds=_words(raw, "kinds"),
+        ),
+        idle_ns=idle_ns,
+        answer_slack_ns=slack_ns,
+        log_level=level,
+    )
+
+
+def _of(tree: Mapping[str, Any], key: str, kind: type, default: Any = None, at: str = "") -> Any:
+    value = tree.get(key)
+    if value is None:
+        if default is None:
+            raise ConfigError(f"{at}{key} is missing")
+        return default
+    if not isinstance(value, kind) or isinstance(value, bool):
+        shown = {dict: "an object", str: "a string", int: "a whole number"}[kind]
+        raise ConfigError(f"{at}{key} must be {shown}, not {json.dumps(value)[:60]}")
+    return value
+
+
+def _address(tree: Mapping[str, Any], key: str) -> Address:
+    try:
+        return parse_address(_of(tree, key, str))
+    except ConfigError:
+        raise
+    except ValueError as why:
+        raise ConfigError(f"{key}: {why}") from why
+
+
+def _names(raw: Mapping[str, Any], key: str) -> tuple[str, ...]:
+    found = []
+    for i, row in enumerate(raw.get(key) or []):
+        name = row.get("name") if isinstance(row, dict) else None
+        if not isinstance(name, str) or not name:
+            raise ConfigError(f"setting {key}.{i}.name is missing")
+        found.append(name)
+    if len(set(found)) < len(found):
+        raise ConfigError(f"setting {key} names one twice")
+    return tuple(found)
+
+
+def _words(raw: Mapping[str, Any], key: str) -> tuple[str, ...]:
+    value = raw.get(key) or []
+    if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+        raise ConfigError(f"setting {key} must be a list of names")
+    return tuple(value)
--- /dev/null
+++ b/mothstall/net/checks.py
@@ -0,0 +1,17 @@
+"""What must hold: asserted in debug builds, counted and logged in release builds (`python -O`)."""
+
+from __future__ import annotations
+
+import logging
+
+from mothstall.net.counters import Counters
+
+log = logging.getLogger("mothstall.checks")
+
+
+def hold(ok: bool, what: str, counters: Counters) -> None:
+    if ok:
+        return
+    assert ok, what
+    counters.add("checks_broken")
+    log.error("check broken", extra={"kv": {"what": what}})
--- /dev/null
+++ b/mothstall/net/counters.py
@@ -0,0 +1,44 @@
+"""Counts of what the proxy takes in, sends and answers."""
+
+from __future__ import annotations
+
+MEANING = {
+    "connections": "client connections taken in",
+    "connections_shed": "idle client connections closed to keep within the descriptor budget",
+    "requests": "requests taken in and given to the decisions",
+    "requests_bad": "requests answered 400: no readable id, class or time, or too long",
+    "requests_left": "requests whose client went away before its answer",
+    "answers_ok": "200 answers passed on",
+    "answers_refused": "503 answers: refused, harmless to try again",
+    "answers_failed": "502 and 504 answers",
+    "answers_overdue": "requests failed by the shell because no decision came by their deadline",
+    "attempts": "attempts handed to a backend's actor",
+    "attempts_ok": "attempts answered 200",
+    "attempts_error": "attempts answered with an error, or with words that cannot be read",
+    "attempts_rejected": "attempts turned away unseen",
+    "attempts_timeout": "attempts out of time",
+    "attempts_connect_failed": "attempts that found no connection, or whose request was not written whole",
+    "attempts_reset": "attempts whose connection was lost after the request",
+    "attempts_cancelled": "attempts withdrawn",
+    "attempts_not_sent": "attempts never sent: their request was over or their backend unknown",
+    "probes": "probes sent",
+    "unreadable": "answers of backends or of discovery that cannot be read",
+    "discovery_calls": "calls to discovery",
+    "discovery_failures": "calls to discovery that failed",
+    "list_words": "lists and changes taken from discovery",
+    "faults": "exceptions inside an actor",
+    "checks_broken": "things that must hold and did not",
+}
+
+
+class Counters:
+    """One count for each name in MEANING; an unknown name is a mistake and raises KeyError."""
+
+    def __init__(self) -> None:
+        self.values = dict.fromkeys(MEANING, 0)
+
+    def add(self, name: str, count: int = 1) -> None:
+        self.values[name] += count
+
+    def text(self) -> str:
+        return "".join(f"{name} {count}\n" for name, count in self.values.items())
--- /dev/null
+++ b/mothstall/net/decider.py
@@ -0,0 +1,320 @@
+"""The module's actor: it owns the decision module, the table of requests and the timers.
+
+A mailbox full of messages becomes one `handle(now, events)`; the actions are carried out in their order.
+Nothing is decided here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from multidict import CIMultiDict
+
+from mothstall import interface as io
+from mothstall.choice import Balancer
+from mothstall.config import Config
+from mothstall.interface import NEVER_RAN, Health, Result, Scope
+from mothstall.net import backend as peer
+from mothstall.net import protocol
+from mothstall.net.actor import Actor
+from mothstall.net.checks import hold
+from mothstall.net.clock import Clock
+from mothstall.net.counters import Counters
+from mothstall.net.discovery import Discovery, Fetch, Told, Watch
+
+log = logging.getLogger("mothstall.decider")
+
+
+@dataclass(slots=True)
+class Reply:
+    """The one final answer to a client."""
+
+    status: int
+    body: bytes
+    headers: CIMultiDict[str] = field(default_factory=CIMultiDict)
+
+
+@dataclass(slots=True)
+class Arrived:
+    request: int
+    inbound: protocol.Inbound
+    came_ns: int
+    reply: asyncio.Future[Reply]
+
+
+@dataclass(slots=True)
+class Left:
+    request: int
+
+
+@dataclass(slots=True)
+class Due:
+    token: int
+
+
+@dataclass(slots=True)
+class Overdue:
+    request: int
+
+
+Message = Arrived | Left | Due | Overdue | peer.Ended | peer.Probed | Told
+
+
+@dataclass(slots=True)
+class _Pending:
+    arrived: Arrived
+    deadline_ns: int
+    backstop: asyncio.TimerHandle
+    attempts: list[peer.Backend | None] = field(default_factory=list)
+    out: int = 0
+    answered: bool = False
+    silent: bool = False  # the last attempt ran out of time
+
+
+class Decider(Actor[Message]):
+    def __init__(
+        self,
+        config: Config,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        counters: Counters,
+        clock: Clock,
+        make_backend: Callable[[int, protocol.Member], peer.Backend],
+    ) -> None:
+        super().__init__("decider", loop, counters)
+        self._config, self._clock, self._make = config, clock, make_backend
+        self._balancer = Balancer(config.settings, config.seed)
+        self._lives = 0
+        self._pending: dict[int, _Pending] = {}
+        self._backends: dict[int, peer.Backend] = {}
+        self._entries: dict[int, io.Entry] = {}
+        self._version = 0
+        self._discovery: Discovery | None = None
+        self.listed = asyncio.Event()
+
+    def attach(self, discovery: Discovery) -> None:
+        self._discovery = discovery
+
+    @property
+    def open_requests(self) -> int:
+        return sum(not p.answered for p in self._pending.values())
+
+    # Messages to events
+
+    def receive(self, batch: list[Message]) -> None:
+        now = self._clock.now()
+        events: list[io.Event] = []
+        for message in batch:
+            event = self._event(message, now)
+            if event:
+                events.append(event)
+        if events:
+            self._act(self._balancer.handle(now, events), now)
+
+    def _event(self, message: Message, now: int) -> io.Event | None:
+        if isinstance(message, peer.Ended):
+            return self._ended(message)
+        if isinstance(message, Arrived):
+            return self._arrived(message, now)
+        if isinstance(message, Due):
+            return io.TimerFired(message.token)
+        if isinstance(message, Told):
+            return self._told(message)
+        if isinstance(message, Left):
+            return self._gone(message.request)
+        if isinstance(message, Overdue):
+            return self._overdue(message.request)
+        return io.ProbeEnded(message.backend, message.result, message.latency_ns, message.load)
+
+    def _arrived(self, message: Arrived, now: int) -> io.Event | None:
+        inbound = message.inbound
+        deadline = message.came_ns + inbound.left_ns
+        overdue_at = self._clock.loop_time(deadline + self._config.answer_slack_ns // 2)
+        backstop = self.loop.call_at(overdue_at, self.tell, Overdue(message.request))
+        self._pending[message.request] = _Pending(message, deadline, backstop)
+        self.counters.add("requests")
+        return io.RequestArrived(
+            message.request, inbound.cls, inbound.tenant, 0, deadline - now, 0, inbound.repeated
+        )
+
+    def _ended(self, message: peer.Ended) -> io.Event:
+        entry = self._pending.get(message.request)
+        finished = True
+        if entry:
+            entry.out -= 1
+            entry.silent = message.result == Result.TIMEOUT
+            if not entry.answered and message.answer and message.result == Result.OK:
+                self.counters.add("answers_ok")
+                self._answer(entry, Reply(200, message.answer.body, message.answer.headers))
+            finished = entry.answered
+            self._forget(entry)
+        return io.AttemptEnded(
+            message.request,
+            message.attempt,
+            message.backend,
+            message.result,
+            message.latency_ns,
+            finished,
+            message.load,
+        )
+
+    def _gone(self, request: int) -> io.Event | None:
+        entry = self._pending.get(request)
+        if entry is None or entry.answered:
+            return None
+        self.counters.add("requests_left")
+        self._answer(entry, None)
+        self._forget(entry)
+        return io.ClientLeft(request)
+
+    def _overdue(self, request: int) -> io.Event | None:
+        """No decision came in time: the request still gets its answer."""
+        entry = self._pending.get(request)
+        if entry is None or entry.answered:
+            return None
+        self.counters.add("answers_overdue")
+        log.warning("request overdue", extra={"kv": {"request": request, "attempts": len(entry.attempts)}})
+        self._fail(entry)
+        return io.ClientLeft(request)
+
+    def _told(self, message: Told) -> io.Event | None:
+        word = message.word
+        if word is None:
+            return io.BackendList(message.scope, self._version, [])
+        self.counters.add("list_words")
+        if word.version < self._version:
+            return None
+        self._version = word.version
+        if message.scope != Scope.DELTA:
+            listed = {m.entry.backend for m in word.members}
+            for number in [n for n in self._backends if n not in listed]:
+                self._retire(number)
+        for member in word.members:
+            self._learn(member)
+        self.listed.set()
+        return io.BackendList(message.scope, word.version, [m.entry for m in word.members])
+
+    def _learn(self, member: protocol.Member) -> None:
+        entry = member.entry
+        if entry.health == Health.GONE:
+            self._retire(entry.backend)
+            return
+        self._entries[entry.backend] = entry
+        actor = self._backends.get(entry.backend)
+        if actor is None:
+            self._backends[entry.backend] = self._make(entry.backend, member)
+            return
+        hold(actor.ident == member.id, "one number for each backend", self.counters)
+        actor.tell(peer.Moved(member.address, entry.started_ns))
+        if entry.health == Health.DRAINING:
+            actor.tell(peer.DropIdle())
+
+    def _retire(self, number: int) -> None:
+        """A backend that left the list: attempts that are out end as they do."""
+        self._entries.pop(number, None)
+        actor = self._backends.pop(number, None)
+        if actor:
+            actor.tell(peer.DropIdle())
+
+    # Actions
+
+    def _act(self, actions: list[io.Action], now: int) -> None:
+        for action in actions:
+            if isinstance(action, io.SendAttempt):
+                self._send(action, now)
+            elif isinstance(action, io.SetTimer):
+                self.loop.call_at(self._clock.loop_time(action.at_ns), self.tell, Due(action.token))
+            elif isinstance(action, io.CancelAttempt):
+                entry = self._pending.get(action.request)
+                actor = entry.attempts[action.attempt] if entry else None
+                if actor:
+                    actor.tell(peer.Cancel(action.request, action.attempt))
+            elif isinstance(action, io.Refuse):
+                self._refuse(action)
+            elif isinstance(action, io.Fail):
+                if (entry := self._pending.get(action.request)) and not entry.answered:
+                    self._fail(entry)
+            elif isinstance(action, io.Probe):
+                if actor := self._backends.get(action.backend):
+                    actor.tell(peer.SendProbe())
+            elif isinstance(action, io.CloseIdle):
+                if actor := self._backends.get(action.backend):
+                    actor.tell(peer.DropIdle())
+            elif isinstance(action, io.Subscribe):
+                if self._discovery:
+                    self._discovery.tell(Watch(action.on))
+            elif isinstance(action, io.FetchList):
+                if self._discovery:
+                    self._discovery.tell(Fetch())
+            else:
+                log.info("module says", extra={"kv": {"text": action.text}})
+
+    def _send(self, action: io.SendAttempt, now: int) -> None:
+        entry = self._pending.get(action.request)
+        if entry is None:
+            return
+        number = len(entry.attempts)
+        actor = self._backends.get(action.backend)
+        if entry.answered or number >= self._config.settings.max_attempts or now >= entry.deadline_ns:
+            actor = None
+        entry.attempts.append(actor)
+        entry.out += 1
+        if actor is None:
+            self.counters.add("attempts_not_sent")
+            self.tell(peer.Ended(action.request, number, action.backend, Result.NOT_SENT, 0, (), None))
+            return
+        due = entry.deadline_ns
+        if action.timeout_ns:
+            due = min(due, now + action.timeout_ns)
+        self.counters.add("attempts")
+        actor.tell(peer.Send(action.request, number, entry.arrived.inbound, due))
+
+    def _refuse(self, action: io.Refuse) -> None:
+        entry = self._pending.get(action.request)
+        if entry is None or entry.answered:
+            return
+        headers: CIMultiDict[str] = CIMultiDict()
+        if action.retry_after_ns:
+            headers["Retry-After"] = f"{action.retry_after_ns / 1e9:.3f}"
+        self.counters.add("answers_refused")
+        self._answer(entry, Reply(503, b"refused\n", headers))
+        self._forget(entry)
+
+    def _fail(self, entry: _Pending) -> None:
+        self.counters.add("answers_failed")
+        self._answer(entry, Reply(504 if entry.silent else 502, b"failed\n"))
+        self._forget(entry)
+
+    def _answer(self, entry: _Pending, reply: Reply | None) -> None:
+        hold(not entry.answered, "one final answer", self.counters)
+        entry.answered = True
+        entry.backstop.cancel()
+        if reply and not entry.arrived.reply.done():
+            entry.arrived.reply.set_result(reply)
+
+    def _forget(self, entry: _Pending) -> None:
+        if entry.answered and not entry.out:
+            self._pending.pop(entry.arrived.request, None)
+
+    def recover(self, batch: list[Message], why: Exception) -> None:
+        """The module may be in any state: what it held is failed, and it starts again with the list."""
+        self._lives += 1
+        for message in batch:
+            if isinstance(message, Arrived) and message.request not in self._pending:
+                self._arrived(message, self._clock.now())
+        for entry in list(self._pending.values()):
+            if not entry.answered:
+                self._fail(entry)
+            for number, actor in enumerate(entry.attempts):
+                if actor:
+                    actor.tell(peer.Cancel(entry.arrived.request, number))
+        self._balancer = Balancer(self._config.settings, self._config.seed + self._lives)
+        now = self._clock.now()
+        cached = io.BackendList(Scope.CACHED, self._version, list(self._entries.values()))
+        self._act(self._balancer.handle(now, [cached]), now)
+
+
+__all__ = ["NEVER_RAN", "Arrived", "Decider", "Left", "Message", "Reply"]
--- /dev/null
+++ b/mothstall/net/discovery.py
@@ -0,0 +1,141 @@
+"""The list of backends: an actor that calls discovery, once or as a watch that goes on."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import aiohttp
+from yarl import URL
+
+from mothstall.config import Address, Names
+from mothstall.interface import Scope
+from mothstall.net import protocol
+from mothstall.net.actor import Actor
+from mothstall.net.backend import make_session
+from mothstall.net.counters import Counters
+
+log = logging.getLogger("mothstall.discovery")
+
+WAIT_MS = 10_000  # how long one watch call waits for news
+GRACE_S = 2.0  # how long a call may take beyond what it waits for
+CONNECT_S = 1.0
+PAUSE_S = 1.0  # where the list is pushed: before a watch that failed begins again
+
+
+@dataclass(slots=True)
+class Watch:
+    on: bool
+
+
+@dataclass(slots=True)
+class Fetch:
+    pass
+
+
+@dataclass(slots=True)
+class Told:
+    """What discovery said, or that a call failed."""
+
+    scope: Scope
+    word: protocol.ListWord | None
+
+
+class Discovery(Actor[Watch | Fetch]):
+    def __init__(
+        self,
+        address: Address,
+        version: int,
+        names: Names,
+        *,
+        push: bool,
+        loop: asyncio.AbstractEventLoop,
+        counters: Counters,
+        report: Callable[[Told], None],
+    ) -> None:
+        super().__init__("discovery", loop, counters)
+        self._address, self._version, self._names, self._push = address, version, names, push
+        self._report = report
+        self._session = make_session(
+            aiohttp.TCPConnector(limit=0, use_dns_cache=False, happy_eyeballs_delay=None)
+        )
+        self._watch: asyncio.Task[None] | None = None
+        self._fetches: set[asyncio.Task[None]] = set()
+
+    def receive(self, batch: list[Watch | Fetch]) -> None:
+        for order in batch:
+            if isinstance(order, Fetch):
+                task = self.loop.create_task(self._fetch())
+                self._fetches.add(task)
+                task.add_done_callback(self._fetches.discard)
+                continue
+            if self._watch:
+                self._watch.cancel()
+                self._watch = None
+            if order.on:
+                self._watch = self.loop.create_task(self._follow())
+
+    def start(self) -> None:
+        """Where changes come unasked, the watch is the proxy's own business."""
+        if self._push:
+            self.tell(Watch(True))
+
+    async def stop(self) -> None:
+        for task in (self._watch, *self._fetches):
+            if task:
+                task.cancel()
+        await self._session.close()
+
+    async def _follow(self) -> None:
+        """A watch: the first call asks for what was missed, each later one waits for news."""
+        first = True
+        while True:
+            wait_ms = 1 if first else WAIT_MS
+            word = await self._call(f"?since={self._version}&timeout_ms={wait_ms}", wait_ms / 1000)
+            if word is None:
+                self._report(Told(Scope.FAILED, None))
+                if not self._push:
+                    return
+                await asyncio.sleep(PAUSE_S)
+                first = True
+                continue
+            if first or word.members or word.full:
+                self._report(Told(Scope.FULL if word.full else Scope.DELTA, word))
+            first = False
+
+    async def _fetch(self) -> None:
+        word = await self._call("", 0.0)
+        scope = Scope.FAILED if word is None else Scope.FULL if word.full else Scope.DELTA
+        self._report(Told(scope, word))
+
+    async def _call(self, query: str, wait_s: float) -> protocol.ListWord | None:
+        self.counters.add("discovery_calls")
+        why: object
+        try:
+            async with (
+                asyncio.timeout(wait_s + GRACE_S),
+                self._session.get(
+                    URL(f"http://{self._address}{protocol.LIST_PATH}{query}", encoded=True),
+                    allow_redirects=False,
+                    timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
+                ) as response,
+            ):
+                body = await response.read()
+                if response.status == 200:
+                    word = protocol.read_list(json.loads(body), self._names)
+                    if word.version < self._version:
+                        raise protocol.Unreadable(f"version {word.version} after {self._version}")
+                    self._version = word.version
+                    return word
+                why = f"status {response.status}"
+        except (protocol.Unreadable, ValueError) as err:
+            self.counters.add("unreadable")
+            why = err
+        except (TimeoutError, aiohttp.ClientError, OSError) as err:
+            why = f"{type(err).__name__}: {err}"
+        self.counters.add("discovery_failures")
+        log.info("discovery call failed", extra={"kv": {"why": why}})
+        return None
--- /dev/null
+++ b/mothstall/net/frontend.py
@@ -0,0 +1,197 @@
+"""Clients: aiohttp's low-level server, an accept loop that keeps to a budget, and the drain."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+import socket
+from collections.abc import Callable
+
+from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http_parser import RawRequestMessage
+from aiohttp.streams import StreamReader
+from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_request import BaseRequest
+
+from mothstall.config import Address, Names
+from mothstall.net import protocol
+from mothstall.net.clock import Clock
+from mothstall.net.counters import Counters
+from mothstall.net.decider import Arrived, Left, Message, Reply
+
+log = logging.getLogger("mothstall.frontend")
+
+BACKLOG = 1024
+KEEP_S = 600.0  # an idle client connection
+READ_S = 10.0  # for a request's body
+LINGER_S = 1.0
+ACCEPT_PAUSE_S = 0.01
+
+
+class Frontend:
+    def __init__(
+        self,
+        address: Address,
+        names: Names,
+        most: int,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        counters: Counters,
+        clock: Clock,
+        decide: Callable[[Message], None],
+        ready: Callable[[], bool],
+    ) -> None:
+        self._address, self._names, self._most = address, names, most
+        self._loop, self._counters, self._clock = loop, counters, clock
+        self._decide, self._ready = decide, ready
+        self._ids = itertools.count(1)
+        self._server = web.Server(
+            self._handle,
+            request_factory=self._request,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEP_S,
+            lingering_time=LINGER_S,
+            auto_decompress=False,
+        )
+        self._listener: socket.socket | None = None
+        self._accepting: asyncio.Task[None] | None = None
+        self._draining = False
+        self.busy = 0
+        self.port = 0
+
+    async def start(self) -> None:
+        family = socket.AF_INET6 if ":" in self._address.host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind((self._address.host, self._address.port))
+        sock.listen(BACKLOG)
+        self._listener, self.port = sock, sock.getsockname()[1]
+        self._accepting = self._loop.create_task(self._accept())
+
+    async def _accept(self) -> None:
+        assert self._listener
+        while True:
+            if not self._room():
+                await asyncio.sleep(ACCEPT_PAUSE_S)
+                continue
+            try:
+                sock, _peer = await self._loop.sock_accept(self._listener)
+            except OSError as why:
+                log.warning("accept failed", extra={"kv": {"why": why}})
+                self._shed()
+                await asyncio.sleep(ACCEPT_PAUSE_S)
+                continue
+            await self._take(sock)
+
+    async def _take(self, sock: socket.socket) -> None:
+        self._counters.add("connections")
+        try:
+            await self._loop.connect_accepted_socket(self._server, sock)
+        except OSError:
+            sock.close()
+
+    def _room(self) -> bool:
+        """Guards against running out of descriptors: idle connections make way, or newcomers wait."""
+        return len(self._server._connections) < self._most or self._shed()
+
+    def _shed(self) -> bool:
+        for connection in self._server.connections:
+            if _idle(connection):
+                connection.force_close()
+                self._counters.add("connections_shed")
+                return True
+        return False
+
+    def _request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        connection: RequestHandler,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> BaseRequest:
+        return BaseRequest(
+            message, payload, connection, writer, task, self._loop, client_max_size=protocol.MOST_BODY
+        )
+
+    async def _handle(self, request: BaseRequest) -> web.StreamResponse:
+        came_ns = self._clock.now()
+        self.busy += 1
+        try:
+            reply = await self._serve(request, came_ns)
+        finally:
+            self.busy -= 1
+        response = web.Response(status=reply.status, body=reply.body, headers=reply.headers)
+        if self._draining:
+            response.force_close()
+        return response
+
+    async def _serve(self, request: BaseRequest, came_ns: int) -> Reply:
+        target = request.raw_path
+        if request.method == "GET" and "X-Txn" not in request.headers:
+            if target == "/ready":
+                up = self._ready() and not self._draining
+                return Reply(200, b"ready\n") if up else Reply(503, b"not ready\n")
+            if target == "/counters":
+                return Reply(200, self._counters.text().encode())
+        try:
+            inbound = await self._read(request)
+        except protocol.Unreadable as why:
+            self._counters.add("requests_bad")
+            return Reply(400, f"{why}\n".encode("utf-8", "replace"))
+        number = next(self._ids)
+        reply: asyncio.Future[Reply] = self._loop.create_future()
+        self._decide(Arrived(number, inbound, came_ns, reply))
+        try:
+            return await reply
+        except asyncio.CancelledError:
+            self._decide(Left(number))
+            raise
+
+    async def _read(self, request: BaseRequest) -> protocol.Inbound:
+        body = b""
+        if request.can_read_body:
+            if request.headers.get("Expect", "").lower() == "100-continue":
+                await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            try:
+                async with asyncio.timeout(READ_S):
+                    body = await request.read()
+            except web.HTTPRequestEntityTooLarge:
+                raise protocol.Unreadable("the body is too long") from None
+            except TimeoutError:
+                raise protocol.Unreadable("the body did not come") from None
+        return protocol.read_request(request.method, request.raw_path, request.raw_headers, body, self._names)
+
+    # Stopping
+
+    def drain(self) -> None:
+        """From now on each answer closes its connection."""
+        self._draining = True
+
+    async def close(self) -> None:
+        """Takes what already knocked, stops listening, and closes the connections that are idle."""
+        if self._accepting:
+            self._accepting.cancel()
+        if self._listener:
+            while True:
+                try:
+                    sock, _peer = self._listener.accept()
+                except OSError:
+                    break
+                sock.setblocking(False)
+                await self._take(sock)
+            self._listener.close()
+        for connection in self._server.connections:
+            if _idle(connection):
+                connection.close()
+
+    async def stop(self) -> None:
+        await self._server.shutdown(0.0)
+
+
+def _idle(connection: RequestHandler) -> bool:
+    return connection._current_request is None and not connection._messages
--- /dev/null
+++ b/mothstall/net/proxy.py
@@ -0,0 +1,129 @@
+"""The proxy as a library: `Proxy(config)`, `start`, and `stop`; `run` does both around a signal."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import resource
+import signal
+
+from mothstall.config import Config
+from mothstall.interface import NS, Scope
+from mothstall.net import protocol
+from mothstall.net.backend import IDLE_PART, Backend, Pool, make_session
+from mothstall.net.clock import Clock
+from mothstall.net.counters import Counters
+from mothstall.net.decider import Decider
+from mothstall.net.discovery import Discovery, Told
+from mothstall.net.frontend import Frontend
+
+log = logging.getLogger("mothstall.proxy")
+
+RESERVE = 40  # descriptors for the listener, discovery, logs and the event loop
+BACKEND_PART = 0.45  # of the other descriptors
+DRAIN_S = 0.5  # how long new connections are still taken in after the word to stop
+
+
+class Proxy:
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.counters = Counters()
+        self.loop = asyncio.get_running_loop()
+        self._clock = Clock()
+        free = min(config.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVE
+        backends = int(free * BACKEND_PART)
+        self._pool = Pool(IDLE_PART * config.idle_ns / NS, backends)
+        self._session = make_session(self._pool)
+        self._decider = Decider(
+            config, loop=self.loop, counters=self.counters, clock=self._clock, make_backend=self._backend
+        )
+        known = self._known()
+        self._discovery = Discovery(
+            config.discovery,
+            known.version,
+            config.names,
+            push=config.settings.discovery_push,
+            loop=self.loop,
+            counters=self.counters,
+            report=self._decider.tell,
+        )
+        self._decider.attach(self._discovery)
+        self._decider.tell(Told(Scope.CACHED, known))
+        self._frontend = Frontend(
+            config.listen,
+            config.names,
+            free - backends,
+            loop=self.loop,
+            counters=self.counters,
+            clock=self._clock,
+            decide=self._decider.tell,
+            ready=self._decider.listed.is_set,
+        )
+
+    @property
+    def port(self) -> int:
+        return self._frontend.port
+
+    def _known(self) -> protocol.ListWord:
+        if self.config.known is None:
+            return protocol.ListWord(0, True, [])
+        try:
+            return protocol.read_list(self.config.known, self.config.names)
+        except protocol.Unreadable as why:
+            log.warning("known list unreadable", extra={"kv": {"why": why}})
+            return protocol.ListWord(0, True, [])
+
+    def _backend(self, number: int, member: protocol.Member) -> Backend:
+        return Backend(
+            number,
+            member.id,
+            member.address,
+            member.entry.started_ns,
+            loop=self.loop,
+            counters=self.counters,
+            clock=self._clock,
+            pool=self._pool,
+            session=self._session,
+            connect_timeout_ns=self.config.settings.connect_timeout_ns,
+            load_names=self.config.settings.load_names,
+            report=self._decider.tell,
+        )
+
+    async def start(self) -> None:
+        self._discovery.start()
+        await self._frontend.start()
+        log.info("listening", extra={"kv": {"name": self.config.name, "port": self.port}})
+
+    async def stop(self, drain_s: float = DRAIN_S) -> None:
+        """Ends in order: takes in what still comes, answers all that it has, then lets go."""
+        self._frontend.drain()
+        await asyncio.sleep(drain_s)
+        await self._frontend.close()
+        longest = max(c.deadline_ns for c in self.config.settings.classes) / NS
+        end = self.loop.time() + longest + 0.5
+        while self._frontend.busy and self.loop.time() < end:
+            await asyncio.sleep(0.01)
+        await self._frontend.stop()
+        await self._discovery.stop()
+        await self._session.close()
+
+
+async def run(config: Config) -> None:
+    """Serves until SIGTERM or SIGINT, then drains; SIGUSR1 prints the counters."""
+    proxy = Proxy(config)
+    over = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        proxy.loop.add_signal_handler(number, over.set)
+    proxy.loop.add_signal_handler(signal.SIGUSR1, lambda: print_counters(proxy, "counters"))
+    await proxy.start()
+    gc.collect()
+    gc.freeze()
+    await over.wait()
+    log.info("draining")
+    await proxy.stop()
+    print_counters(proxy, "end")
+
+
+def print_counters(proxy: Proxy, event: str) -> None:
+    log.info(event, extra={"kv": {k: v for k, v in proxy.counters.values.items() if v}})
--- a/mothstall/simwire/settings.py
+++ b/mothstall/settings.py
@@ -1,8 +1,8 @@
-"""The settings text of a starting instance, read into the interface's terms."""
+"""The settings of an instance, as the simulator's text or as nested JSON, in the interface's terms."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TypeVar
 
 from mothstall.interface import Effect, Group, RequestClass, Settings, Tenant
@@ -20,12 +20,8 @@
 
 
 class _Pairs:
-    def __init__(self, text: str) -> None:
-        self.values: dict[str, str] = {}
-        for line in text.splitlines():
-            path, sep, value = line.partition("=")
-            if sep:
-                self.values[path.strip()] = value.strip()
+    def __init__(self, values: Mapping[str, str]) -> None:
+        self.values = values
 
     def get(self, path: str, read: Callable[[str], T], default: T | None = None) -> T:
         raw = self.values.get(path)
@@ -40,8 +36,45 @@
 
 
 def parse(text: str) -> Settings:
-    pairs = _Pairs(text)
-    get = pairs.get
+    """The settings from `path=value` lines."""
+    values: dict[str, str] = {}
+    for line in text.splitlines():
+        path, sep, value = line.partition("=")
+        if sep:
+            values[path.strip()] = value.strip()
+    return _settings(values)
+
+
+def from_json(tree: Mapping[str, object]) -> Settings:
+    """The settings from nested JSON, which holds the same names and units."""
+    values: dict[str, str] = {}
+    for key, value in tree.items():
+        _flatten(key, value, values)
+    return _settings(values)
+
+
+def _flatten(path: str, value: object, into: dict[str, str]) -> None:
+    if isinstance(value, Mapping):
+        for key, inner in value.items():
+            _flatten(f"{path}.{key}", inner, into)
+    elif isinstance(value, list) and any(isinstance(item, Mapping) for item in value):
+        into[f"{path}.count"] = str(len(value))
+        for i, item in enumerate(value):
+            _flatten(f"{path}.{i}", item, into)
+    elif isinstance(value, list):
+        into[path] = ",".join(str(item).replace(",", "_") for item in value)
+        if not value:  # an empty list of objects looks the same
+            into[f"{path}.count"] = "0"
+    elif isinstance(value, bool):
+        into[path] = "true" if value else "false"
+    elif isinstance(value, float) and value.is_integer():
+        into[path] = str(int(value))
+    elif value is not None:
+        into[path] = str(value)
+
+
+def _settings(values: Mapping[str, str]) -> Settings:
+    get = _Pairs(values).get
     classes = []
     for i in range(get("classes.count", int)):
         at = f"classes.{i}."
@@ -92,3 +125,11 @@
         warm_keys=get("extra.warm-keys", _FLAGS.__getitem__, False),
         load_names=tuple(n for n in names.split(",") if n),
     )
+
+
+def whole_number(tree: Mapping[str, object], path: str, default: int) -> int:
+    """One further setting that only the proxy on sockets has use for."""
+    values: dict[str, str] = {}
+    head = path.partition(".")[0]
+    _flatten(head, tree.get(head), values)
+    return _Pairs(values).get(path, int, default)
--- a/mothstall/simhost/host.py
+++ b/mothstall/simhost/host.py
@@ -6,8 +6,8 @@
 
 from mothstall.choice import Balancer
 from mothstall.interface import Action, Event
+from mothstall.settings import SettingsError, parse
 from mothstall.simwire import codec
-from mothstall.simwire.settings import SettingsError, parse
 
 
 class Host:
--- a/mothstall/simwire/__init__.py
+++ b/mothstall/simwire/__init__.py
@@ -1,1 +1,1 @@
-"""The simulator's wire: its frames (`codec`) and its settings text (`settings`)."""
+"""The simulator's wire: its frames (`codec`)."""
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -13,7 +13,7 @@
 from mothstall import interface as io
 from mothstall.choice import LEAST_MEMBERS, Balancer
 from mothstall.interface import NS, Effect, Health, Result, Scope
-from mothstall.simwire.settings import parse
+from mothstall.settings import parse
 from tests.helpers import MS, START, Drive, cls, entry, sends, settings
 from tests.test_wire import SETUP
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -12,9 +12,9 @@
 
 from mothstall import interface as io
 from mothstall.interface import Effect, Group, Health, Result, Scope
+from mothstall.settings import SettingsError, parse
 from mothstall.simhost.host import Host
 from mothstall.simwire import codec
-from mothstall.simwire.settings import SettingsError, parse
 
 ROOT = Path(__file__).parent.parent
 
