--- a/mothstall/net/backend.py
+++ b/mothstall/net/backend.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.client_reqrep import ConnectionKey
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -96,7 +97,7 @@
         self.most = most
 
     def _release(
-        self, key: aiohttp.client_reqrep.ConnectionKey, protocol: ResponseHandler, *, should_close: bool = False
+        self, key: ConnectionKey, protocol: ResponseHandler, *, should_close: bool = False
     ) -> None:
         super()._release(key, protocol, should_close=should_close)
         kept = self._conns.get(key)
@@ -227,7 +228,8 @@
     async def _run(self, order: Send, attempt: _Attempt) -> None:
         sent_at = self._clock.now()
         upload = aiohttp.UploadTracker()
-        result, load, answer = Result.RESET, (), None
+        result, answer = Result.RESET, None
+        load: tuple[float, ...] = ()
         try:
             result, load, answer = await self._exchange(order, upload, sent_at)
         except asyncio.CancelledError:
@@ -301,7 +303,8 @@
         self._report(Ended(order.request, order.attempt, self.number, result, latency, load, answer))
 
     async def _probe(self) -> None:
-        sent_at, load = self._clock.now(), ()
+        sent_at = self._clock.now()
+        load: tuple[float, ...] = ()
         self.counters.add("probes")
         path = protocol.LOAD_PATH if self._load_names else protocol.HEALTH_PATH
         try:
--- a/mothstall/net/protocol.py
+++ b/mothstall/net/protocol.py
@@ -33,7 +33,10 @@
 
 # What belongs to one connection, or is written anew for the next one.
 _HOP = frozenset(
-    ["connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "expect", "content-length", "x-remaining"]
+    (
+        *("connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te"),
+        *("trailer", "transfer-encoding", "upgrade", "expect", "content-length", "x-remaining"),
+    )
 )
 _OWN = _HOP | {"x-pressure", "x-turned-away", "date", "server"}
 
