--- a/mothstall/net/backend.py
+++ b/mothstall/net/backend.py
@@ -156,17 +156,22 @@
 
 
 class _Attempt:
-    __slots__ = ("task", "timed_out", "timer", "withdrawn")
+    __slots__ = ("begun", "stopped", "task", "timer")
 
     def __init__(self) -> None:
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.timed_out = self.withdrawn = False
+        self.begun = False
+        self.stopped: Result | None = None  # why it was called off: TIMEOUT or CANCELLED
 
-    def expire(self) -> None:
-        self.timed_out = True
-        assert self.task
-        self.task.cancel()
+    def stop(self, why: Result) -> None:
+        """Calls the attempt off, once; its connection closes with it."""
+        if self.stopped is not None:
+            return
+        self.stopped = why
+        # A task cancelled before its first step would end without a word.
+        if self.begun and self.task:
+            self.task.cancel()
 
 
 class Backend(Actor[Order]):
@@ -199,10 +204,8 @@
             if isinstance(order, Send):
                 self._start(order)
             elif isinstance(order, Cancel):
-                attempt = self._out.get((order.request, order.attempt))
-                if attempt and attempt.task and not attempt.timed_out:
-                    attempt.withdrawn = True
-                    attempt.task.cancel()
+                if attempt := self._out.get((order.request, order.attempt)):
+                    attempt.stop(Result.CANCELLED)
             elif isinstance(order, SendProbe):
                 task = self.loop.create_task(self._probe())
                 self._probes.add(task)
@@ -220,25 +223,30 @@
             if isinstance(order, Send) and (order.request, order.attempt) not in self._out:
                 self._end(order, Result.NOT_SENT, now)
 
+    @property
+    def out(self) -> int:
+        return len(self._out)
+
     def _start(self, order: Send) -> None:
         attempt = self._out[order.request, order.attempt] = _Attempt()
         attempt.task = self.loop.create_task(self._run(order, attempt))
-        attempt.timer = self.loop.call_at(self._clock.loop_time(order.due_ns), attempt.expire)
+        attempt.timer = self.loop.call_at(
+            self._clock.loop_time(order.due_ns), attempt.stop, Result.TIMEOUT
+        )
 
     async def _run(self, order: Send, attempt: _Attempt) -> None:
         sent_at = self._clock.now()
         upload = aiohttp.UploadTracker()
-        result, answer = Result.RESET, None
+        result, answer = Result.NOT_SENT, None
         load: tuple[float, ...] = ()
+        attempt.begun = True
         try:
-            result, load, answer = await self._exchange(order, upload, sent_at)
+            if attempt.stopped is None:
+                result, load, answer = await self._exchange(order, upload, sent_at)
         except asyncio.CancelledError:
-            if attempt.withdrawn:
-                result = Result.CANCELLED
-            elif attempt.timed_out:
-                result = Result.TIMEOUT if _written(upload) else Result.CONNECT_FAILED
-            else:
-                result = Result.CANCELLED  # the proxy stops
+            result = attempt.stopped or Result.CANCELLED  # without a reason: the proxy stops
+            if result == Result.TIMEOUT and not _written(upload):
+                result = Result.CONNECT_FAILED
         except (TimeoutError, aiohttp.ClientError, OSError) as why:
             result = Result.RESET if _written(upload) else Result.CONNECT_FAILED
             if isinstance(why, (aiohttp.ClientResponseError, aiohttp.InvalidURL)):
--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -16,7 +16,7 @@
 from mothstall import interface as io
 from mothstall.choice import Balancer
 from mothstall.config import Config
-from mothstall.interface import NEVER_RAN, Health, Result, Scope
+from mothstall.interface import Health, Result, Scope
 from mothstall.net import backend as peer
 from mothstall.net import protocol
 from mothstall.net.actor import Actor
@@ -98,10 +98,6 @@
     def attach(self, discovery: Discovery) -> None:
         self._discovery = discovery
 
-    @property
-    def open_requests(self) -> int:
-        return sum(not p.answered for p in self._pending.values())
-
     # Messages to events
 
     def receive(self, batch: list[Message]) -> None:
@@ -315,6 +311,3 @@
         now = self._clock.now()
         cached = io.BackendList(Scope.CACHED, self._version, list(self._entries.values()))
         self._act(self._balancer.handle(now, [cached]), now)
-
-
-__all__ = ["NEVER_RAN", "Arrived", "Decider", "Left", "Message", "Reply"]
--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -28,6 +28,8 @@
 READ_S = 10.0  # for a request's body
 LINGER_S = 1.0
 ACCEPT_PAUSE_S = 0.01
+SHED_IDLE_S = 0.05
+STOP_S = 0.05  # for handlers that are still at work when the time to stop is over
 
 
 class Frontend:
@@ -59,7 +61,8 @@
         self._listener: socket.socket | None = None
         self._accepting: asyncio.Task[None] | None = None
         self._draining = False
-        self.busy = 0
+        # Connections whose request's body is still coming, and since when.
+        self._reading: dict[RequestHandler | None, float] = {}
         self.port = 0
 
     async def start(self) -> None:
@@ -89,6 +92,7 @@
 
     async def _take(self, sock: socket.socket) -> None:
         self._counters.add("connections")
+        sock.setblocking(False)
         try:
             await self._loop.connect_accepted_socket(self._server, sock)
         except OSError:
@@ -96,15 +100,29 @@
 
     def _room(self) -> bool:
         """Guards against running out of descriptors: idle connections make way, or newcomers wait."""
-        return len(self._server._connections) < self._most or self._shed()
+        most = self._most
+        if len(self._server._connections) < most:
+            return True
+        # Those that were closed a moment ago are still in the table.
+        return sum(c.transport is not None for c in self._server._connections) < most or self._shed()
 
     def _shed(self) -> bool:
-        for connection in self._server.connections:
-            if _idle(connection):
-                connection.force_close()
-                self._counters.add("connections_shed")
-                return True
-        return False
+        """Closes the connection that has been idle longest, else one that still owes its request's body.
+
+        Guards against closing a newcomer whose request is on its way: it must have been idle a while.
+        """
+        latest = self._loop.time() - SHED_IDLE_S
+        # The time is set anew when an answer ends.
+        idle = [c for c in self._server.connections if _idle(c)]
+        longest = min(idle, key=lambda c: c._next_keepalive_close_time, default=None)
+        if longest is None or longest._next_keepalive_close_time - KEEP_S > latest:
+            longest = next((c for c, since in self._reading.items() if since <= latest), None)
+            self._reading.pop(longest, None)
+        if longest is None:
+            return False
+        longest.force_close()
+        self._counters.add("connections_shed")
+        return True
 
     def _request(
         self,
@@ -120,11 +138,7 @@
 
     async def _handle(self, request: BaseRequest) -> web.StreamResponse:
         came_ns = self._clock.now()
-        self.busy += 1
-        try:
-            reply = await self._serve(request, came_ns)
-        finally:
-            self.busy -= 1
+        reply = await self._serve(request, came_ns)
         response = web.Response(status=reply.status, body=reply.body, headers=reply.headers)
         if self._draining:
             response.force_close()
@@ -157,6 +171,7 @@
         if request.can_read_body:
             if request.headers.get("Expect", "").lower() == "100-continue":
                 await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._reading[request.protocol] = self._loop.time()
             try:
                 async with asyncio.timeout(READ_S):
                     body = await request.read()
@@ -164,6 +179,8 @@
                 raise protocol.Unreadable("the body is too long") from None
             except TimeoutError:
                 raise protocol.Unreadable("the body did not come") from None
+            finally:
+                self._reading.pop(request.protocol, None)
         return protocol.read_request(request.method, request.raw_path, request.raw_headers, body, self._names)
 
     # Stopping
@@ -173,7 +190,7 @@
         self._draining = True
 
     async def close(self) -> None:
-        """Takes what already knocked, stops listening, and closes the connections that are idle."""
+        """Takes in what already knocked, then stops listening."""
         if self._accepting:
             self._accepting.cancel()
         if self._listener:
@@ -182,16 +199,21 @@
                     sock, _peer = self._listener.accept()
                 except OSError:
                     break
-                sock.setblocking(False)
                 await self._take(sock)
             self._listener.close()
+            self._listener = None
+
+    def close_idle(self) -> bool:
+        """Closes the idle connections; whether others are left."""
         for connection in self._server.connections:
             if _idle(connection):
-                connection.close()
+                connection.force_close()  # what is written still goes out
+        return bool(self._server.connections)
 
     async def stop(self) -> None:
-        await self._server.shutdown(0.0)
+        await self._server.shutdown(STOP_S)
 
 
 def _idle(connection: RequestHandler) -> bool:
-    return connection._current_request is None and not connection._messages
+    waits = connection._current_request is None and not connection._messages
+    return waits and connection.transport is not None
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -7,6 +7,7 @@
 import logging
 import resource
 import signal
+from typing import Any
 
 from mothstall.config import Config
 from mothstall.interface import NS, Scope
@@ -20,7 +21,7 @@
 
 log = logging.getLogger("mothstall.proxy")
 
-RESERVE = 40  # descriptors for the listener, discovery, logs and the event loop
+RESERVE = 32  # descriptors for the listener, discovery, logs and the event loop
 BACKEND_PART = 0.45  # of the other descriptors
 DRAIN_S = 0.5  # how long new connections are still taken in after the word to stop
 
@@ -30,6 +31,7 @@
         self.config = config
         self.counters = Counters()
         self.loop = asyncio.get_running_loop()
+        self.loop.set_exception_handler(self._fault)
         self._clock = Clock()
         free = min(config.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVE
         backends = int(free * BACKEND_PART)
@@ -90,6 +92,12 @@
             report=self._decider.tell,
         )
 
+    def _fault(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """An exception that nobody awaited: logged and counted, and the proxy goes on."""
+        self.counters.add("faults")
+        why = context.get("exception")
+        log.error("fault", extra={"kv": {"where": context.get("message"), "why": repr(why)}}, exc_info=why)
+
     async def start(self) -> None:
         self._discovery.start()
         await self._frontend.start()
@@ -102,7 +110,7 @@
         await self._frontend.close()
         longest = max(c.deadline_ns for c in self.config.settings.classes) / NS
         end = self.loop.time() + longest + 0.5
-        while self._frontend.busy and self.loop.time() < end:
+        while self._frontend.close_idle() and self.loop.time() < end:
             await asyncio.sleep(0.01)
         await self._frontend.stop()
         await self._discovery.stop()
--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,348 @@
+"""Small stand-in peers on 127.0.0.1, port 0: backends and discovery by script, and a client."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from mothstall import config
+from mothstall.net.proxy import Proxy
+
+MS = 1_000_000
+
+
+@dataclass
+class Seen:
+    """A request as a stand-in read it."""
+
+    line: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    connection: int
+
+    def header(self, name: bytes) -> bytes | None:
+        return next((v for n, v in self.headers if n.lower() == name.lower()), None)
+
+
+Behaviour = Callable[[Seen, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[bytes, list[tuple[bytes, bytes]], bytes]:
+    head = (await reader.readuntil(b"\r\n\r\n"))[:-4].split(b"\r\n")
+    headers = []
+    for row in head[1:]:
+        name, _, value = row.partition(b":")
+        headers.append((name, value.strip()))
+    size = next((int(v) for n, v in headers if n.lower() == b"content-length"), 0)
+    return head[0], headers, await reader.readexactly(size) if size else b""
+
+
+def answer(body: bytes = b"ok", status: int = 200, **headers: str) -> bytes:
+    rows = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    rows += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join(rows).encode() + b"\r\n\r\n" + body
+
+
+async def serves(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.write(answer(b"served " + (seen.header(b"X-Txn") or b"")))
+
+
+def says(raw: bytes, then_close: bool = False) -> Behaviour:
+    async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(raw)
+        if then_close:
+            await writer.drain()
+            writer.close()
+
+    return behave
+
+
+async def silent(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    pass
+
+
+async def drops(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.transport.abort()
+
+
+class StandIn:
+    """One backend; `behave` may be changed while it runs."""
+
+    def __init__(self, behave: Behaviour = serves, ident: str = "s-0") -> None:
+        self.behave, self.ident = behave, ident
+        self.seen: list[Seen] = []
+        self.opened = self.ended = 0
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.server: asyncio.Server | None = None
+        self.port = 0
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
+        number = self.opened
+        self.writers.add(writer)
+        try:
+            while True:
+                seen = Seen(*await read_message(reader), number)
+                self.seen.append(seen)
+                await self.behave(seen, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.ended += 1
+            self.writers.discard(writer)
+            writer.close()
+
+    async def stop(self) -> None:
+        if self.server:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def row(self, phase: str = "SERVING", started: int = 0) -> dict[str, Any]:
+        return {
+            "id": self.ident,
+            "host_port": f"127.0.0.1:{self.port}",
+            "locality": "east",
+            "flavor": "std",
+            "cell": 1,
+            "phase": phase,
+            "size": 1.0,
+            "up_since_ms": started,
+        }
+
+
+class Directory:
+    """Discovery: a list with a revision, told on request and to watches."""
+
+    def __init__(self, members: list[dict[str, Any]]) -> None:
+        self.revision, self.members = 1, members
+        self.changes: dict[int, list[dict[str, Any]]] = {}
+        self.calls: list[str] = []
+        self.raw: bytes | None = None  # said instead of any list
+        self.hangs = False
+        self.news = asyncio.Event()
+        self.port = 0
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        if self.server:
+            self.server.close()
+
+    def tell(self, *rows: dict[str, Any]) -> None:
+        self.revision += 1
+        self.changes[self.revision] = list(rows)
+        news, self.news = self.news, asyncio.Event()
+        news.set()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                line, _, _ = await read_message(reader)
+                target = line.split()[1].decode()
+                self.calls.append(target)
+                writer.write(await self._reply(target))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _reply(self, target: str) -> bytes:
+        if self.hangs:
+            await asyncio.sleep(30)
+        if self.raw is not None:
+            return self.raw
+        query = dict(pair.split("=") for pair in target.partition("?")[2].split("&") if pair)
+        if "since" not in query:
+            return self._list(True, self.members)
+        since = int(query["since"])
+        if since >= self.revision:
+            try:
+                await asyncio.wait_for(self.news.wait(), int(query["timeout_ms"]) / 1000)
+            except TimeoutError:
+                return self._list(False, [])
+        rows = [row for version in sorted(self.changes) if version > since for row in self.changes[version]]
+        return self._list(False, rows)
+
+    def _list(self, full: bool, rows: list[dict[str, Any]]) -> bytes:
+        tree = {"revision": self.revision, "complete": full, "members": rows}
+        return answer(json.dumps(tree).encode())
+
+
+def settings(**changes: Any) -> dict[str, Any]:
+    """Nested settings for three classes: safe, keyed and unsafe."""
+
+    def cls(name: str, effect: str, **more: Any) -> dict[str, Any]:
+        row = {"name": name, "effect": effect, "aim-ns": 200 * MS, "deadline-ns": 1000 * MS}
+        return {**row, "worth": 1.0, "late-value": 0.3, "streaming": False, **more}
+
+    tree: dict[str, Any] = {
+        "classes": [
+            cls("search", "pure"),
+            cls("pay", "token", group="all", **{"window-ns": 900 * MS}),
+            cls("order", "side_effect"),
+        ],
+        "customers": [],
+        "contract": {
+            "answer-slack-ns": 20 * MS,
+            "ask-within-ns": 4000 * MS,
+            "cold-from": 0.2,
+            "cold-ns": 10_000 * MS,
+            "fall-multiple": 2.5,
+            "fall-ns": 2000 * MS,
+            "stop-sending-within-ns": 500 * MS,
+        },
+        "discovery": "ask",
+        "fees": {"cross-zone": 0.0},
+        "limits": {
+            "cancelling": True,
+            "connect-timeout-ns": 120 * MS,
+            "keepalive-ns": 60_000 * MS,
+            "max-attempts": 4,
+            "max-retry-after-ns": 1200 * MS,
+            "parallel-tries": True,
+            "probes": True,
+            "retry-after": True,
+        },
+        "kinds": ["std"],
+        "zones": ["east", "west"],
+        "position": 0,
+        "replicas-of-me": 1,
+        "round-ns": 5 * MS,
+        "telemetry": {"names": ["util", "queue"], "source": "answers"},
+        "zone": 0,
+    }
+    for path, value in changes.items():
+        keys = path.replace("_", "-").split("--")
+        inner = tree
+        for key in keys[:-1]:
+            inner = inner[key]
+        inner[keys[-1]] = value
+    return tree
+
+
+def tree_of(directory: Directory, members: list[dict[str, Any]], **changes: Any) -> dict[str, Any]:
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": f"127.0.0.1:{directory.port}",
+        "seed": "5",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": changes.pop("sockets", 1024)},
+        "known": {"revision": directory.revision, "complete": True, "members": members},
+        "settings": settings(**changes),
+    }
+
+
+@dataclass
+class Rig:
+    proxy: Proxy
+    backends: list[StandIn]
+    directory: Directory
+    _ids: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
+
+    def count(self, name: str) -> int:
+        return self.proxy.counters.values[name]
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection("127.0.0.1", self.proxy.port))
+
+    async def ask(self, lane: str = "search", **more: Any) -> Reply:
+        client = await self.client()
+        try:
+            return await client.ask(lane, **more)
+        finally:
+            client.close()
+
+    async def until(self, condition: Callable[[], bool], seconds: float = 3.0) -> None:
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+
+@dataclass
+class Reply:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+_txn = itertools.count(1)
+
+
+def request_bytes(
+    lane: str = "search",
+    *,
+    target: str | None = None,
+    method: str | None = None,
+    remaining: str | None = "800m",
+    body: bytes = b"",
+    drop: tuple[str, ...] = (),
+    **extra: str,
+) -> bytes:
+    method = method or ("GET" if lane == "search" else "POST")
+    headers = {"Host": "service.internal", "X-Txn": f"{next(_txn):016x}", "X-Lane": lane, "X-Org": "acme"}
+    if remaining is not None:
+        headers["X-Remaining"] = remaining
+    if method == "POST":
+        headers["Idempotency-Key"] = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+        headers["Content-Length"] = str(len(body))
+    headers.update({name.replace("_", "-"): value for name, value in extra.items()})
+    rows = [f"{method} {target or '/' + lane} HTTP/1.1"]
+    rows += [f"{name}: {value}" for name, value in headers.items() if name not in drop]
+    return "\r\n".join(rows).encode() + b"\r\n\r\n" + body
+
+
+class Client:
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def ask(self, lane: str = "search", **more: Any) -> Reply:
+        self.writer.write(request_bytes(lane, **more))
+        return await self.read()
+
+    async def read(self, seconds: float = 5.0) -> Reply:
+        line, headers, body = await asyncio.wait_for(read_message(self.reader), seconds)
+        return Reply(int(line.split()[1]), {n.decode().lower(): v.decode() for n, v in headers}, body)
+
+    async def closed(self, seconds: float = 3.0) -> bool:
+        try:
+            return await asyncio.wait_for(self.reader.read(1), seconds) == b""
+        except ConnectionError:
+            return True
+        except TimeoutError:
+            return False
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+@asynccontextmanager
+async def rig(*behaviours: Behaviour, listed: bool = True, **changes: Any) -> AsyncIterator[Rig]:
+    """A proxy in this process, with one backend for each behaviour."""
+    backends = [StandIn(behave, f"s-{i}") for i, behave in enumerate(behaviours)]
+    for backend in backends:
+        await backend.start()
+    rows = [backend.row() for backend in backends] if listed else []
+    directory = Directory(rows)
+    await directory.start()
+    proxy = Proxy(config.from_tree(tree_of(directory, rows, **changes)))
+    await proxy.start()
+    try:
+        yield Rig(proxy, backends, directory)
+    finally:
+        await proxy.stop(0.0)
+        await directory.stop()
+        for backend in backends:
+            await backend.stop()
--- /dev/null
+++ b/tests/test_net_failures.py
@@ -0,0 +1,446 @@
+"""What backends and clients do wrong, and what becomes of it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import pytest
+
+from mothstall import config
+from mothstall.interface import Event, Result
+from mothstall.net import backend as peer
+from mothstall.net import protocol
+from mothstall.net.clock import Clock
+from mothstall.net.counters import Counters
+from tests.peers import (
+    Behaviour,
+    Directory,
+    Seen,
+    StandIn,
+    answer,
+    drops,
+    request_bytes,
+    rig,
+    says,
+    serves,
+    silent,
+    tree_of,
+)
+
+
+class Single:
+    """One backend actor by itself; its reports in order."""
+
+    def __init__(self, address: config.Address, most: int = 20, idle_s: float = 30.0) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.clock, self.counters = Clock(), Counters()
+        self.reports: list[peer.Ended | peer.Probed] = []
+        self.pool = peer.Pool(idle_s, most)
+        self.session = peer.make_session(self.pool)
+        self.ids = 0
+        self.actor = peer.Backend(
+            7,
+            "s-0",
+            address,
+            0,
+            loop=self.loop,
+            counters=self.counters,
+            clock=self.clock,
+            pool=self.pool,
+            session=self.session,
+            connect_timeout_ns=150_000_000,
+            load_names=("util", "queue"),
+            report=self.reports.append,
+        )
+
+    def send(self, method: str = "GET", within_ms: int = 400, body: bytes = b"") -> int:
+        self.ids += 1
+        tree = [(b"X-Txn", b"%d" % self.ids), (b"X-Lane", b"a"), (b"X-Remaining", b"500m")]
+        inbound = protocol.read_request(method, "/a", tree, body, config.Names(("a",), (), (), ()))
+        self.actor.tell(peer.Send(self.ids, 0, inbound, self.clock.now() + within_ms * 1_000_000))
+        return self.ids
+
+    async def ended(self, count: int = 1) -> list[Result]:
+        async with asyncio.timeout(3):
+            while len(self.reports) < count:
+                await asyncio.sleep(0.002)
+        return [r.result for r in self.reports]
+
+
+async def alone(behave: Behaviour, **more: Any) -> tuple[StandIn, Single]:
+    stand_in = StandIn(behave)
+    await stand_in.start()
+    return stand_in, Single(config.Address("127.0.0.1", stand_in.port), **more)
+
+
+CASES: dict[str, tuple[Behaviour, Result]] = {
+    "served": (serves, Result.OK),
+    "dropped after the send": (drops, Result.RESET),
+    "closed after the send": (says(b"", then_close=True), Result.RESET),
+    "cut in the head": (says(b"HTTP/1.1 200 OK\r\nContent-Le", then_close=True), Result.RESET),
+    "cut in the body": (says(answer(b"x" * 100)[:-40], then_close=True), Result.RESET),
+    "cut in a chunk": (
+        says(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", then_close=True),
+        Result.RESET,
+    ),
+    "chunked": (
+        says(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"),
+        Result.OK,
+    ),
+    "no end told": (says(b"HTTP/1.1 200 OK\r\n\r\nabc", then_close=True), Result.ERROR),
+    "too long": (says(answer(b"x" * (64 * 1024 + 1))), Result.ERROR),
+    "nonsense": (says(b"\x16\x03\x01 hello\r\n\r\n", then_close=True), Result.RESET),
+    "error": (says(answer(b"", 500)), Result.ERROR),
+    "not found": (says(answer(b"", 404)), Result.ERROR),
+    "turned away": (says(answer(b"", 503, X_Turned_Away="1")), Result.REJECTED),
+    "too late there": (says(answer(b"", 504, X_Turned_Away="1")), Result.REJECTED),
+    "503 that may have run": (says(answer(b"", 503)), Result.ERROR),
+    "504 that may have run": (says(answer(b"", 504)), Result.ERROR),
+    "silent": (silent, Result.TIMEOUT),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_what_comes_back_becomes_one_outcome(name: str) -> None:
+    async def run() -> None:
+        behave, result = CASES[name]
+        stand_in, single = await alone(behave)
+        single.send()
+        assert await single.ended() == [result]
+        await asyncio.sleep(0.02)
+        assert len(single.reports) == len(stand_in.seen) == 1
+        if result != Result.OK:
+            assert single.reports[0].load == ()
+        if result in (Result.TIMEOUT, Result.RESET):
+            assert stand_in.ended == 1  # its connection is closed
+        await single.session.close()
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "POST"])
+def test_a_kept_connection_that_drops_is_one_send_and_a_reset(method: str) -> None:
+    async def run() -> None:
+        stand_in, single = await alone(serves)
+        single.send(method)
+        assert await single.ended(1) == [Result.OK]
+        stand_in.behave = drops
+        single.send(method)
+        assert await single.ended(2) == [Result.OK, Result.RESET]
+        await asyncio.sleep(0.05)
+        assert [s.connection for s in stand_in.seen] == [1, 1]  # on the kept one, and nowhere else
+        await single.session.close()
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+def test_a_refused_connection_never_ran() -> None:
+    async def run() -> None:
+        with socket.socket() as closed:
+            closed.bind(("127.0.0.1", 0))
+            single = Single(config.Address("127.0.0.1", closed.getsockname()[1]))
+        single.send("POST", body=b"x")
+        assert await single.ended() == [Result.CONNECT_FAILED]
+        await single.session.close()
+
+    asyncio.run(run())
+
+
+def test_a_connection_that_never_comes_up_never_ran() -> None:
+    async def run() -> None:
+        with socket.socket() as full:
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            address = full.getsockname()
+            fillers = [socket.socket() for _ in range(3)]
+            for filler in fillers:
+                filler.setblocking(False)
+                filler.connect_ex(address)
+            single = Single(config.Address("127.0.0.1", address[1]))
+            before = single.loop.time()
+            single.send(within_ms=2000)
+            assert await single.ended() == [Result.CONNECT_FAILED]
+            assert 0.1 < single.loop.time() - before < 0.6
+            single.send(within_ms=40)  # out of time while it still connects
+            assert await single.ended(2) == [Result.CONNECT_FAILED] * 2
+            await single.session.close()
+            for filler in fillers:
+                filler.close()
+
+    asyncio.run(run())
+
+
+def test_a_cancelled_attempt_closes_its_connection_and_reports_once() -> None:
+    async def run() -> None:
+        stand_in, single = await alone(silent)
+        request = single.send(within_ms=5000)
+        while not stand_in.seen:
+            await asyncio.sleep(0.002)
+        single.actor.tell(peer.Cancel(request, 0))
+        single.actor.tell(peer.Cancel(request, 0))
+        assert await single.ended() == [Result.CANCELLED]
+        while not stand_in.ended:
+            await asyncio.sleep(0.002)
+        assert len(single.reports) == 1
+        await single.session.close()
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+def test_an_attempt_cancelled_before_its_first_step_still_reports() -> None:
+    async def run() -> None:
+        stand_in, single = await alone(serves)
+        request = single.send()
+        single.actor.tell(peer.Cancel(request, 0))
+        assert await single.ended() == [Result.NOT_SENT]
+        assert not stand_in.seen and not single.actor.out
+        await single.session.close()
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+def test_an_answer_that_is_cut_never_reaches_the_client_as_served() -> None:
+    async def run() -> None:
+        async with rig(says(answer(b"x" * 100)[:-40], then_close=True)) as r:
+            reply = await r.ask("order")
+            assert reply.status == 502 and reply.body != b"x" * 60
+            assert r.count("attempts_reset") == 1 and r.count("attempts") == 1
+
+    asyncio.run(run())
+
+
+def test_a_load_report_is_read_or_counted_and_left_out() -> None:
+    async def run() -> None:
+        reports = ["inflight=7,queue=2,util=0.61", "util=high,queue=1", "util=0.5", "", "util=nan,queue=1"]
+        texts = iter(reports)
+
+        async def reporting(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(X_Pressure=next(texts)))
+
+        stand_in, single = await alone(reporting)
+        for i in range(len(reports)):
+            single.send()
+            await single.ended(i + 1)
+        assert [r.load for r in single.reports] == [(0.61, 2.0), (), (), (), ()]
+        assert single.counters.values["unreadable"] == 3
+        await single.session.close()
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+def test_a_probe_asks_for_the_load_report_and_reads_its_body() -> None:
+    async def run() -> None:
+        stand_in, single = await alone(says(answer(b"util=0.25,queue=3\n")))
+        single.actor.tell(peer.SendProbe())
+        assert await single.ended() == [Result.OK]
+        assert single.reports[0].load == (0.25, 3.0)
+        assert stand_in.seen[0].line == b"GET /status/load HTTP/1.1"
+        await single.session.close()
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+def test_the_latest_connection_is_used_again_first() -> None:
+    async def run() -> None:
+        gate = asyncio.Event()
+
+        async def waits(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+            if seen.connection == 1:  # ends last, so it is the latest to fall idle
+                await asyncio.sleep(0.03)
+            writer.write(answer())
+
+        stand_in, single = await alone(waits)
+        for _ in range(3):
+            single.send()
+            await asyncio.sleep(0.01)
+        gate.set()
+        await single.ended(3)
+        for i in range(4, 7):
+            single.send()
+            await single.ended(i)
+        assert {s.connection for s in stand_in.seen[3:]} == {1}
+        await single.session.close()
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+def test_idle_connections_end_by_the_proxys_own_clock_and_on_request() -> None:
+    async def run() -> None:
+        stand_in, single = await alone(serves, idle_s=0.1)
+        single.send()
+        await single.ended(1)
+        async with asyncio.timeout(3):
+            while not stand_in.ended:
+                await asyncio.sleep(0.01)
+        single.send()
+        await single.ended(2)
+        single.actor.tell(peer.DropIdle())
+        async with asyncio.timeout(0.09):
+            while stand_in.ended < 2:
+                await asyncio.sleep(0.001)
+        await single.session.close()
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+def test_a_full_pool_closes_an_idle_connection_and_else_sends_nothing() -> None:
+    async def run() -> None:
+        first, single = await alone(serves, most=2)
+        second = StandIn(silent)
+        await second.start()
+        single.send()
+        await single.ended(1)
+        single.actor.address = config.Address("127.0.0.1", second.port)
+        for _ in range(3):
+            single.send(within_ms=200)
+            await asyncio.sleep(0.02)
+        assert first.ended == 1  # made way
+        assert await single.ended(4) == [Result.OK, Result.NOT_SENT, Result.TIMEOUT, Result.TIMEOUT]
+        assert len(second.seen) == 2
+        await single.session.close()
+        await first.stop()
+        await second.stop()
+
+    asyncio.run(run())
+
+
+def test_a_dead_backend_costs_no_request_while_another_lives() -> None:
+    async def run() -> None:
+        async with rig(serves, serves) as r:
+            await r.backends[0].stop()
+            for lane in ("search", "pay", "order") * 4:
+                assert (await r.ask(lane)).status == 200
+            assert len(r.backends[1].seen) == 12
+            assert r.count("attempts_connect_failed") >= 1
+
+    asyncio.run(run())
+
+
+def test_every_request_gets_one_answer_in_time_from_a_silent_fleet() -> None:
+    async def run() -> None:
+        async with rig(silent, silent) as r:
+            loop = asyncio.get_running_loop()
+
+            async def timed(lane: str) -> tuple[int, float]:
+                before = loop.time()
+                reply = await r.ask(lane, remaining="400m")
+                return reply.status, loop.time() - before
+
+            replies = await asyncio.gather(*(timed(lane) for lane in ("search", "pay", "order") * 5))
+            assert all(status in (502, 503, 504) and spent < 0.45 for status, spent in replies)
+            unsafe = [status for status, _ in replies[2::3]]
+            assert 504 in unsafe  # sent, and nothing came
+            assert r.count("answers_overdue") == 0
+
+    asyncio.run(run())
+
+
+def test_an_unsafe_request_that_may_have_run_is_not_sent_again() -> None:
+    async def run() -> None:
+        async with rig(drops, drops, drops) as r:
+            reply = await r.ask("order")
+            assert reply.status == 502
+            assert sum(len(b.seen) for b in r.backends) == 1
+
+    asyncio.run(run())
+
+
+def test_a_turned_away_request_is_served_elsewhere() -> None:
+    async def run() -> None:
+        away = says(answer(b"", 503, X_Turned_Away="1"))
+        async with rig(away, away, serves) as r:
+            for _ in range(6):
+                assert (await r.ask("order")).status == 200
+            assert r.count("attempts_rejected") >= 1
+
+    asyncio.run(run())
+
+
+# Descriptors at the edge
+
+
+def test_idle_clients_make_way_for_new_ones_at_the_edge() -> None:
+    async def run() -> None:
+        async with rig(serves, sockets=64) as r:
+            clients = [await r.client() for _ in range(40)]
+            assert (await asyncio.wait_for(r.ask(), 2)).status == 200
+            assert r.count("connections_shed") >= 20
+            assert await clients[0].closed()  # the longest idle
+            assert (await clients[-1].ask()).status == 200
+
+    asyncio.run(run())
+
+
+def test_requests_whose_body_never_comes_make_way_too() -> None:
+    async def run() -> None:
+        async with rig(serves, sockets=64) as r:
+            clients = [await r.client() for _ in range(40)]
+            for client in clients:
+                client.writer.write(request_bytes("pay", body=b"x" * 50)[:-10])
+            assert (await asyncio.wait_for(r.ask(), 2)).status == 200
+            assert not r.backends[0].seen[1:]
+
+    asyncio.run(run())
+
+
+# Faults of our own
+
+
+def test_an_exception_in_the_module_fails_what_it_held_and_the_proxy_goes_on() -> None:
+    async def run() -> None:
+        async with rig(silent) as r:
+            held = asyncio.create_task(r.ask("order", remaining="3000m"))
+            await r.until(lambda: len(r.backends[0].seen) == 1)
+            balancer = r.proxy._decider._balancer
+
+            def broken(now: int, events: list[Event]) -> list[Any]:
+                raise RuntimeError("broken")
+
+            balancer.handle = broken  # type: ignore[method-assign]
+            assert (await r.ask("search")).status == 502
+            assert (await asyncio.wait_for(held, 1)).status in (502, 504)
+            assert r.count("faults") == 1
+            r.backends[0].behave = serves
+            assert (await r.ask("search")).status == 200
+
+    asyncio.run(run())
+
+
+def test_a_request_that_the_module_forgets_still_gets_its_answer() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            await r.until(lambda: r.proxy._decider.listed.is_set())
+            r.proxy._decider._balancer.handle = lambda now, events: []  # type: ignore[method-assign]
+            before = asyncio.get_running_loop().time()
+            reply = await r.ask("search", remaining="200m")
+            assert reply.status == 502
+            assert 0.19 < asyncio.get_running_loop().time() - before < 0.3
+            assert r.count("answers_overdue") == 1
+
+    asyncio.run(run())
+
+
+def test_an_unreadable_known_list_is_no_list() -> None:
+    async def run() -> None:
+        from mothstall.net.proxy import Proxy
+
+        directory = Directory([])
+        await directory.start()
+        tree = tree_of(directory, [{"id": 5}])
+        proxy = Proxy(config.from_tree(tree))
+        await proxy.start()
+        await proxy.stop(0.0)
+        await directory.stop()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_net_requests.py
@@ -0,0 +1,184 @@
+"""Requests through the proxy: what goes on, what comes back, what is turned down."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.peers import Seen, answer, request_bytes, rig, says, serves
+
+
+def test_method_target_query_body_and_ids_go_on_byte_for_byte() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            target = "/pay//a/../%2f%zz;x?b=+%20&c[]=1&d=%C3%A9?"
+            body = bytes(range(256)) * 8
+            reply = await r.ask("pay", target=target + "e", body=body, X_Txn="9b1F03aa", X_Odd="a, b")
+            assert reply.status == 200 and reply.body == b"served 9b1F03aa"
+            (seen,) = r.backends[0].seen
+            assert seen.line == b"POST " + target.encode() + b"e HTTP/1.1"
+            assert seen.body == body
+            assert seen.header(b"X-Txn") == b"9b1F03aa"
+            assert seen.header(b"Idempotency-Key") == b"5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+            assert seen.header(b"Host") == b"service.internal"
+            assert seen.header(b"X-Odd") == b"a, b"
+            names = [n.lower() for n, _ in seen.headers]
+            assert names.count(b"x-remaining") == names.count(b"content-length") == 1
+            assert b"user-agent" not in names and b"accept-encoding" not in names
+            left = seen.header(b"X-Remaining") or b""
+            assert left.endswith(b"u") and 700_000 < int(left[:-1]) <= 800_000
+
+    asyncio.run(run())
+
+
+def test_the_answer_of_the_backend_is_passed_on_unchanged() -> None:
+    async def run() -> None:
+        load = "util=1,queue=2"
+        raw = answer(b"\x1f\x8b\x00raw", Content_Type="x/y", Content_Encoding="gzip", X_Pressure=load)
+        async with rig(says(raw)) as r:
+            reply = await r.ask("order")
+            assert (reply.status, reply.body) == (200, b"\x1f\x8b\x00raw")
+            assert reply.headers["content-type"] == "x/y" and reply.headers["content-encoding"] == "gzip"
+            assert "x-pressure" not in reply.headers
+
+    asyncio.run(run())
+
+
+def test_redirects_and_cookies_are_the_clients_business() -> None:
+    async def run() -> None:
+        raw = answer(b"", 302, Location="/elsewhere", Set_Cookie="a=b")
+        async with rig(says(raw)) as r:
+            assert (await r.ask("order")).status == 502
+            r.backends[0].behave = serves
+            await r.ask("order")
+            assert [s.line for s in r.backends[0].seen] == [b"POST /order HTTP/1.1"] * 2
+            assert r.backends[0].seen[1].header(b"Cookie") is None
+
+    asyncio.run(run())
+
+
+def test_bad_requests_get_400_and_reach_no_backend_and_their_connection_lives_on() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            client = await r.client()
+            for more in (
+                {"drop": ("X-Txn",), "lane": "pay"},
+                {"X_Txn": ""},
+                {"X_Lane": "unheard"},
+                {"drop": ("X-Lane",)},
+                {"remaining": None},
+                {"remaining": "soon"},
+                {"remaining": "-5m"},
+                {"remaining": "nanm"},
+                {"remaining": "480"},
+                {"remaining": "480s"},
+                {"target": "/search?"},
+            ):
+                reply = await client.ask(**{"lane": "search", **more})  # type: ignore[arg-type]
+                assert reply.status == 400, more
+            assert (await client.ask("search")).status == 200
+            assert len(r.backends[0].seen) == 1
+            assert r.count("requests_bad") == 11 and r.count("requests") == 1
+
+    asyncio.run(run())
+
+
+def test_a_body_over_64_kib_gets_400_and_reaches_no_backend() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            assert (await r.ask("pay", body=b"x" * (64 * 1024 + 1))).status == 400
+            assert not r.backends[0].seen
+            assert (await r.ask("pay", body=b"x" * (64 * 1024))).status == 200
+
+    asyncio.run(run())
+
+
+def test_malformed_http_ends_its_own_connection_alone() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            other, bad = await r.client(), await r.client()
+            assert (await other.ask()).status == 200
+            bad.writer.write(b"\x00\x01 nonsense\r\n\r\n")
+            assert (await bad.read()).status == 400
+            assert await bad.closed()
+            assert (await other.ask()).status == 200
+
+    asyncio.run(run())
+
+
+def test_a_chunked_request_goes_on_whole() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            client = await r.client()
+            head = request_bytes("pay", drop=("Content-Length",), Transfer_Encoding="chunked")
+            client.writer.write(head + b"3\r\nabc\r\n")
+            await asyncio.sleep(0.02)
+            client.writer.write(b"2\r\nde\r\n0\r\n\r\n")
+            assert (await client.read()).status == 200
+            assert r.backends[0].seen[0].body == b"abcde"
+
+    asyncio.run(run())
+
+
+def test_expect_100_continue_is_met() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            client = await r.client()
+            whole = request_bytes("pay", body=b"abc", Expect="100-continue")
+            client.writer.write(whole[:-3])
+            assert (await client.reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
+            client.writer.write(b"abc")
+            assert (await client.read()).status == 200
+            assert r.backends[0].seen[0].header(b"Expect") is None
+
+    asyncio.run(run())
+
+
+def test_what_cannot_be_served_is_refused_at_once_with_retry_after() -> None:
+    async def run() -> None:
+        async with rig() as r:
+            before = asyncio.get_running_loop().time()
+            reply = await r.ask("search", remaining="900m")
+            assert reply.status == 503
+            assert 0 < float(reply.headers["retry-after"]) <= 1.2
+            assert asyncio.get_running_loop().time() - before < 0.3
+            assert r.count("answers_refused") == 1
+
+    asyncio.run(run())
+
+
+def test_a_client_that_leaves_ends_its_attempt() -> None:
+    async def run() -> None:
+        async def slow(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.3)
+
+        async with rig(slow) as r:
+            client = await r.client()
+            client.writer.write(request_bytes("order"))
+            await r.until(lambda: len(r.backends[0].seen) == 1)
+            client.close()
+            await r.until(lambda: r.count("attempts_cancelled") == 1)
+            await r.until(lambda: r.backends[0].ended == 1)
+            assert r.count("requests_left") == 1
+            assert r.count("answers_ok") == r.count("answers_failed") == 0
+            r.backends[0].behave = serves
+            assert (await r.ask("order")).status == 200
+
+    asyncio.run(run())
+
+
+def test_ready_and_counters_answer_on_the_same_address() -> None:
+    async def run() -> None:
+        async with rig(serves, listed=False) as r:
+            client = await r.client()
+            client.writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            first = (await client.read()).status
+            assert first in (200, 503)
+            await r.until(lambda: r.count("list_words") > 0)
+            client.writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert (await client.read()).status == 200
+            client.writer.write(b"GET /counters HTTP/1.1\r\nHost: x\r\n\r\n")
+            text = (await client.read()).body.decode()
+            assert "requests 0\n" in text and "connections 1\n" in text
+            assert not r.backends[0].seen
+
+    asyncio.run(run())
