--- a/mothstall/net/backend.py
+++ b/mothstall/net/backend.py
@@ -139,18 +139,18 @@
     return session
 
 
-async def read_whole(response: aiohttp.ClientResponse) -> bytes:
+async def read_whole(response: aiohttp.ClientResponse, most: int = protocol.MOST_BODY) -> bytes:
     """The body, when it is sure to be whole and no longer than allowed."""
     framed = response.content_length is not None or "Transfer-Encoding" in response.headers
     if not framed:
         raise protocol.Unreadable("an answer whose end cannot be told")
-    if (response.content_length or 0) > protocol.MOST_BODY:
+    if (response.content_length or 0) > most:
         raise protocol.Unreadable("an answer that is too long")
     parts, size = [], 0
     async for chunk in response.content.iter_any():
         parts.append(chunk)
         size += len(chunk)
-        if size > protocol.MOST_BODY:
+        if size > most:
             raise protocol.Unreadable("an answer that is too long")
     return b"".join(parts)
 
--- a/mothstall/net/discovery.py
+++ b/mothstall/net/discovery.py
@@ -15,7 +15,7 @@
 from mothstall.interface import Scope
 from mothstall.net import protocol
 from mothstall.net.actor import Actor
-from mothstall.net.backend import make_session
+from mothstall.net.backend import make_session, read_whole
 from mothstall.net.counters import Counters
 
 log = logging.getLogger("mothstall.discovery")
@@ -23,6 +23,7 @@
 WAIT_MS = 10_000  # how long one watch call waits for news
 GRACE_S = 2.0  # how long a call may take beyond what it waits for
 CONNECT_S = 1.0
+MOST_LIST = 8 * 1024 * 1024
 PAUSE_S = 1.0  # where the list is pushed: before a watch that failed begins again
 
 
@@ -63,6 +64,7 @@
             aiohttp.TCPConnector(limit=0, use_dns_cache=False, happy_eyeballs_delay=None)
         )
         self._watch: asyncio.Task[None] | None = None
+        self._asking = False  # a watch has begun and nothing has come back yet
         self._fetches: set[asyncio.Task[None]] = set()
 
     def receive(self, batch: list[Watch | Fetch]) -> None:
@@ -72,10 +74,13 @@
                 self._fetches.add(task)
                 task.add_done_callback(self._fetches.discard)
                 continue
+            if order.on and self._asking:
+                continue  # the call that is out answers this one too
             if self._watch:
                 self._watch.cancel()
-                self._watch = None
+                self._watch, self._asking = None, False
             if order.on:
+                self._asking = True
                 self._watch = self.loop.create_task(self._follow())
 
     def start(self) -> None:
@@ -95,6 +100,7 @@
         while True:
             wait_ms = 1 if first else WAIT_MS
             word = await self._call(f"?since={self._version}&timeout_ms={wait_ms}", wait_ms / 1000)
+            self._asking = False
             if word is None:
                 self._report(Told(Scope.FAILED, None))
                 if not self._push:
@@ -123,7 +129,7 @@
                     timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
                 ) as response,
             ):
-                body = await response.read()
+                body = await read_whole(response, MOST_LIST)
                 if response.status == 200:
                     word = protocol.read_list(json.loads(body), self._names)
                     if word.version < self._version:
@@ -136,6 +142,11 @@
             why = err
         except (TimeoutError, aiohttp.ClientError, OSError) as err:
             why = f"{type(err).__name__}: {err}"
+        except Exception as err:
+            # Guards against a watch that ends unnoticed: whatever went wrong, the call has failed.
+            self.counters.add("faults")
+            log.exception("discovery fault")
+            why = err
         self.counters.add("discovery_failures")
         log.info("discovery call failed", extra={"kv": {"why": why}})
         return None
--- /dev/null
+++ b/tests/test_net_discovery.py
@@ -0,0 +1,160 @@
+"""The list actor: watches, drains, newcomers, restarts, and a discovery that fails."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from mothstall import config
+from mothstall.net.proxy import Proxy
+from tests.peers import Directory, StandIn, answer, rig, serves, tree_of
+
+
+def test_a_watch_tells_of_drains_and_newcomers_at_once() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            old = r.backends[0]
+            assert (await r.ask()).status == 200
+            await r.until(lambda: len(r.directory.calls) >= 2)  # what was missed, then the wait
+            new = StandIn(serves, "s-new")
+            await new.start()
+            r.backends.append(new)
+            words = r.count("list_words")
+            r.directory.tell(new.row(), old.row("DRAINING"))
+            await r.until(lambda: r.count("list_words") > words, 0.1)
+            await asyncio.sleep(0.02)
+            assert old.ended == old.opened == 1  # its idle connection is let go
+            for lane in ("search", "pay", "order"):
+                assert (await r.ask(lane)).status == 200
+            assert len(old.seen) == 1 and len(new.seen) == 3
+
+    asyncio.run(run())
+
+
+def test_an_attempt_on_a_backend_that_leaves_the_list_ends_as_it_does() -> None:
+    async def run() -> None:
+        gate = asyncio.Event()
+
+        async def waits(seen: Any, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+            writer.write(answer(b"done"))
+
+        async with rig(waits) as r:
+            await r.until(lambda: len(r.directory.calls) >= 2)
+            asked = asyncio.create_task(r.ask("order"))
+            await r.until(lambda: len(r.backends[0].seen) == 1)
+            r.directory.tell({"id": "s-0", "phase": "DELETED"})
+            await asyncio.sleep(0.05)
+            gate.set()
+            reply = await asked
+            assert (reply.status, reply.body) == (200, b"done")
+            assert (await r.ask()).status == 503  # nobody is left
+
+    asyncio.run(run())
+
+
+def test_the_next_watch_follows_within_200_ms_and_from_the_version_told() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            await r.until(lambda: len(r.directory.calls) >= 2)
+            for _ in range(3):
+                before = len(r.directory.calls)
+                r.directory.tell(r.backends[0].row())
+                await r.until(lambda b=before: len(r.directory.calls) > b, 0.2)  # type: ignore[misc]
+                assert f"since={r.directory.revision}&" in r.directory.calls[-1]
+
+    asyncio.run(run())
+
+
+def test_a_restarted_backend_at_a_new_address_counts_as_cold_and_new() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            await r.ask()
+            await r.until(lambda: len(r.directory.calls) >= 2)
+            again = StandIn(serves, "s-0")
+            await again.start()
+            r.backends.append(again)
+            now_ms = r.proxy._clock.now() // 1_000_000
+            r.directory.tell(again.row(started=now_ms))
+            await r.until(lambda: r.backends[0].ended == 1)  # connections of its earlier life
+            (balanced,) = r.proxy._decider._balancer.backends.values()
+            assert balanced.started == now_ms * 1_000_000
+            assert r.proxy._decider._balancer._warmth(balanced) < 0.3
+            await r.ask(remaining="900m")
+            assert len(r.backends[0].seen) == 1
+
+    asyncio.run(run())
+
+
+def test_versions_never_go_backward() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            await r.until(lambda: len(r.directory.calls) >= 2)
+            r.directory.tell(r.backends[0].row())
+            await r.until(lambda: r.count("list_words") >= 3)
+            r.directory.raw = answer(b'{"revision":1,"complete":true,"members":[]}')
+            news, r.directory.news = r.directory.news, asyncio.Event()
+            news.set()
+            await r.until(lambda: r.count("discovery_failures") >= 1)
+            assert (await r.ask()).status == 200
+
+    asyncio.run(run())
+
+
+def test_nonsense_and_refusals_of_discovery_leave_the_old_list_and_are_asked_again() -> None:
+    async def run() -> None:
+        for raw in (
+            answer(b"{", 200),
+            answer(b'{"revision":"x","complete":true,"members":[]}'),
+            answer(b'{"revision":9,"complete":true,"members":[{"id":"s-0","phase":"SERVING"}]}'),
+            answer(b'{"revision":9,"complete":true,"members":[{"id":"s-0","phase":"LOST","host_port":"a:1"}]}'),
+            answer(b"[]"),
+            answer(b"", 503),
+            b"\x00\x01\r\n\r\n",
+        ):
+            async with rig(serves) as r:
+                r.directory.raw = raw
+                await r.until(lambda r=r: r.count("discovery_failures") >= 1)  # type: ignore[misc]
+                assert (await r.ask()).status == 200
+                r.directory.raw = None
+                await r.until(lambda r=r: r.count("list_words") >= 2, 5.0)  # type: ignore[misc]
+
+    asyncio.run(run())
+
+
+def test_a_discovery_that_hangs_or_is_down_does_not_hold_the_proxy_up() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            r.directory.hangs = True
+            assert (await r.ask()).status == 200
+            await r.until(lambda: r.count("discovery_failures") >= 1, 4.0)
+
+        stand_in = StandIn(serves)
+        await stand_in.start()
+        directory = Directory([])
+        await directory.start()
+        await directory.stop()
+        proxy = Proxy(config.from_tree(tree_of(directory, [stand_in.row()])))
+        await proxy.start()
+        while not proxy.counters.values["discovery_failures"]:
+            await asyncio.sleep(0.01)
+        await directory.start()  # on the same port
+        async with asyncio.timeout(6):
+            while proxy.counters.values["list_words"] < 2:
+                await asyncio.sleep(0.01)
+        await proxy.stop(0.0)
+        await directory.stop()
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+def test_where_the_list_is_pushed_the_proxy_watches_by_itself() -> None:
+    async def run() -> None:
+        async with rig(serves, listed=False, discovery="push") as r:
+            await r.until(lambda: len(r.directory.calls) >= 2)
+            r.directory.tell(r.backends[0].row())
+            await r.until(lambda: r.count("list_words") >= 3, 0.2)
+            assert (await r.ask()).status == 200
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_net_process.py
@@ -0,0 +1,243 @@
+"""The program as operators start it: command line, configuration, signals."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from mothstall import config, settings
+from mothstall.net import logs
+from tests.peers import Client, Directory, StandIn, answer, request_bytes, serves, tree_of
+from tests.peers import settings as nested
+
+ROOT = Path(__file__).parent.parent
+MAIN = [sys.executable, "-O", "-B", "-m", "mothstall"]
+
+
+def run_main(*words: str, **env: str) -> subprocess.CompletedProcess[str]:
+    full = {**os.environ, **env}
+    return subprocess.run([*MAIN, *words], cwd=ROOT, env=full, capture_output=True, text=True, timeout=20)
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+class Started:
+    def __init__(self, process: asyncio.subprocess.Process, port: int) -> None:
+        self.process, self.port = process, port
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+
+
+@contextlib.asynccontextmanager
+async def started(tmp_path: Path, stand_in: StandIn, port: int = 0) -> AsyncIterator[Started]:
+    directory = Directory([stand_in.row()])
+    await directory.start()
+    port = port or free_port()
+    tree = tree_of(directory, [stand_in.row()])
+    tree["listen"] = f"127.0.0.1:{port}"
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(tree))
+    process = await asyncio.create_subprocess_exec(
+        *MAIN, env={**os.environ, "LB_CONFIG": str(path)}, cwd=ROOT, stderr=asyncio.subprocess.PIPE
+    )
+    try:
+        async with asyncio.timeout(15):
+            while True:
+                with contextlib.suppress(OSError):
+                    client = Client(*await asyncio.open_connection("127.0.0.1", port))
+                    client.writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                    ready = (await client.read()).status == 200
+                    client.close()
+                    if ready:
+                        break
+                await asyncio.sleep(0.02)
+        yield Started(process, port)
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+        await directory.stop()
+
+
+async def slow(seen: Any, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(0.8)
+    writer.write(answer(b"late but whole"))
+
+
+def test_sigterm_ends_what_it_has_closes_what_is_idle_and_exits_0(tmp_path: Path) -> None:
+    async def run() -> None:
+        stand_in = StandIn(slow)
+        await stand_in.start()
+        async with started(tmp_path, stand_in) as proxy:
+            idle, busy = await proxy.client(), await proxy.client()
+            busy.writer.write(request_bytes("order", remaining="990m"))
+            while not stand_in.seen:
+                await asyncio.sleep(0.01)
+            stand_in.behave = serves
+            proxy.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.1)
+            late = await proxy.client()  # new connections go on coming for a while
+            reply = await late.ask("search")
+            assert reply.status == 200 and reply.headers["connection"] == "close"
+            assert await late.closed()
+            assert await idle.closed(1.0)  # before the busy one has its answer
+            reply = await busy.read()
+            assert (reply.status, reply.body) == (200, b"late but whole")
+            assert reply.headers["connection"] == "close"
+            assert await asyncio.wait_for(proxy.process.wait(), 3) == 0
+            assert proxy.process.stderr
+            end = (await proxy.process.stderr.read()).decode().splitlines()[-1]
+            assert "event=end" in end and "requests=2" in end and "answers_ok=2" in end
+        # A new one comes up on the same address at once.
+        async with started(tmp_path, stand_in, proxy.port) as again:
+            assert (await (await again.client()).ask("search")).status == 200
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+def test_a_killed_proxy_comes_up_again_on_its_address(tmp_path: Path) -> None:
+    async def run() -> None:
+        stand_in = StandIn(serves)
+        await stand_in.start()
+        async with started(tmp_path, stand_in) as proxy:
+            client = await proxy.client()
+            assert (await client.ask()).status == 200
+            proxy.process.kill()
+            await proxy.process.wait()
+            async with started(tmp_path, stand_in, proxy.port) as again:
+                assert (await (await again.client()).ask()).status == 200
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+def test_sigusr1_prints_the_counters(tmp_path: Path) -> None:
+    async def run() -> None:
+        stand_in = StandIn(serves)
+        await stand_in.start()
+        async with started(tmp_path, stand_in) as proxy:
+            assert (await (await proxy.client()).ask()).status == 200
+            proxy.process.send_signal(signal.SIGUSR1)
+            assert proxy.process.stderr
+            async with asyncio.timeout(3):
+                while b"event=counters" not in (line := await proxy.process.stderr.readline()):
+                    pass
+            assert b"requests=1" in line and b"attempts_ok=1" in line
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+def write_config(tmp_path: Path, **changes: Any) -> str:
+    tree: dict[str, Any] = {
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "settings": nested(),
+    }
+    for key, value in changes.items():
+        inner, *path = tree, *key.split("__")
+        for step in path[:-1]:
+            inner = inner.setdefault(step, {})
+        if value is None:
+            inner.pop(path[-1], None)
+        else:
+            inner[path[-1]] = value
+    file = tmp_path / "c.json"
+    file.write_text(json.dumps(tree))
+    return str(file)
+
+
+@pytest.mark.parametrize(
+    ("changes", "key"),
+    [
+        ({"listen": None}, "listen"),
+        ({"listen": "nowhere"}, "listen"),
+        ({"listen": 5}, "listen"),
+        ({"discovery": "127.0.0.1:99999"}, "discovery"),
+        ({"seed": "xyz"}, "seed"),
+        ({"limits__sockets": 10}, "limits.sockets"),
+        ({"limits__sockets": "many"}, "limits.sockets"),
+        ({"log_level": "loud"}, "log_level"),
+        ({"settings": None}, "settings"),
+        ({"settings": []}, "settings"),
+        ({"settings__zone": None}, "zone"),
+        ({"settings__classes": []}, "classes.count"),
+        ({"settings__classes": [{"name": "a"}]}, "classes.0.aim-ns"),
+        ({"settings__limits": {}}, "limits.max-attempts"),
+        ({"settings__zones": "east"}, "zones"),
+        ({"settings__customers": [{"share": 0.5}]}, "customers.0.name"),
+        ({"known": []}, "known"),
+    ],
+)
+def test_a_faulty_configuration_is_one_line_that_names_the_key(
+    tmp_path: Path, changes: dict[str, Any], key: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    from mothstall.cli import main
+
+    for command in ("serve", "check-config"):
+        assert main([command, "--config", write_config(tmp_path, **changes)], {}) == 2
+        out, err = capsys.readouterr()
+        assert not out and err.count("\n") == 1 and key in err, err
+
+
+def test_the_command_line(tmp_path: Path) -> None:
+    done = run_main("version")
+    assert done.returncode == 0 and done.stdout.startswith("mothstall ")
+    done = run_main("check-config", "--config", write_config(tmp_path))
+    assert done.returncode == 0 and "3 classes" in done.stdout
+    done = run_main("--help")
+    assert done.returncode == 0 and "check-config" in done.stdout
+    done = run_main(LB_CONFIG="")
+    assert done.returncode == 2 and "LB_CONFIG" in done.stderr
+    done = run_main(LB_CONFIG=str(tmp_path / "none.json"))
+    assert done.returncode == 2 and done.stderr.count("\n") == 1
+    done = run_main("serve", "--config", write_config(tmp_path, listen="192.0.2.1:80"))
+    assert done.returncode == 1 and "listen" in done.stderr
+
+
+def test_the_environment_goes_before_the_file(tmp_path: Path) -> None:
+    read = config.load(write_config(tmp_path), {"LB_NAME": "n9", "LB_LISTEN": "127.0.0.5:81"})
+    assert (read.name, read.listen, read.discovery.port) == ("n9", config.Address("127.0.0.5", 81), 1)
+
+
+def test_nested_json_and_wire_text_give_the_same_settings() -> None:
+    tree = nested()
+    tree["customers"] = [{"name": "a, b", "share": 1.0, "allowance-per-s": 124.0}]
+    tree["later"] = {"unknown": [1, {"x": None}]}
+    values: dict[str, str] = {}
+    for key, value in tree.items():
+        settings._flatten(key, value, values)
+    text = "".join(f"{path}={value}\n" for path, value in values.items())
+    assert settings.from_json(tree) == settings.parse(text)
+    assert settings.from_json(tree).load_names == ("util", "queue")
+
+
+def test_log_lines_are_key_value_pairs() -> None:
+    import io
+    import logging
+
+    stream = io.StringIO()
+    record = logging.LogRecord("a.b", logging.INFO, "", 0, "two words", (), None)
+    record.kv = {"n": 3, "why": 'say "x"', "empty": "", "line": "a\nb"}
+    stream.write(logs.KeyValueFormatter().format(record))
+    assert stream.getvalue().partition("Z ")[2] == (
+        r'level=info from=a.b event="two words" n=3 why="say \"x\"" empty="" line="a\nb"'
+    )
