--- a/mothstall/net/backend.py
+++ b/mothstall/net/backend.py
@@ -28,6 +28,7 @@
 
 PROBE_NS = NS
 IDLE_PART = 0.6  # of the backend's own idle limit, after which an idle connection is closed
+STOOD_S, STOOD_READ_S = 0.01, 0.005  # a timer that is so late, and the time given to read what has come
 SKIP_AUTO = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -230,9 +231,15 @@
     def _start(self, order: Send) -> None:
         attempt = self._out[order.request, order.attempt] = _Attempt()
         attempt.task = self.loop.create_task(self._run(order, attempt))
-        attempt.timer = self.loop.call_at(
-            self._clock.loop_time(order.due_ns), attempt.stop, Result.TIMEOUT
-        )
+        due = self._clock.loop_time(order.due_ns)
+        attempt.timer = self.loop.call_at(due, self._expire, attempt, due)
+
+    def _expire(self, attempt: _Attempt, due: float) -> None:
+        """Guards against a proxy that stood still: what came meanwhile is read before it is late."""
+        if self.loop.time() - due > STOOD_S:
+            attempt.timer = self.loop.call_later(STOOD_READ_S, attempt.stop, Result.TIMEOUT)
+        else:
+            attempt.stop(Result.TIMEOUT)
 
     async def _run(self, order: Send, attempt: _Attempt) -> None:
         sent_at = self._clock.now()
--- a/mothstall/net/counters.py
+++ b/mothstall/net/counters.py
@@ -7,6 +7,7 @@
     "connections_shed": "idle client connections closed to keep within the descriptor budget",
     "requests": "requests taken in and given to the decisions",
     "requests_bad": "requests answered 400: no readable id, class or time, or too long",
+    "requests_malformed": "requests that are no HTTP: answered 400, and their connection closed",
     "requests_left": "requests whose client went away before its answer",
     "answers_ok": "200 answers passed on",
     "answers_refused": "503 answers: refused, harmless to try again",
--- a/mothstall/net/discovery.py
+++ b/mothstall/net/discovery.py
@@ -20,8 +20,9 @@
 
 log = logging.getLogger("mothstall.discovery")
 
-WAIT_MS = 10_000  # how long one watch call waits for news
-GRACE_S = 2.0  # how long a call may take beyond what it waits for
+WAIT_S, WAIT_MOST_S = 5.0, 60.0  # how long one watch call waits for news, at least and at most
+CALL_S = 2.0  # how long a call that does not wait may take
+GRACE_S = 1.2  # the same for one that waits, beyond its wait: its news counts as told 2 s after that
 CONNECT_S = 1.0
 MOST_LIST = 8 * 1024 * 1024
 PAUSE_S = 1.0  # where the list is pushed: before a watch that failed begins again
@@ -53,6 +54,7 @@
         names: Names,
         *,
         push: bool,
+        proxies: int,
         loop: asyncio.AbstractEventLoop,
         counters: Counters,
         report: Callable[[Told], None],
@@ -60,6 +62,8 @@
         super().__init__("discovery", loop, counters)
         self._address, self._version, self._names, self._push = address, version, names, push
         self._report = report
+        # All proxies together end about one wait a second, as one service answers them all.
+        self._wait_s = min(WAIT_MOST_S, max(WAIT_S, float(proxies)))
         self._session = make_session(
             aiohttp.TCPConnector(limit=0, use_dns_cache=False, happy_eyeballs_delay=None)
         )
@@ -98,8 +102,9 @@
         """A watch: the first call asks for what was missed, each later one waits for news."""
         first = True
         while True:
-            wait_ms = 1 if first else WAIT_MS
-            word = await self._call(f"?since={self._version}&timeout_ms={wait_ms}", wait_ms / 1000)
+            wait_ms = 1 if first else int(self._wait_s * 1000)
+            most_s = CALL_S if first else self._wait_s + GRACE_S
+            word = await self._call(f"?since={self._version}&timeout_ms={wait_ms}", most_s)
             self._asking = False
             if word is None:
                 self._report(Told(Scope.FAILED, None))
@@ -113,16 +118,16 @@
             first = False
 
     async def _fetch(self) -> None:
-        word = await self._call("", 0.0)
+        word = await self._call("", CALL_S)
         scope = Scope.FAILED if word is None else Scope.FULL if word.full else Scope.DELTA
         self._report(Told(scope, word))
 
-    async def _call(self, query: str, wait_s: float) -> protocol.ListWord | None:
+    async def _call(self, query: str, most_s: float) -> protocol.ListWord | None:
         self.counters.add("discovery_calls")
         why: object
         try:
             async with (
-                asyncio.timeout(wait_s + GRACE_S),
+                asyncio.timeout(most_s),
                 self._session.get(
                     URL(f"http://{self._address}{protocol.LIST_PATH}{query}", encoded=True),
                     allow_redirects=False,
--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -12,7 +12,7 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http_parser import RawRequestMessage
 from aiohttp.streams import StreamReader
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_protocol import ERROR, RequestHandler
 from aiohttp.web_request import BaseRequest
 
 from mothstall.config import Address, Names
@@ -132,13 +132,20 @@
         writer: AbstractStreamWriter,
         task: asyncio.Task[None],
     ) -> BaseRequest:
+        if message is ERROR:
+            self._counters.add("requests_malformed")
         return BaseRequest(
             message, payload, connection, writer, task, self._loop, client_max_size=protocol.MOST_BODY
         )
 
     async def _handle(self, request: BaseRequest) -> web.StreamResponse:
         came_ns = self._clock.now()
-        reply = await self._serve(request, came_ns)
+        try:
+            reply = await self._serve(request, came_ns)
+        except Exception:
+            self._counters.add("faults")
+            log.exception("client fault")
+            reply = Reply(502, b"failed\n")
         response = web.Response(status=reply.status, body=reply.body, headers=reply.headers)
         if self._draining:
             response.force_close()
@@ -204,9 +211,10 @@
             self._listener = None
 
     def close_idle(self) -> bool:
-        """Closes the idle connections; whether others are left."""
+        """Closes the connections that have been idle a while; whether others are left."""
+        latest = self._loop.time() - SHED_IDLE_S
         for connection in self._server.connections:
-            if _idle(connection):
+            if _idle(connection) and connection._next_keepalive_close_time - KEEP_S <= latest:
                 connection.force_close()  # what is written still goes out
         return bool(self._server.connections)
 
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -31,7 +31,6 @@
         self.config = config
         self.counters = Counters()
         self.loop = asyncio.get_running_loop()
-        self.loop.set_exception_handler(self._fault)
         self._clock = Clock()
         free = min(config.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVE
         backends = int(free * BACKEND_PART)
@@ -46,6 +45,7 @@
             known.version,
             config.names,
             push=config.settings.discovery_push,
+            proxies=config.settings.proxies,
             loop=self.loop,
             counters=self.counters,
             report=self._decider.tell,
@@ -92,8 +92,8 @@
             report=self._decider.tell,
         )
 
-    def _fault(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-        """An exception that nobody awaited: logged and counted, and the proxy goes on."""
+    def note_fault(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """For the event loop's exception handler: logged and counted, and the proxy goes on."""
         self.counters.add("faults")
         why = context.get("exception")
         log.error("fault", extra={"kv": {"where": context.get("message"), "why": repr(why)}}, exc_info=why)
@@ -120,6 +120,7 @@
 async def run(config: Config) -> None:
     """Serves until SIGTERM or SIGINT, then drains; SIGUSR1 prints the counters."""
     proxy = Proxy(config)
+    proxy.loop.set_exception_handler(proxy.note_fault)
     over = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         proxy.loop.add_signal_handler(number, over.set)
@@ -127,6 +128,7 @@
     await proxy.start()
     gc.collect()
     gc.freeze()
+    gc.set_threshold(50_000, 20, 50)  # a request leaves few cycles behind
     await over.wait()
     log.info("draining")
     await proxy.stop()
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -149,6 +149,23 @@
     asyncio.run(run())
 
 
+def test_a_watch_that_falls_silent_is_given_up_before_its_news_counts_as_told() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            await r.until(lambda: len(r.directory.calls) >= 2)
+            r.directory.hangs, silent_since = True, asyncio.get_running_loop().time()
+            r.directory.news.set()
+            r.directory.calls.clear()
+            await r.until(lambda: r.count("discovery_failures") >= 1, 8.0)
+            wait_s = r.proxy._discovery._wait_s
+            assert asyncio.get_running_loop().time() - silent_since < wait_s + 2.0
+            r.directory.hangs = False
+            words = r.count("list_words")
+            await r.until(lambda: r.count("list_words") > words, 2.0)
+
+    asyncio.run(run())
+
+
 def test_where_the_list_is_pushed_the_proxy_watches_by_itself() -> None:
     async def run() -> None:
         async with rig(serves, listed=False, discovery="push") as r:
--- a/tests/test_net_failures.py
+++ b/tests/test_net_failures.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from typing import Any
 
 import pytest
@@ -367,6 +368,21 @@
     asyncio.run(run())
 
 
+def test_an_answer_that_came_while_the_proxy_stood_still_is_read_before_it_is_late() -> None:
+    async def run() -> None:
+        stand_in, single = await alone(serves)
+        single.send(within_ms=50)
+        async with asyncio.timeout(1):
+            while not stand_in.seen:
+                await asyncio.sleep(0)
+        time.sleep(0.08)  # the answer is on its way, and the time is over
+        assert await single.ended() == [Result.OK]
+        await single.session.close()
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
 # Descriptors at the edge
 
 
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -101,6 +101,7 @@
             assert (await bad.read()).status == 400
             assert await bad.closed()
             assert (await other.ask()).status == 200
+            assert r.count("requests_malformed") == 1
 
     asyncio.run(run())
 
