--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -181,8 +181,7 @@
         if word is None:
             return io.BackendList(message.scope, self._version, [])
         self.counters.add("list_words")
-        if word.version < self._version:
-            return None
+        hold(word.version >= self._version, "versions never go backward", self.counters)
         self._version = word.version
         if message.scope != Scope.DELTA:
             listed = {m.entry.backend for m in word.members}
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 from mothstall import config
+from mothstall.interface import Scope
+from mothstall.net.discovery import Told, Watch
 from mothstall.net.proxy import Proxy
 from tests.peers import Directory, StandIn, answer, rig, serves, tree_of
 
@@ -166,6 +168,24 @@
     asyncio.run(run())
 
 
+def test_asking_again_while_a_call_is_out_is_one_call_and_one_answer() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            await r.until(lambda: len(r.directory.calls) >= 2)
+            told: list[Told] = []
+            r.proxy._discovery._report = told.append
+            r.directory.calls.clear()
+            r.directory.hangs = True
+            for _ in range(3):
+                r.proxy._discovery.tell(Watch(True))
+                await asyncio.sleep(0.02)
+            assert len(r.directory.calls) == 1
+            await r.until(lambda: len(told) > 0)
+            assert [t.scope for t in told] == [Scope.FAILED]
+
+    asyncio.run(run())
+
+
 def test_where_the_list_is_pushed_the_proxy_watches_by_itself() -> None:
     async def run() -> None:
         async with rig(serves, listed=False, discovery="push") as r:
--- a/tests/test_net_failures.py
+++ b/tests/test_net_failures.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import threading
 import time
 from typing import Any
 
@@ -369,16 +370,29 @@
 
 
 def test_an_answer_that_came_while_the_proxy_stood_still_is_read_before_it_is_late() -> None:
+    asked = threading.Event()
+
+    def answers(listener: socket.socket) -> None:
+        peer_socket, _ = listener.accept()
+        peer_socket.recv(65536)
+        asked.set()
+        time.sleep(0.03)
+        peer_socket.sendall(answer())
+
     async def run() -> None:
-        stand_in, single = await alone(serves)
-        single.send(within_ms=50)
-        async with asyncio.timeout(1):
-            while not stand_in.seen:
-                await asyncio.sleep(0)
-        time.sleep(0.08)  # the answer is on its way, and the time is over
-        assert await single.ended() == [Result.OK]
-        await single.session.close()
-        await stand_in.stop()
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            thread = threading.Thread(target=answers, args=(listener,))
+            thread.start()
+            single = Single(config.Address("127.0.0.1", listener.getsockname()[1]))
+            single.send(within_ms=60)
+            while not asked.is_set():
+                await asyncio.sleep(0.001)
+            time.sleep(0.1)  # meanwhile the answer comes, and then the time is over
+            assert await single.ended() == [Result.OK]
+            await single.session.close()
+            thread.join()
 
     asyncio.run(run())
 
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -72,12 +72,26 @@
                 {"remaining": "480"},
                 {"remaining": "480s"},
                 {"target": "/search?"},
+                {"x_txn": "another"},
             ):
                 reply = await client.ask(**{"lane": "search", **more})  # type: ignore[arg-type]
                 assert reply.status == 400, more
             assert (await client.ask("search")).status == 200
             assert len(r.backends[0].seen) == 1
-            assert r.count("requests_bad") == 11 and r.count("requests") == 1
+            assert r.count("requests_bad") == 12 and r.count("requests") == 1
+
+    asyncio.run(run())
+
+
+def test_headers_of_one_connection_stay_on_it() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            more = {"Connection": "X-Mine, X-Txn", "X_Mine": "1", "Keep_Alive": "5", "TE": "trailers"}
+            assert (await r.ask("search", X_Yours="2", **more)).status == 200
+            seen = r.backends[0].seen[0]
+            for name in (b"X-Mine", b"Keep-Alive", b"TE", b"Connection"):
+                assert seen.header(name) is None, name
+            assert seen.header(b"X-Yours") == b"2" and seen.header(b"X-Txn")
 
     asyncio.run(run())
 
