--- a/mothstall/net/backend.py
+++ b/mothstall/net/backend.py
@@ -14,6 +14,8 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ConnectionKey
+from aiohttp.connector import Connection
+from aiohttp.tracing import Trace
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -87,15 +89,15 @@
 class Pool(aiohttp.TCPConnector):
     """Connections to all backends: the latest is used again first, so that the others fall idle and end.
 
-    aiohttp's connector has no such order and no way to close the idle connections of one address; this
-    reaches into its table of idle ones, for which tests stand guard.
+    aiohttp's connector has no such order, no way to close the idle connections of one address, and does not
+    look at what an idle one has received; this reaches into its table of them, for which tests stand guard.
     """
 
-    def __init__(self, idle_s: float, most: int) -> None:
+    def __init__(self, idle_s: float, most: int, counters: Counters) -> None:
         super().__init__(
             limit=0, keepalive_timeout=idle_s, use_dns_cache=False, happy_eyeballs_delay=None
         )
-        self.most = most
+        self.most, self._counters = most, counters
 
     def _release(
         self, key: ConnectionKey, protocol: ResponseHandler, *, should_close: bool = False
@@ -105,6 +107,19 @@
         if kept and kept[-1][0] is protocol:
             kept.rotate(1)  # the connector takes from the left
 
+    async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
+        # Guards against an answer nobody asked for, come while the connection was idle: the next request
+        # on it would take it for its own.
+        kept = self._conns.get(key)
+        for held in [h for h in kept or () if h[0].should_close and h[0].is_connected()]:
+            assert kept is not None
+            kept.remove(held)
+            held[0].close()
+            self._counters.add("unreadable")
+        if kept is not None and not kept:
+            del self._conns[key]
+        return await super()._get(key, traces)
+
     def drop_idle(self, address: Address) -> None:
         for key in [k for k in self._conns if k.host == address.host and k.port == address.port]:
             for connection, _since in self._conns.pop(key):
@@ -142,7 +157,8 @@
 
 async def read_whole(response: aiohttp.ClientResponse, most: int = protocol.MOST_BODY) -> bytes:
     """The body, when it is sure to be whole and no longer than allowed."""
-    framed = response.content_length is not None or "Transfer-Encoding" in response.headers
+    chunked = response.headers.get("Transfer-Encoding", "").lower().endswith("chunked")
+    framed = response.content_length is not None or chunked
     if not framed:
         raise protocol.Unreadable("an answer whose end cannot be told")
     if (response.content_length or 0) > most:
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -34,7 +34,7 @@
         self._clock = Clock()
         free = min(config.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVE
         backends = int(free * BACKEND_PART)
-        self._pool = Pool(IDLE_PART * config.idle_ns / NS, backends)
+        self._pool = Pool(IDLE_PART * config.idle_ns / NS, backends, self.counters)
         self._session = make_session(self._pool)
         self._decider = Decider(
             config, loop=self.loop, counters=self.counters, clock=self._clock, make_backend=self._backend
--- a/tests/test_net_failures.py
+++ b/tests/test_net_failures.py
@@ -39,7 +39,7 @@
         self.loop = asyncio.get_running_loop()
         self.clock, self.counters = Clock(), Counters()
         self.reports: list[peer.Ended | peer.Probed] = []
-        self.pool = peer.Pool(idle_s, most)
+        self.pool = peer.Pool(idle_s, most, self.counters)
         self.session = peer.make_session(self.pool)
         self.ids = 0
         self.actor = peer.Backend(
@@ -92,6 +92,18 @@
         Result.OK,
     ),
     "no end told": (says(b"HTTP/1.1 200 OK\r\n\r\nabc", then_close=True), Result.ERROR),
+    "an unknown coding": (says(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc"), Result.ERROR),
+    "two lengths": (
+        says(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc"),
+        Result.RESET,
+    ),
+    "news first": (says(b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + answer()), Result.OK),
+    "more than one answer": (says(answer() + b"more"), Result.RESET),
+    "no body": (says(b"HTTP/1.1 204 No\r\n\r\n"), Result.ERROR),
+    "another protocol": (
+        says(b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"),
+        Result.ERROR,
+    ),
     "too long": (says(answer(b"x" * (64 * 1024 + 1))), Result.ERROR),
     "nonsense": (says(b"\x16\x03\x01 hello\r\n\r\n", then_close=True), Result.RESET),
     "error": (says(answer(b"", 500)), Result.ERROR),
@@ -140,6 +152,28 @@
     asyncio.run(run())
 
 
+def test_an_answer_that_nobody_asked_for_goes_to_nobody() -> None:
+    async def run() -> None:
+        async def strays(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(b"for " + (seen.header(b"X-Txn") or b"")))
+            await asyncio.sleep(0.01)
+            writer.write(answer(b"stray"))
+
+        stand_in, single = await alone(strays)
+        for i in (1, 2, 3):
+            single.send()
+            await single.ended(i)
+            await asyncio.sleep(0.05)
+        bodies = [r.answer.body for r in single.reports if isinstance(r, peer.Ended) and r.answer]
+        assert bodies == [b"for 1", b"for 2", b"for 3"]
+        assert [s.connection for s in stand_in.seen] == [1, 2, 3]
+        assert single.counters.values["unreadable"] == 2
+        await single.session.close()
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
 def test_a_refused_connection_never_ran() -> None:
     async def run() -> None:
         with socket.socket() as closed:
