--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -22,6 +22,9 @@
 from mothstall.net.decider import Arrived, Left, Message, Reply
 
 log = logging.getLogger("mothstall.frontend")
+# aiohttp writes a trace for each malformed request; they are counted instead.
+quiet = logging.getLogger("mothstall.frontend.aiohttp")
+quiet.setLevel(logging.CRITICAL)
 
 BACKLOG = 1024
 KEEP_S = 600.0  # an idle client connection
@@ -54,6 +57,7 @@
             request_factory=self._request,
             handler_cancellation=True,
             access_log=None,
+            logger=quiet,
             keepalive_timeout=KEEP_S,
             lingering_time=LINGER_S,
             auto_decompress=False,
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from tests.peers import Seen, answer, request_bytes, rig, says, serves
 
 
@@ -106,7 +108,7 @@
     asyncio.run(run())
 
 
-def test_malformed_http_ends_its_own_connection_alone() -> None:
+def test_malformed_http_ends_its_own_connection_alone(caplog: pytest.LogCaptureFixture) -> None:
     async def run() -> None:
         async with rig(serves) as r:
             other, bad = await r.client(), await r.client()
@@ -118,6 +120,7 @@
             assert r.count("requests_malformed") == 1
 
     asyncio.run(run())
+    assert not [r for r in caplog.records if r.name.startswith(("aiohttp", "mothstall.frontend"))]
 
 
 def test_a_chunked_request_goes_on_whole() -> None:
