--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -63,7 +63,7 @@
             auto_decompress=False,
         )
         self._listener: socket.socket | None = None
-        self._accepting: asyncio.Task[None] | None = None
+        self._taking: set[asyncio.Task[None]] = set()
         self._draining = False
         # Connections whose request's body is still coming, and since when.
         self._reading: dict[RequestHandler | None, float] = {}
@@ -77,26 +77,39 @@
         sock.bind((self._address.host, self._address.port))
         sock.listen(BACKLOG)
         self._listener, self.port = sock, sock.getsockname()[1]
-        self._accepting = self._loop.create_task(self._accept())
-
-    async def _accept(self) -> None:
-        assert self._listener
-        while True:
-            if not self._room():
-                await asyncio.sleep(ACCEPT_PAUSE_S)
-                continue
+        self._loop.add_reader(sock, self._accept)
+
+    def _accept(self, at_the_end: bool = False) -> None:
+        """Takes in what has knocked, as far as there is room for it."""
+        while self._listener:
+            if not at_the_end and not self._room():
+                self._pause()
+                return
             try:
-                sock, _peer = await self._loop.sock_accept(self._listener)
+                sock, _peer = self._listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
             except OSError as why:
                 log.warning("accept failed", extra={"kv": {"why": why}})
                 self._shed()
-                await asyncio.sleep(ACCEPT_PAUSE_S)
-                continue
-            await self._take(sock)
+                self._pause()
+                return
+            self._counters.add("connections")
+            sock.setblocking(False)
+            task = self._loop.create_task(self._take(sock))
+            self._taking.add(task)
+            task.add_done_callback(self._taking.discard)
+
+    def _pause(self) -> None:
+        if self._listener:
+            self._loop.remove_reader(self._listener)
+            self._loop.call_later(ACCEPT_PAUSE_S, self._resume)
+
+    def _resume(self) -> None:
+        if self._listener:
+            self._loop.add_reader(self._listener, self._accept)
 
     async def _take(self, sock: socket.socket) -> None:
-        self._counters.add("connections")
-        sock.setblocking(False)
         try:
             await self._loop.connect_accepted_socket(self._server, sock)
         except OSError:
@@ -104,7 +117,7 @@
 
     def _room(self) -> bool:
         """Guards against running out of descriptors: idle connections make way, or newcomers wait."""
-        most = self._most
+        most = self._most - len(self._taking)
         if len(self._server._connections) < most:
             return True
         # Those that were closed a moment ago are still in the table.
@@ -202,17 +215,12 @@
 
     async def close(self) -> None:
         """Takes in what already knocked, then stops listening."""
-        if self._accepting:
-            self._accepting.cancel()
         if self._listener:
-            while True:
-                try:
-                    sock, _peer = self._listener.accept()
-                except OSError:
-                    break
-                await self._take(sock)
+            self._loop.remove_reader(self._listener)
+            self._accept(at_the_end=True)
             self._listener.close()
             self._listener = None
+        await asyncio.gather(*self._taking)
 
     def close_idle(self) -> bool:
         """Closes the connections that have been idle a while; whether others are left."""
