--- a/mothstall/net/backend.py
+++ b/mothstall/net/backend.py
@@ -330,6 +330,9 @@
         answer: protocol.Answer | None = None,
     ) -> None:
         self.counters.add("attempts_" + result.name.lower())
+        if result in (Result.RESET, Result.CONNECT_FAILED):
+            # Guards against a cut that ended: idle connections from before it would each fail a request.
+            self._pool.drop_idle(self.address)
         latency = self._clock.now() - sent_at
         self._report(Ended(order.request, order.attempt, self.number, result, latency, load, answer))
 
--- a/tests/test_net_failures.py
+++ b/tests/test_net_failures.py
@@ -152,6 +152,35 @@
     asyncio.run(run())
 
 
+def test_after_a_reset_no_connection_from_before_it_is_used() -> None:
+    async def run() -> None:
+        gate = asyncio.Event()
+
+        async def waits(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+            writer.write(answer())
+
+        stand_in, single = await alone(waits)
+        for _ in range(3):
+            single.send()
+        while len(stand_in.seen) < 3:
+            await asyncio.sleep(0.002)
+        gate.set()
+        await single.ended(3)
+        stand_in.behave = drops
+        single.send()
+        await single.ended(4)
+        stand_in.behave = serves
+        single.send()
+        assert (await single.ended(5))[3:] == [Result.RESET, Result.OK]
+        assert stand_in.seen[-1].connection == 4
+        assert stand_in.ended == 3
+        await single.session.close()
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
 def test_an_answer_that_nobody_asked_for_goes_to_nobody() -> None:
     async def run() -> None:
         async def strays(seen: Seen, writer: asyncio.StreamWriter) -> None:
