--- a/mothstall/net/actor.py
+++ b/mothstall/net/actor.py
@@ -25,7 +25,7 @@
         self._due = False
 
     def tell(self, message: M) -> None:
-        hold(len(self._mail) < MAILBOX_MOST, f"mailbox of {self.name} overflows", self.counters)
+        hold(len(self._mail) < MAILBOX_MOST, "mailboxes stay short", self.counters)
         self._mail.append(message)
         if not self._due:
             self._due = True
--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -189,7 +189,8 @@
                 self._retire(number)
         for member in word.members:
             self._learn(member)
-        self.listed.set()
+        if message.scope != Scope.CACHED or word.members:
+            self.listed.set()
         return io.BackendList(message.scope, word.version, [m.entry for m in word.members])
 
     def _learn(self, member: protocol.Member) -> None:
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -230,6 +230,17 @@
     assert settings.from_json(tree).load_names == ("util", "queue")
 
 
+def test_what_must_hold_is_asserted_in_debug_and_counted_in_release_builds() -> None:
+    code = (
+        "from mothstall.net.checks import hold; from mothstall.net.counters import Counters; c = Counters();"
+        "hold(True, 'fine', c); hold(False, 'broken', c); print(c.values['checks_broken'])"
+    )
+    release = subprocess.run([sys.executable, "-O", "-c", code], cwd=ROOT, capture_output=True, text=True)
+    assert release.stdout == "1\n" and "broken" in release.stderr
+    debug = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+    assert debug.returncode == 1 and "AssertionError: broken" in debug.stderr
+
+
 def test_log_lines_are_key_value_pairs() -> None:
     import io
     import logging
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -187,11 +187,12 @@
 def test_ready_and_counters_answer_on_the_same_address() -> None:
     async def run() -> None:
         async with rig(serves, listed=False) as r:
+            r.directory.hangs = True
             client = await r.client()
             client.writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
-            first = (await client.read()).status
-            assert first in (200, 503)
-            await r.until(lambda: r.count("list_words") > 0)
+            assert (await client.read()).status == 503  # nothing is known yet
+            r.directory.hangs = False
+            await r.until(lambda: r.count("list_words") > 1, 6.0)
             client.writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
             assert (await client.read()).status == 200
             client.writer.write(b"GET /counters HTTP/1.1\r\nHost: x\r\n\r\n")
