--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -164,7 +164,8 @@
             log.exception("client fault")
             reply = Reply(502, b"failed\n")
         response = web.Response(status=reply.status, body=reply.body, headers=reply.headers)
-        if self._draining:
+        # At the edge of the budget answers make room for those who wait to be taken in.
+        if self._draining or len(self._server._connections) >= self._most:
             response.force_close()
         return response
 
--- a/tests/test_net_failures.py
+++ b/tests/test_net_failures.py
@@ -18,6 +18,7 @@
 from mothstall.net.counters import Counters
 from tests.peers import (
     Behaviour,
+    Client,
     Directory,
     Seen,
     StandIn,
@@ -487,6 +488,32 @@
     asyncio.run(run())
 
 
+def test_a_burst_past_the_descriptors_is_answered_in_time() -> None:
+    async def run() -> None:
+        async def slow(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.05)
+            writer.write(answer())
+
+        async with rig(slow, slow, sockets=96) as r:
+            loop = asyncio.get_running_loop()
+
+            async def timed() -> tuple[int, float]:
+                before = loop.time()
+                client = await r.client()  # which keeps its connection
+                clients.append(client)
+                reply = await client.ask("search", remaining="500m")
+                return reply.status, loop.time() - before
+
+            clients: list[Client] = []
+            replies = await asyncio.gather(*(timed() for _ in range(200)))
+            assert {status for status, _ in replies} <= {200, 503}
+            assert sum(status == 200 for status, _ in replies) >= 10
+            assert max(spent for _, spent in replies) < 0.5
+            assert (await r.ask()).status == 200
+
+    asyncio.run(run())
+
+
 # Faults of our own
 
 
