--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -28,13 +28,17 @@
 log = logging.getLogger("mothstall.decider")
 
 
+def _plain() -> CIMultiDict[str]:
+    return CIMultiDict({"Content-Type": "text/plain"})
+
+
 @dataclass(slots=True)
 class Reply:
     """The one final answer to a client."""
 
     status: int
     body: bytes
-    headers: CIMultiDict[str] = field(default_factory=CIMultiDict)
+    headers: CIMultiDict[str] = field(default_factory=_plain)
 
 
 @dataclass(slots=True)
@@ -272,11 +276,11 @@
         entry = self._pending.get(action.request)
         if entry is None or entry.answered:
             return
-        headers: CIMultiDict[str] = CIMultiDict()
+        reply = Reply(503, b"refused\n")
         if action.retry_after_ns:
-            headers["Retry-After"] = f"{action.retry_after_ns / 1e9:.3f}"
+            reply.headers["Retry-After"] = f"{action.retry_after_ns / 1e9:.3f}"
         self.counters.add("answers_refused")
-        self._answer(entry, Reply(503, b"refused\n", headers))
+        self._answer(entry, reply)
         self._forget(entry)
 
     def _fail(self, entry: _Pending) -> None:
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -213,6 +213,14 @@
     assert done.returncode == 1 and "listen" in done.stderr
 
 
+def test_the_configuration_in_the_readme_is_a_good_one(tmp_path: Path) -> None:
+    text = (ROOT / "README.md").read_text()
+    start = text.index('    {"listen"')
+    tree = json.loads(text[start : text.index("\n\n", start)])
+    read = config.from_tree(tree)
+    assert (read.listen.port, read.names.classes) == (8000, ("search",))
+
+
 def test_the_environment_goes_before_the_file(tmp_path: Path) -> None:
     read = config.load(write_config(tmp_path), {"LB_NAME": "n9", "LB_LISTEN": "127.0.0.5:81"})
     assert (read.name, read.listen, read.discovery.port) == ("n9", config.Address("127.0.0.5", 81), 1)
