--- /dev/null
+++ b/tests/test_net_protocol.py
@@ -0,0 +1,107 @@
+"""Words on the wire to the interface's terms, without sockets."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mothstall.config import Address, Names
+from mothstall.interface import Health, Result
+from mothstall.net import protocol
+
+NAMES = Names(("search", "pay"), ("acme", "zenith"), ("east", "west"), ("std", "big"))
+LEAVES = st.none() | st.booleans() | st.integers() | st.text()
+KEYS = st.sampled_from(["revision", "complete", "members", "id", "phase", "host_port"])
+ROW: dict[str, Any] = {
+    "id": "s-5be2a07c",
+    "host_port": "10.1.0.18:8000",
+    "locality": "west",
+    "flavor": "big",
+    "cell": 3,
+    "phase": "SERVING",
+    "size": 1.5,
+    "up_since_ms": 1700000000123,
+}
+
+
+def read(**changes: str) -> protocol.Inbound:
+    headers = {"X-Txn": "1", "X-Lane": "pay", "X-Org": "zenith", "X-Remaining": "480m", "X-Resent": "1"}
+    headers.update({name.replace("_", "-"): value for name, value in changes.items()})
+    came = [(name.encode(), value.encode()) for name, value in headers.items()]
+    return protocol.read_request("POST", "/pay", came, b"x", NAMES)
+
+
+def test_the_fields_that_decisions_need_are_taken_out() -> None:
+    inbound = read()
+    assert (inbound.cls, inbound.tenant, inbound.left_ns, inbound.repeated) == (1, 1, 480_000_000, True)
+    assert read(X_Remaining="1500.5u").left_ns == 1_500_500
+    assert not read(X_Resent="0").repeated
+    assert read(X_Org="nobody").tenant == len(NAMES.tenants)  # none of those in the settings
+    assert read(X_Labels="a=1,b=2").headers["X-Labels"] == "a=1,b=2"
+
+
+@given(st.integers(0, 10**12))
+def test_a_duration_is_read_as_it_is_written(ns: int) -> None:
+    assert protocol.duration_ns(protocol.duration_text(ns)) == ns // 1000 * 1000
+
+
+@given(st.text(max_size=12))
+def test_any_text_is_a_duration_or_unreadable(text: str) -> None:
+    try:
+        assert protocol.duration_ns(text) >= 0
+    except protocol.Unreadable:
+        assert not (text[:-1].isascii() and text[:-1].isdigit() and text[-1:] in ("m", "u"))
+
+
+def test_a_list_is_read_in_the_settings_order() -> None:
+    word = protocol.read_list({"revision": 41, "complete": True, "members": [ROW]}, NAMES)
+    (member,) = word.members
+    assert (word.version, word.full, member.address) == (41, True, Address("10.1.0.18", 8000))
+    entry = member.entry
+    assert (entry.zone, entry.kind, entry.cell, entry.weight) == (1, 1, 3, 1.5)
+    assert (entry.health, entry.started_ns) == (Health.READY, 1_700_000_000_123_000_000)
+    assert entry.backend == protocol.backend_number("s-5be2a07c") < 1 << 48
+
+
+def test_a_backend_that_is_gone_needs_nothing_but_its_id() -> None:
+    gone = {"id": "s-5be2a07c", "phase": "DELETED"}
+    word = protocol.read_list({"revision": 42, "complete": False, "members": [gone]}, NAMES)
+    assert word.members[0].entry.health == Health.GONE
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"id": ""},
+        {"id": None},
+        {"phase": "LOST"},
+        {"host_port": "nowhere"},
+        {"host_port": None},
+        {"up_since_ms": "soon"},
+        {"size": "large"},
+        {"cell": [1]},
+    ],
+)
+def test_an_unreadable_member_makes_the_word_unreadable(changes: dict[str, Any]) -> None:
+    with pytest.raises(protocol.Unreadable):
+        protocol.read_list({"revision": 41, "complete": True, "members": [{**ROW, **changes}]}, NAMES)
+
+
+@given(st.recursive(LEAVES, lambda inner: st.lists(inner) | st.dictionaries(KEYS, inner), max_leaves=12))
+def test_any_json_is_a_list_or_unreadable(tree: Any) -> None:
+    try:
+        protocol.read_list(tree, NAMES)
+    except protocol.Unreadable:
+        return
+    assert isinstance(tree["revision"], int)
+
+
+def test_only_a_marked_503_or_504_proves_that_nothing_ran() -> None:
+    marked = {"X-Turned-Away": "1"}
+    assert protocol.result_of(200, {}) == Result.OK
+    assert [protocol.result_of(s, marked) for s in (503, 504)] == [Result.REJECTED] * 2
+    for status, headers in ((503, {}), (504, {}), (500, marked), (429, marked), (302, {}), (204, {})):
+        assert protocol.result_of(status, headers) == Result.ERROR
