--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import itertools
 import logging
 import socket
@@ -27,6 +28,7 @@
 quiet.setLevel(logging.CRITICAL)
 
 BACKLOG = 1024
+BIND_TRIES, BIND_PAUSE_S = 30, 0.05
 KEEP_S = 600.0  # an idle client connection
 READ_S = 10.0  # for a request's body
 LINGER_S = 1.0
@@ -74,7 +76,16 @@
         sock = socket.socket(family, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
-        sock.bind((self._address.host, self._address.port))
+        for left in reversed(range(BIND_TRIES)):
+            try:
+                sock.bind((self._address.host, self._address.port))
+                break
+            except OSError as why:
+                # Guards against an earlier process that is still on its way out.
+                if why.errno != errno.EADDRINUSE or not left:
+                    sock.close()
+                    raise
+                await asyncio.sleep(BIND_PAUSE_S)
         sock.listen(BACKLOG)
         self._listener, self.port = sock, sock.getsockname()[1]
         self._loop.add_reader(sock, self._accept)
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -18,6 +18,7 @@
 
 from mothstall import config, settings
 from mothstall.net import logs
+from mothstall.net.proxy import Proxy
 from tests.peers import Client, Directory, StandIn, answer, request_bytes, serves, tree_of
 from tests.peers import settings as nested
 
@@ -129,6 +130,27 @@
     asyncio.run(run())
 
 
+def test_a_start_waits_for_an_address_that_is_about_to_be_free() -> None:
+    async def run() -> None:
+        directory = Directory([])
+        await directory.start()
+        with socket.socket() as earlier:
+            earlier.bind(("127.0.0.1", 0))
+            earlier.listen()
+            tree = tree_of(directory, [])
+            tree["listen"] = f"127.0.0.1:{earlier.getsockname()[1]}"
+            proxy = Proxy(config.from_tree(tree))
+            start = asyncio.create_task(proxy.start())
+            await asyncio.sleep(0.15)
+            assert not start.done()
+        await start
+        assert proxy.port == config.parse_address(tree["listen"]).port
+        await proxy.stop(0.0)
+        await directory.stop()
+
+    asyncio.run(run())
+
+
 def test_sigusr1_prints_the_counters(tmp_path: Path) -> None:
     async def run() -> None:
         stand_in = StandIn(serves)
