SIGHUP reads the configuration again; discovery moves without a gap in the watch

Now: cli blocks the signal until the loop has its handler, proxy.read_again goes through the same checks (one line, a counter and the old configuration if they fail), and the list's actor begins its watch at the new address at once, while the call that is out at the old one may still bring news. Retried every 0.1 s for 3 s if the address is not up. Tests: tests/test_net_reload.py (moves in both modes, in a row, to an address not up yet; the program itself, in a drain).

--- a/mothstall/cli.py
+++ b/mothstall/cli.py
@@ -5,8 +5,10 @@
 import argparse
 import asyncio
 import os
+import signal
 import sys
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import replace
 
 from mothstall import __version__
 from mothstall.config import LOG_LEVELS, Config, ConfigError, load
@@ -30,6 +32,9 @@
     if args.command == "version":
         print(f"mothstall {__version__}")
         return 0
+    if args.command == "serve":
+        # Guards against a word to read the file again that comes before the loop can take it: it waits.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         config = load(args.config, env)
     except ConfigError as why:
@@ -38,16 +43,21 @@
     if args.command == "check-config":
         print(f"mothstall: {config.name}: {len(config.settings.classes)} classes, listens on {config.listen}")
         return 0
-    return _serve(config, args.log_level or config.log_level)
 
+    def reread() -> Config:
+        fresh = load(args.config, env, again=True)
+        return replace(fresh, log_level=args.log_level or fresh.log_level)
 
-def _serve(config: Config, level: str) -> int:
+    return _serve(replace(config, log_level=args.log_level or config.log_level), reread)
+
+
+def _serve(config: Config, reread: Callable[[], Config]) -> int:
     from mothstall.net import logs
     from mothstall.net.proxy import run
 
-    logs.set_up(level)
+    logs.set_up(config.log_level)
     try:
-        asyncio.run(run(config))
+        asyncio.run(run(config, reread))
     except OSError as why:
         print(f"mothstall: listen {config.listen}: {why.strerror or why}", file=sys.stderr)
         return 1
--- a/mothstall/config.py
+++ b/mothstall/config.py
@@ -1,7 +1,8 @@
 """Where the proxy's configuration is read, checked and given defaults.
 
 Everything comes from one JSON file, named by `--config` or `LB_CONFIG`; `LB_NAME`, `LB_LISTEN` and
-`LB_DISCOVERY` go before what it says.
+`LB_DISCOVERY` go before what it says. When the file is read again, its `discovery` goes before
+`LB_DISCOVERY`, which is as old as the process.
 """
 
 from __future__ import annotations
@@ -65,7 +66,7 @@
     return Address(host, int(port))
 
 
-def load(path: str | None, env: Mapping[str, str]) -> Config:
+def load(path: str | None, env: Mapping[str, str], *, again: bool = False) -> Config:
     path = path or env.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG is not set and no --config was given")
@@ -77,7 +78,7 @@
         raise ConfigError(f"LB_CONFIG: {path} is not JSON: {why}") from why
     if not isinstance(tree, dict):
         raise ConfigError(f"LB_CONFIG: {path} holds no JSON object")
-    for key in ("name", "listen", "discovery"):
+    for key in ("name", "listen") if again else ("name", "listen", "discovery"):
         if env.get(f"LB_{key.upper()}"):
             tree[key] = env[f"LB_{key.upper()}"]
     return from_tree(tree)
@@ -123,6 +124,23 @@
     )
 
 
+# The keys that need a new start, by the field that holds them; `seed` and `known` are of one start anyway.
+_AT_START = {
+    "name": "name",
+    "listen": "listen",
+    "descriptors": "limits.sockets",
+    "settings": "settings",
+    "names": "settings",
+    "idle_ns": "settings.limits.keepalive-ns",
+    "answer_slack_ns": "settings.contract.answer-slack-ns",
+}
+
+
+def needs_start(old: Config, new: Config) -> list[str]:
+    """The keys that differ and cannot be applied to a proxy that runs."""
+    return list(dict.fromkeys(key for at, key in _AT_START.items() if getattr(old, at) != getattr(new, at)))
+
+
 def _of(tree: Mapping[str, Any], key: str, kind: type, default: Any = None, at: str = "") -> Any:
     value = tree.get(key)
     if value is None:
--- a/mothstall/net/counters.py
+++ b/mothstall/net/counters.py
@@ -26,6 +26,8 @@
     "unreadable": "answers of backends or of discovery that cannot be read",
     "discovery_calls": "calls to discovery",
     "discovery_failures": "calls to discovery that failed",
+    "reloads": "configurations read again and taken over",
+    "reloads_failed": "configurations read again and refused: the old one stays",
     "list_words": "lists and changes taken from discovery",
     "faults": "exceptions inside an actor",
     "checks_broken": "things that must hold and did not",
--- a/mothstall/net/discovery.py
+++ b/mothstall/net/discovery.py
@@ -25,6 +25,7 @@
 GRACE_S = 1.2  # the same for one that waits, beyond its wait: its news counts as told 2 s after that
 CONNECT_S = 1.0
 MOST_LIST = 8 * 1024 * 1024
+MOVE_PAUSE_S, MOVE_TRY_S = 0.1, 3.0  # between tries at a new address, and how long they go on
 PAUSE_S = 1.0  # where the list is pushed: before a watch that failed begins again
 
 
@@ -38,6 +39,13 @@
     pass
 
 
+@dataclass(slots=True)
+class Move:
+    """The same service is at another address from now on."""
+
+    address: Address
+
+
 @dataclass(slots=True)
 class Told:
     """What discovery said, or that a call failed."""
@@ -46,7 +54,7 @@
     word: protocol.ListWord | None
 
 
-class Discovery(Actor[Watch | Fetch]):
+class Discovery(Actor[Watch | Fetch | Move]):
     def __init__(
         self,
         address: Address,
@@ -68,11 +76,17 @@
             aiohttp.TCPConnector(limit=0, use_dns_cache=False, happy_eyeballs_delay=None)
         )
         self._watch: asyncio.Task[None] | None = None
+        # The call that is out at an earlier address: its news still counts, but nothing follows it.
+        self._former: asyncio.Task[None] | None = None
+        self._turn, self._moved_until = 0, 0.0
         self._asking = False  # a watch has begun and nothing has come back yet
         self._fetches: set[asyncio.Task[None]] = set()
 
-    def receive(self, batch: list[Watch | Fetch]) -> None:
+    def receive(self, batch: list[Watch | Fetch | Move]) -> None:
         for order in batch:
+            if isinstance(order, Move):
+                self._move(order.address)
+                continue
             if isinstance(order, Fetch):
                 task = self.loop.create_task(self._fetch())
                 self._fetches.add(task)
@@ -80,31 +94,59 @@
                 continue
             if order.on and self._asking:
                 continue  # the call that is out answers this one too
-            if self._watch:
-                self._watch.cancel()
-                self._watch, self._asking = None, False
+            self._drop()
             if order.on:
                 self._asking = True
-                self._watch = self.loop.create_task(self._follow())
+                self._watch = self.loop.create_task(self._follow(self._turn, self._address))
 
     def start(self) -> None:
         """Where changes come unasked, the watch is the proxy's own business."""
         if self._push:
             self.tell(Watch(True))
 
+    def _drop(self) -> None:
+        for task in (self._watch, self._former):
+            if task:
+                task.cancel()
+        self._watch, self._former, self._asking = None, None, False
+
+    def _move(self, address: Address) -> None:
+        """Begins at the new address at once; the call that is out at the old one may still bring its news.
+
+        Guards against a gap: the old address ends its watches when it likes, or says nothing more.
+        """
+        if address == self._address:
+            return
+        self._address, self._moved_until = address, self.loop.time() + MOVE_TRY_S
+        self._turn += 1
+        if self._former:
+            self._former.cancel()
+        self._former = self._watch
+        if self._watch is None or self._watch.done():
+            self._asking = True
+        # Where a watch is on, a first call that does not wait would tell nothing more than the next one.
+        self._watch = self.loop.create_task(self._follow(self._turn, address, first=self._asking))
+
     async def stop(self) -> None:
-        for task in (self._watch, *self._fetches):
+        for task in (self._watch, self._former, *self._fetches):
             if task:
                 task.cancel()
         await self._session.close()
 
-    async def _follow(self) -> None:
+    async def _follow(self, turn: int, address: Address, first: bool = True) -> None:
         """A watch: the first call asks for what was missed, each later one waits for news."""
-        first = True
-        while True:
+        while turn == self._turn:
             wait_ms = 1 if first else int(self._wait_s * 1000)
             most_s = CALL_S if first else self._wait_s + GRACE_S
-            word = await self._call(f"?since={self._version}&timeout_ms={wait_ms}", most_s)
+            word = await self._call(address, f"?since={self._version}&timeout_ms={wait_ms}", most_s)
+            if turn != self._turn:
+                # The watch at the new address is the one that counts, and its failures with it.
+                if word and (word.members or word.full):
+                    self._report(Told(Scope.FULL if word.full else Scope.DELTA, word))
+                return
+            if word is None and self.loop.time() < self._moved_until:
+                await asyncio.sleep(MOVE_PAUSE_S)
+                continue
             self._asking = False
             if word is None:
                 self._report(Told(Scope.FAILED, None))
@@ -118,18 +160,21 @@
             first = False
 
     async def _fetch(self) -> None:
-        word = await self._call("", CALL_S)
+        word, address = None, None
+        while word is None and address != self._address:  # once more if the service moved meanwhile
+            address = self._address
+            word = await self._call(address, "", CALL_S)
         scope = Scope.FAILED if word is None else Scope.FULL if word.full else Scope.DELTA
         self._report(Told(scope, word))
 
-    async def _call(self, query: str, most_s: float) -> protocol.ListWord | None:
+    async def _call(self, address: Address, query: str, most_s: float) -> protocol.ListWord | None:
         self.counters.add("discovery_calls")
         why: object
         try:
             async with (
                 asyncio.timeout(most_s),
                 self._session.get(
-                    URL(f"http://{self._address}{protocol.LIST_PATH}{query}", encoded=True),
+                    URL(f"http://{address}{protocol.LIST_PATH}{query}", encoded=True),
                     allow_redirects=False,
                     timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
                 ) as response,
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -7,16 +7,18 @@
 import logging
 import resource
 import signal
+from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
-from mothstall.config import Config
+from mothstall.config import Config, ConfigError, needs_start
 from mothstall.interface import NS, Scope
 from mothstall.net import protocol
 from mothstall.net.backend import IDLE_PART, Backend, Pool, make_session
 from mothstall.net.clock import Clock
 from mothstall.net.counters import Counters
 from mothstall.net.decider import Decider
-from mothstall.net.discovery import Discovery, Told
+from mothstall.net.discovery import Discovery, Move, Told
 from mothstall.net.frontend import Frontend
 
 log = logging.getLogger("mothstall.proxy")
@@ -103,6 +105,16 @@
         await self._frontend.start()
         log.info("listening", extra={"kv": {"name": self.config.name, "port": self.port}})
 
+    def reload(self, fresh: Config) -> None:
+        """Takes over what can change while the proxy runs, and names what cannot in the log."""
+        self.counters.add("reloads")
+        self._discovery.tell(Move(fresh.discovery))
+        kept = ",".join(needs_start(self.config, fresh))
+        log.info("reloaded", extra={"kv": {"discovery": fresh.discovery}})
+        if kept:
+            log.warning("changed keys wait for a new start", extra={"kv": {"keys": kept}})
+        self.config = replace(self.config, discovery=fresh.discovery, log_level=fresh.log_level)
+
     async def stop(self, drain_s: float = DRAIN_S) -> None:
         """Ends in order: takes in what still comes, answers all that it has, then lets go."""
         self._frontend.drain()
@@ -117,14 +129,16 @@
         await self._session.close()
 
 
-async def run(config: Config) -> None:
-    """Serves until SIGTERM or SIGINT, then drains; SIGUSR1 prints the counters."""
+async def run(config: Config, reread: Callable[[], Config]) -> None:
+    """Serves until SIGTERM or SIGINT, then drains. SIGHUP reads the file again, SIGUSR1 prints counters."""
     proxy = Proxy(config)
     proxy.loop.set_exception_handler(proxy.note_fault)
     over = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         proxy.loop.add_signal_handler(number, over.set)
     proxy.loop.add_signal_handler(signal.SIGUSR1, lambda: print_counters(proxy, "counters"))
+    proxy.loop.add_signal_handler(signal.SIGHUP, read_again, proxy, reread)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     await proxy.start()
     gc.collect()
     gc.freeze()
@@ -133,6 +147,22 @@
     log.info("draining")
     await proxy.stop()
     print_counters(proxy, "end")
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        # Guards against a signal that comes as the process ends: without its handler it would kill it.
+        proxy.loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
+def read_again(proxy: Proxy, reread: Callable[[], Config]) -> None:
+    """The file through the same checks as at the start; a faulty one leaves the old in force."""
+    try:
+        fresh = reread()
+    except ConfigError as why:
+        proxy.counters.add("reloads_failed")
+        log.error("configuration refused", extra={"kv": {"why": why}})
+        return
+    logging.getLogger().setLevel(fresh.log_level.upper())
+    proxy.reload(fresh)
 
 
 def print_counters(proxy: Proxy, event: str) -> None:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -132,6 +132,7 @@
         self.news = asyncio.Event()
         self.port = 0
         self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
@@ -141,6 +142,11 @@
         if self.server:
             self.server.close()
 
+    def cut(self) -> None:
+        """Closes the connections that are open."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def tell(self, *rows: dict[str, Any]) -> None:
         self.revision += 1
         self.changes[self.revision] = list(rows)
@@ -148,6 +154,7 @@
         news.set()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
         try:
             while True:
                 line, _, _ = await read_message(reader)
@@ -157,6 +164,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def _reply(self, target: str) -> bytes:
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -47,7 +47,9 @@
 
 
 @contextlib.asynccontextmanager
-async def started(tmp_path: Path, stand_in: StandIn, port: int = 0) -> AsyncIterator[Started]:
+async def started(
+    tmp_path: Path, stand_in: StandIn, port: int = 0, **env: str
+) -> AsyncIterator[Started]:
     directory = Directory([stand_in.row()])
     await directory.start()
     port = port or free_port()
@@ -56,7 +58,7 @@
     path = tmp_path / "config.json"
     path.write_text(json.dumps(tree))
     process = await asyncio.create_subprocess_exec(
-        *MAIN, env={**os.environ, "LB_CONFIG": str(path)}, cwd=ROOT, stderr=asyncio.subprocess.PIPE
+        *MAIN, env={**os.environ, "LB_CONFIG": str(path), **env}, cwd=ROOT, stderr=asyncio.subprocess.PIPE
     )
     try:
         async with asyncio.timeout(15):
--- /dev/null
+++ b/tests/test_net_reload.py
@@ -0,0 +1,167 @@
+"""A new configuration while the proxy runs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from mothstall import config
+from tests.peers import Directory, Rig, StandIn, request_bytes, rig, serves, tree_of
+from tests.test_net_process import slow, started
+
+
+async def moved(r: Rig) -> Directory:
+    """Another address of the same service, and the proxy told of it."""
+    other = Directory(r.directory.members)
+    other.revision, other.changes = r.directory.revision, r.directory.changes
+    await other.start()
+    fresh = replace(r.proxy.config, discovery=config.Address("127.0.0.1", other.port))
+    r.proxy.reload(fresh)
+    return other
+
+
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_the_watch_moves_at_once_and_the_old_address_may_close(mode: str) -> None:
+    async def run() -> None:
+        async with rig(serves, discovery=mode) as r:
+            await r.until(lambda: len(r.directory.calls) >= 2)
+            await r.directory.stop()  # takes no new connection, holds those that are open
+            other = await moved(r)
+            await r.until(lambda: len(other.calls) == 1, 0.5)
+            assert "timeout_ms=1&" not in other.calls[0] + "&"  # it waits for news from the first
+            # What the old address still tells counts, and asks for nothing more there.
+            new = StandIn(serves, "s-new")
+            await new.start()
+            r.backends.append(new)
+            before, words = len(r.directory.calls), r.count("list_words")
+            r.directory.tell(new.row())
+            await r.until(lambda: r.count("list_words") > words, 0.5)
+            r.directory.cut()
+            await asyncio.sleep(0.05)
+            assert len(r.directory.calls) == before
+            # The list held stays, and news of the new address come at once.
+            other.revision, words = r.directory.revision, r.count("list_words")
+            other.tell(r.backends[0].row("DRAINING"))
+            await r.until(lambda: r.count("list_words") > words, 0.5)
+            for _ in range(4):
+                assert (await r.ask()).status == 200
+            assert len(new.seen) == 4 and not r.backends[0].seen
+            assert r.count("discovery_failures") == 0 and r.count("reloads") == 1
+            await other.stop()
+
+    asyncio.run(run())
+
+
+def test_several_moves_in_a_row_leave_one_watch_at_the_last() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            await r.until(lambda: len(r.directory.calls) >= 2)
+            second = await moved(r)
+            third = await moved(r)
+            # Back to the first: its watch that is still out must not go on beside the new one.
+            r.proxy.reload(replace(r.proxy.config, discovery=config.Address("127.0.0.1", r.directory.port)))
+            await asyncio.sleep(0.1)
+            r.directory.calls.clear()
+            r.directory.tell(r.backends[0].row())
+            await asyncio.sleep(0.2)
+            assert len(r.directory.calls) == 1, r.directory.calls
+            assert r.count("reloads") == 3 and (await r.ask()).status == 200
+            for other in (second, third):
+                other.cut()
+                await other.stop()
+
+    asyncio.run(run())
+
+
+def test_a_new_address_that_is_not_up_yet_is_tried_again_soon() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            await r.until(lambda: len(r.directory.calls) >= 2)
+            other = await moved(r)
+            port = other.port
+            await r.until(lambda: len(other.calls) == 1)
+            await other.stop()
+            late = Directory(r.directory.members)
+            with_port = replace(r.proxy.config, discovery=config.Address("127.0.0.1", r.directory.port))
+            r.proxy.reload(with_port)
+            other.cut()
+            r.proxy.reload(replace(with_port, discovery=config.Address("127.0.0.1", port)))
+            await r.until(lambda: r.count("discovery_failures") >= 2, 1.0)
+            late.port = port
+            await late.start()
+            await r.until(lambda: len(late.calls) >= 1, 1.0)
+            assert (await r.ask()).status == 200
+            await late.stop()
+
+    asyncio.run(run())
+
+
+def test_sighup_reads_the_file_again_and_never_ends_the_program(tmp_path: Path) -> None:
+    async def run() -> None:
+        stand_in, old, new = StandIn(slow), Directory([]), Directory([])
+        await stand_in.start()
+        for directory in (old, new):
+            directory.members = [stand_in.row()]
+            await directory.start()
+        # The address in the environment is as old as the process: the file's goes before it.
+        async with started(tmp_path, stand_in, LB_DISCOVERY=f"127.0.0.1:{old.port}") as proxy:
+            assert proxy.process.stderr
+            path = tmp_path / "config.json"
+            good = json.loads(path.read_text())
+            while not old.calls:
+                await asyncio.sleep(0.01)
+            busy = await proxy.client()
+            busy.writer.write(request_bytes("order", remaining="990m"))
+            while not stand_in.seen:
+                await asyncio.sleep(0.01)
+
+            async def hup(text: str, *words: bytes) -> None:
+                path.write_text(text)
+                proxy.process.send_signal(signal.SIGHUP)
+                async with asyncio.timeout(3):
+                    line = b""
+                    while not all(word in line for word in words):
+                        assert proxy.process.stderr
+                        line = await proxy.process.stderr.readline()
+
+            faulty = {**good, "limits": {"sockets": 5}}
+            await hup(json.dumps(faulty), b"configuration refused", b"limits.sockets")
+            await hup("{", b"configuration refused", b"JSON")
+            assert not new.calls
+            good["discovery"] = f"127.0.0.1:{new.port}"
+            good["limits"]["sockets"] = 512
+            await hup(json.dumps(good), b"changed keys wait", b"limits.sockets")
+            async with asyncio.timeout(3):
+                while not new.calls:
+                    await asyncio.sleep(0.01)
+            for _ in range(5):
+                proxy.process.send_signal(signal.SIGHUP)
+            asking = await proxy.client()
+            asking.writer.write(b"GET /counters HTTP/1.1\r\nHost: x\r\n\r\n")
+            counted = (await asking.read()).body
+            assert b"reloads_failed 2\n" in counted
+            reply = await busy.read()
+            assert (reply.status, reply.body) == (200, b"late but whole")
+            # And while it drains.
+            proxy.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.05)
+            proxy.process.send_signal(signal.SIGHUP)
+            assert await asyncio.wait_for(proxy.process.wait(), 3) == 0
+        for peer in (stand_in, old, new):
+            await peer.stop()
+
+    asyncio.run(run())
+
+
+def test_the_file_read_again_goes_before_a_stale_address_in_the_environment(tmp_path: Path) -> None:
+    path = tmp_path / "c.json"
+    path.write_text(json.dumps(tree_of(Directory([]), []) | {"discovery": "127.0.0.1:7"}))
+    env = {"LB_DISCOVERY": "127.0.0.1:6", "LB_NAME": "n9"}
+    assert config.load(str(path), env).discovery.port == 6
+    again = config.load(str(path), env, again=True)
+    assert (again.discovery.port, again.name) == (7, "n9")
