--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -814,7 +814,7 @@
     def _compare(self, index: int, latency: int) -> None:
         """How much of each class's lateness all classes share: a crowd makes every class wait alike.
 
-        Guards against a class that is slow or silent wherever it goes and passes for a crowd or sick backends.
+        Guards against a class, slow or silent wherever it goes, that passes for a crowd or sick backends.
         """
         self.lag[index] += USUAL_GAIN * (latency - self.lag[index])
         over = [max(0.0, lag - calm[1]) for lag, calm in zip(self.lag, self.calm, strict=True)]
