Connections of clients and backends by themselves on aiohttp's parser: deadlines, framing, cost

Now frontend.Connection (on aiohttp's server and parser) and backend.Link (on its client protocol and parser) do without a task, a request and a response object for each request and attempt. Given up with that: ClientSession for attempts and the low-level server's handler; discovery keeps the session. What it brings: heads and bodies owed within 2 s each, idle clients 15 s, errors seen before the close, at most 256 KiB read after one, a second between bad requests, one framing, path, method and key of the class, ids of open requests, X-Remaining within 4 deadlines; newcomers that never sent a request are shed first, a served one after 2 s. Backends: heads are parsed by themselves, so that what comes behind a whole answer cannot spoil it; connections belong to one life; a connection that says something unasked closes at once. Time waited before reading counts from the loop's last look (clock.Poll). Bodies over 64 KiB get 413.

--- a/mothstall/cli.py
+++ b/mothstall/cli.py
@@ -53,11 +53,14 @@
 
 def _serve(config: Config, reread: Callable[[], Config]) -> int:
     from mothstall.net import logs
+    from mothstall.net.clock import Poll
     from mothstall.net.proxy import run
 
     logs.set_up(config.log_level)
     try:
-        asyncio.run(run(config, reread))
+        poll = Poll()
+        with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(poll)) as runner:
+            runner.run(run(config, reread, poll))
     except OSError as why:
         print(f"mothstall: listen {config.listen}: {why.strerror or why}", file=sys.stderr)
         return 1
--- a/mothstall/config.py
+++ b/mothstall/config.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from mothstall import settings
-from mothstall.interface import NS, Settings
+from mothstall.interface import NS, Effect, Settings
 
 LOG_LEVELS = ("debug", "info", "warning", "error")
 LEAST_DESCRIPTORS = 64
@@ -32,6 +32,9 @@
     tenants: tuple[str, ...]
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
+    # What a request of a class must agree with.
+    effects: tuple[Effect, ...] = ()
+    deadlines_ns: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +120,8 @@
             tenants=_names(raw, "customers"),
             zones=_words(raw, "zones"),
             kinds=_words(raw, "kinds"),
+            effects=tuple(c.effect for c in parsed.classes),
+            deadlines_ns=tuple(c.deadline_ns for c in parsed.classes),
         ),
         idle_ns=idle_ns,
         answer_slack_ns=slack_ns,
--- a/mothstall/net/clock.py
+++ b/mothstall/net/clock.py
@@ -1,19 +1,47 @@
-"""Unix time in whole nanoseconds that only moves forward."""
+"""Unix time in whole nanoseconds that only moves forward, and when the event loop last looked."""
 
 from __future__ import annotations
 
+import selectors
 import time
 
+WAITED_S = 0.0002
+
+
+class Poll(selectors.DefaultSelector):
+    """A selector for the event loop that notes since when what it reports may have been waiting.
+
+    While the loop works nothing is read: what is there at the next look may have come at any time since the
+    last one. Where the loop had to wait for it, it has just come.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.looked = self.earliest = time.monotonic()
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        began = time.monotonic()
+        ready = super().select(timeout)
+        ended = time.monotonic()
+        self.earliest = ended if ended - began > WAITED_S else self.looked
+        self.looked = ended
+        return ready
+
 
 class Clock:
     """Unix time at the start and the monotonic time since; the event loop's clock is the same one."""
 
-    def __init__(self) -> None:
+    def __init__(self, poll: Poll | None = None) -> None:
         self._offset = time.time_ns() - time.monotonic_ns()
+        self._poll = poll
 
     def now(self) -> int:
         return time.monotonic_ns() + self._offset
 
+    def came(self) -> int:
+        """Since when what the event loop is reading now may have been waiting."""
+        return self.now() if self._poll is None else int(self._poll.earliest * 1e9) + self._offset
+
     def loop_time(self, at_ns: int) -> float:
         """When the event loop's clock shows `at_ns`."""
         return (at_ns - self._offset) / 1e9
--- a/mothstall/net/counters.py
+++ b/mothstall/net/counters.py
@@ -4,9 +4,10 @@
 
 MEANING = {
     "connections": "client connections taken in",
-    "connections_shed": "idle client connections closed to keep within the descriptor budget",
+    "connections_shed": "client connections closed to keep within the descriptor budget",
+    "connections_overdue": "client connections closed that owed a whole request for too long, or stood idle",
     "requests": "requests taken in and given to the decisions",
-    "requests_bad": "requests answered 400: no readable id, class or time, or too long",
+    "requests_bad": "requests answered 4xx: not well-formed, too long, or the id of an open request",
     "requests_malformed": "requests that are no HTTP: answered 400, and their connection closed",
     "requests_left": "requests whose client went away before its answer",
     "answers_ok": "200 answers passed on",
@@ -23,6 +24,7 @@
     "attempts_cancelled": "attempts withdrawn",
     "attempts_not_sent": "attempts never sent: their request was over or their backend unknown",
     "probes": "probes sent",
+    "answers_with_more": "good answers of backends with more behind them: passed on, connection closed",
     "unreadable": "answers of backends or of discovery that cannot be read",
     "discovery_calls": "calls to discovery",
     "discovery_failures": "calls to discovery that failed",
--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -11,8 +11,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from multidict import CIMultiDict
-
 from mothstall import interface as io
 from mothstall.choice import Balancer
 from mothstall.config import Config
@@ -28,8 +26,7 @@
 log = logging.getLogger("mothstall.decider")
 
 
-def _plain() -> CIMultiDict[str]:
-    return CIMultiDict({"Content-Type": "text/plain"})
+PLAIN = b"Content-Type: text/plain\r\n"
 
 
 @dataclass(slots=True)
@@ -38,7 +35,7 @@
 
     status: int
     body: bytes
-    headers: CIMultiDict[str] = field(default_factory=_plain)
+    head: bytes = PLAIN  # further headers, each with its end of line
 
 
 @dataclass(slots=True)
@@ -46,7 +43,7 @@
     request: int
     inbound: protocol.Inbound
     came_ns: int
-    reply: asyncio.Future[Reply]
+    reply: Callable[[Reply], None]
 
 
 @dataclass(slots=True)
@@ -148,7 +145,7 @@
             entry.silent = message.result == Result.TIMEOUT
             if not entry.answered and message.answer and message.result == Result.OK:
                 self.counters.add("answers_ok")
-                self._answer(entry, Reply(200, message.answer.body, message.answer.headers))
+                self._answer(entry, Reply(200, message.answer.body, message.answer.head))
             finished = entry.answered
             self._forget(entry)
         return io.AttemptEnded(
@@ -210,14 +207,14 @@
         hold(actor.ident == member.id, "one number for each backend", self.counters)
         actor.tell(peer.Moved(member.address, entry.started_ns))
         if entry.health == Health.DRAINING:
-            actor.tell(peer.DropIdle())
+            actor.tell(peer.Retire())
 
     def _retire(self, number: int) -> None:
         """A backend that left the list: attempts that are out end as they do."""
         self._entries.pop(number, None)
         actor = self._backends.pop(number, None)
         if actor:
-            actor.tell(peer.DropIdle())
+            actor.tell(peer.Retire())
 
     # Actions
 
@@ -278,7 +275,7 @@
             return
         reply = Reply(503, b"refused\n")
         if action.retry_after_ns:
-            reply.headers["Retry-After"] = f"{action.retry_after_ns / 1e9:.3f}"
+            reply.head += b"Retry-After: %.3f\r\n" % (action.retry_after_ns / 1e9)
         self.counters.add("answers_refused")
         self._answer(entry, reply)
         self._forget(entry)
@@ -292,8 +289,8 @@
         hold(not entry.answered, "one final answer", self.counters)
         entry.answered = True
         entry.backstop.cancel()
-        if reply and not entry.arrived.reply.done():
-            entry.arrived.reply.set_result(reply)
+        if reply:
+            entry.arrived.reply(reply)
 
     def _forget(self, entry: _Pending) -> None:
         if entry.answered and not entry.out:
--- a/mothstall/net/discovery.py
+++ b/mothstall/net/discovery.py
@@ -15,7 +15,6 @@
 from mothstall.interface import Scope
 from mothstall.net import protocol
 from mothstall.net.actor import Actor
-from mothstall.net.backend import make_session, read_whole
 from mothstall.net.counters import Counters
 
 log = logging.getLogger("mothstall.discovery")
@@ -29,6 +28,41 @@
 PAUSE_S = 1.0  # where the list is pushed: before a watch that failed begins again
 
 
+SKIP_AUTO = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+def make_session() -> aiohttp.ClientSession:
+    """A client that sends what it is given, once."""
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False, happy_eyeballs_delay=None),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=SKIP_AUTO,
+        auto_decompress=False,
+        trust_env=False,
+        timeout=aiohttp.ClientTimeout(total=None, connect=None, sock_connect=None, sock_read=None),
+    )
+    # A call is one call: aiohttp's second send on a dropped kept connection has no public switch.
+    session._retry_connection = False
+    return session
+
+
+async def read_whole(response: aiohttp.ClientResponse, most: int) -> bytes:
+    """The body, when it is sure to be whole and no longer than allowed."""
+    chunked = response.headers.get("Transfer-Encoding", "").lower().endswith("chunked")
+    framed = response.content_length is not None or chunked
+    if not framed:
+        raise protocol.Unreadable("an answer whose end cannot be told")
+    if (response.content_length or 0) > most:
+        raise protocol.Unreadable("an answer that is too long")
+    parts, size = [], 0
+    async for chunk in response.content.iter_any():
+        parts.append(chunk)
+        size += len(chunk)
+        if size > most:
+            raise protocol.Unreadable("an answer that is too long")
+    return b"".join(parts)
+
+
 @dataclass(slots=True)
 class Watch:
     on: bool
@@ -72,9 +106,7 @@
         self._report = report
         # All proxies together end about one wait a second, as one service answers them all.
         self._wait_s = min(WAIT_MOST_S, max(WAIT_S, float(proxies)))
-        self._session = make_session(
-            aiohttp.TCPConnector(limit=0, use_dns_cache=False, happy_eyeballs_delay=None)
-        )
+        self._session = make_session()
         self._watch: asyncio.Task[None] | None = None
         # The call that is out at an earlier address: its news still counts, but nothing follows it.
         self._former: asyncio.Task[None] | None = None
--- a/mothstall/net/protocol.py
+++ b/mothstall/net/protocol.py
@@ -12,18 +12,14 @@
 from dataclasses import dataclass
 from typing import Any
 
-from multidict import CIMultiDict
-
 from mothstall.config import Address, Names, parse_address
-from mothstall.interface import Entry, Health, Result
+from mothstall.interface import Effect, Entry, Health, Result
 
 MOST_BODY = 64 * 1024
 
-TXN = "x-txn"
-LANE = "x-lane"
-ORG = "x-org"
-REMAINING = "x-remaining"
-RESENT = "x-resent"
+TXN, LANE, ORG, REMAINING, RESENT = b"x-txn", b"x-lane", b"x-org", b"x-remaining", b"x-resent"
+KEY = b"idempotency-key"
+ONCE = frozenset((TXN, LANE, ORG, REMAINING, KEY, b"content-length", b"transfer-encoding"))
 TURNED_AWAY = "X-Turned-Away"
 PRESSURE = "X-Pressure"
 
@@ -34,12 +30,14 @@
 # What belongs to one connection, or is written anew for the next one.
 _HOP = frozenset(
     (
-        *("connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te"),
-        *("trailer", "transfer-encoding", "upgrade", "expect", "content-length", "x-remaining"),
+        *(b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization"),
+        *(b"te", b"trailer", b"transfer-encoding", b"upgrade", b"expect", b"content-length", b"x-remaining"),
     )
 )
-_OWN = _HOP | {"x-pressure", "x-turned-away", "date", "server"}
+_OWN = _HOP | {b"x-pressure", b"x-turned-away", b"server"}
 
+MOST_TIMES = 4  # a client that would wait longer than so many deadlines of its class means something else
+_ID = re.compile(rb"[0-9A-Za-z_.-]{1,64}")
 _DURATION = re.compile(r"(\d{1,12}(?:\.\d{1,9})?)([mu])")
 _UNITS = {"m": 1_000_000, "u": 1_000}
 _HEALTH = {"SERVING": Health.READY, "DRAINING": Health.DRAINING, "DELETED": Health.GONE}
@@ -51,12 +49,10 @@
 
 @dataclass(slots=True)
 class Inbound:
-    """One client request: what decisions need of it, and what goes on unchanged."""
+    """One client request: what decisions need of it, and what goes on as the bytes that came."""
 
-    txn: str
-    method: str
-    target: str
-    headers: CIMultiDict[str]
+    txn: bytes
+    head: bytes  # the request's line and the headers that go on, each with its end of line
     body: bytes
     cls: int
     tenant: int
@@ -69,7 +65,7 @@
     """A backend's 200 answer, whole."""
 
     body: bytes
-    headers: CIMultiDict[str]
+    head: bytes  # the headers that go on, each with its end of line
 
 
 def duration_ns(text: str) -> int:
@@ -83,66 +79,100 @@
     return f"{max(0, ns) // 1_000}u"
 
 
-def _passes(value: str) -> bool:
-    """Whether a header or target can be written again as the bytes that came."""
-    if value.isascii():
-        return True
-    try:
-        value.encode("utf-8")
-    except UnicodeEncodeError:
-        return False
-    return True
+def _named(value: bytes) -> set[bytes]:
+    """The headers that `Connection` names as its own; an id stays what it is."""
+    return {word.strip().lower() for word in value.split(b",")} - {TXN, KEY}
 
 
 def read_request(
     method: str, target: str, came: Iterable[tuple[bytes, bytes]], body: bytes, names: Names
 ) -> Inbound:
-    """The request in the interface's terms, or Unreadable."""
-    headers: CIMultiDict[str] = CIMultiDict()
-    found: dict[str, str] = {}
-    named_by_connection: set[str] = set()
-    for raw_name, raw_value in came:
-        name, value = raw_name.decode("utf-8", "replace"), raw_value.decode("utf-8", "surrogateescape")
+    """The request in the interface's terms, or Unreadable: nothing that is not well-formed goes on."""
+    line = f"{method} {target} HTTP/1.1\r\n".encode("utf-8", "surrogateescape")
+    lines = [line]
+    found: dict[bytes, bytes] = {}
+    named: set[bytes] = set()
+    for name, value in came:
         lower = name.lower()
-        if lower in found and lower in (TXN, LANE, REMAINING):
-            raise Unreadable(f"{name} came twice")
+        if lower in ONCE and lower in found:
+            raise Unreadable(f"{lower.decode()} came twice")
         found[lower] = value
-        if lower == "connection":
-            named_by_connection.update(word.strip().lower() for word in value.split(","))
-        if lower not in _HOP and _passes(value):
-            headers.add(name, value)
-    for lower in named_by_connection:
-        if lower not in (TXN, "idempotency-key"):
-            headers.popall(lower, None)
-    txn = found.get(TXN, "")
-    if not txn or not txn.isascii():
+        if lower == b"connection":
+            named |= _named(value)
+        if lower not in _HOP:
+            lines.append(b"%b: %b\r\n" % (name, value))
+    if named:
+        lines = [row for row in lines[1:] if row.partition(b":")[0].lower() not in named]
+        lines.insert(0, line)
+    # Guards against two readings of where a request ends: the second would hide a request in the first.
+    if b"content-length" in found and b"transfer-encoding" in found:
+        raise Unreadable("two framings")
+    if not _ID.fullmatch(found.get(TXN, b"")):
         raise Unreadable("X-Txn is missing or unreadable")
-    lane = found.get(LANE, "")
+    lane = found.get(LANE, b"").decode("utf-8", "replace")
     if lane not in names.classes:
         raise Unreadable("X-Lane names no class")
-    if not _passes(found.get("idempotency-key", "")):
-        raise Unreadable("Idempotency-Key is unreadable")
-    if not target.startswith("/") or "#" in target or target.endswith("?") or not _passes(target):
-        # The client library cannot write these as they came.
+    if not target.startswith("/") or "#" in target:
         raise Unreadable("the request's target is unreadable")
-    org = found.get(ORG, "")
+    if target[1:].partition("?")[0].partition("/")[0] != lane:
+        raise Unreadable("the path is not that of X-Lane")
+    cls = names.classes.index(lane)
+    if cls < len(names.effects):
+        safe = names.effects[cls] == Effect.SAFE
+        if method != ("GET" if safe else "POST"):
+            raise Unreadable("the method is not that of X-Lane")
+        if names.effects[cls] == Effect.KEYED and not found.get(KEY):
+            raise Unreadable("Idempotency-Key is missing")
+        if safe and (body or b"transfer-encoding" in found or found.get(b"content-length", b"0") != b"0"):
+            raise Unreadable("a GET with a body")
+    left = duration_ns(found.get(REMAINING, b"").decode("utf-8", "replace"))
+    if left <= 0 or (cls < len(names.deadlines_ns) and left > MOST_TIMES * names.deadlines_ns[cls]):
+        raise Unreadable("X-Remaining is out of bounds")
+    org = found.get(ORG, b"").decode("utf-8", "replace")
     return Inbound(
-        txn=txn,
-        method=method,
-        target=target,
-        headers=headers,
+        txn=found[TXN],
+        head=b"".join(lines),
         body=body,
-        cls=names.classes.index(lane),
+        cls=cls,
         tenant=names.tenants.index(org) if org in names.tenants else len(names.tenants),
-        left_ns=duration_ns(found.get(REMAINING, "")),
-        repeated=found.get(RESENT, "") == "1",
+        left_ns=left,
+        repeated=found.get(RESENT, b"") == b"1",
+    )
+
+
+def request_bytes(inbound: Inbound, left_ns: int) -> bytes:
+    """The request as one attempt writes it."""
+    length = b"" if not inbound.body and inbound.head.startswith(b"GET") else b"%d" % len(inbound.body)
+    framing = b"Content-Length: %b\r\n" % length if length else b""
+    left = duration_text(left_ns).encode()
+    return b"%bX-Remaining: %b\r\n%b\r\n%b" % (inbound.head, left, framing, inbound.body)
+
+
+REASONS = {
+    200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 413: b"Content Too Large",
+    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
+}
+
+
+def response_bytes(status: int, head: bytes, body: bytes, close: bool) -> bytes:
+    """An answer to a client."""
+    ending = b"Connection: close\r\n" if close else b""
+    return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
+        *(status, REASONS[status], head, len(body), ending, body),
     )
 
 
-def passed_on(headers: Mapping[str, str]) -> CIMultiDict[str]:
+def passed_on(came: Iterable[tuple[bytes, bytes]]) -> bytes:
     """The headers of a backend's answer that go on to the client."""
-    return CIMultiDict(
-        (name, value) for name, value in headers.items() if name.lower() not in _OWN and _passes(value)
+    rows = [(name.lower(), name, value) for name, value in came]
+    named: set[bytes] = set()
+    for lower, _, value in rows:
+        if lower == b"connection":
+            named |= _named(value)
+    return b"".join(
+        b"%b: %b\r\n" % (name, value)
+        for lower, name, value in rows
+        if lower not in _OWN and lower not in named
     )
 
 
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -14,8 +14,8 @@
 from mothstall.config import Config, ConfigError, needs_start
 from mothstall.interface import NS, Scope
 from mothstall.net import protocol
-from mothstall.net.backend import IDLE_PART, Backend, Pool, make_session
-from mothstall.net.clock import Clock
+from mothstall.net.backend import IDLE_PART, Backend, Pool
+from mothstall.net.clock import Clock, Poll
 from mothstall.net.counters import Counters
 from mothstall.net.decider import Decider
 from mothstall.net.discovery import Discovery, Move, Told
@@ -29,15 +29,15 @@
 
 
 class Proxy:
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, poll: Poll | None = None) -> None:
+        """`poll`, where the event loop runs on one, tells how long what came had to wait."""
         self.config = config
         self.counters = Counters()
         self.loop = asyncio.get_running_loop()
-        self._clock = Clock()
+        self._clock = Clock(poll)
         free = min(config.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVE
         backends = int(free * BACKEND_PART)
-        self._pool = Pool(IDLE_PART * config.idle_ns / NS, backends, self.counters)
-        self._session = make_session(self._pool)
+        self._pool = Pool(IDLE_PART * config.idle_ns / NS, backends, self.counters, self.loop)
         self._decider = Decider(
             config, loop=self.loop, counters=self.counters, clock=self._clock, make_backend=self._backend
         )
@@ -88,7 +88,6 @@
             counters=self.counters,
             clock=self._clock,
             pool=self._pool,
-            session=self._session,
             connect_timeout_ns=self.config.settings.connect_timeout_ns,
             load_names=self.config.settings.load_names,
             report=self._decider.tell,
@@ -126,12 +125,12 @@
             await asyncio.sleep(0.01)
         await self._frontend.stop()
         await self._discovery.stop()
-        await self._session.close()
+        self._pool.close()
 
 
-async def run(config: Config, reread: Callable[[], Config]) -> None:
+async def run(config: Config, reread: Callable[[], Config], poll: Poll | None = None) -> None:
     """Serves until SIGTERM or SIGINT, then drains. SIGHUP reads the file again, SIGUSR1 prints counters."""
-    proxy = Proxy(config)
+    proxy = Proxy(config, poll)
     proxy.loop.set_exception_handler(proxy.note_fault)
     over = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
