--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -35,7 +35,7 @@
 
 BACKLOG = 1024
 BIND_TRIES, BIND_PAUSE_S = 30, 0.05
-KEEP_S = 15.0  # an idle client connection that was served
+KEEP_S = 6.0  # an idle client connection that was served
 OWED_S = 2.0  # for a first byte and a whole head, and again for a body
 UNREAD_S = 5.0  # for an answer that the client does not read
 LINGER_S, LINGER_BYTES = 1.0, 256 * 1024  # after an error: what still comes is read so long and so far
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -24,7 +24,8 @@
 log = logging.getLogger("mothstall.proxy")
 
 RESERVE = 32  # descriptors for the listener, discovery, logs and the event loop
-BACKEND_PART = 0.45  # of the other descriptors
+BACKEND_PART = 0.3  # of the other descriptors
+TIDY_S = 2.0  # between two collections of garbage
 DRAIN_S = 0.5  # how long new connections are still taken in after the word to stop
 
 
@@ -141,7 +142,8 @@
     await proxy.start()
     gc.collect()
     gc.freeze()
-    gc.set_threshold(50_000, 20, 50)  # a request leaves few cycles behind
+    gc.set_threshold(50_000, 20, 50)  # a request leaves no cycles behind
+    tidy(proxy.loop)
     await over.wait()
     log.info("draining")
     await proxy.stop()
@@ -152,6 +154,15 @@
         signal.signal(number, signal.SIG_IGN)
 
 
+def tidy(loop: asyncio.AbstractEventLoop) -> None:
+    """Guards against memory that grows with connections ever seen: asyncio's transports hold themselves.
+
+    What was there at the start is frozen, so that a collection takes a few milliseconds at most.
+    """
+    gc.collect()
+    loop.call_later(TIDY_S, tidy, loop)
+
+
 def read_again(proxy: Proxy, reread: Callable[[], Config]) -> None:
     """The file through the same checks as at the start; a faulty one leaves the old in force."""
     try:
