Lost answers no longer pass for a crowd: silence takes room only as far as answers are crowded

The probe shows each silent attempt past its aim taking 0.8 of the room, as much as eight answers give. At fault: _learn in choice.py counts every time-out as a crowd. Now by the square of (crowded part of answers / a third). A class of its own adds 0.4 of a failure in place of 1.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -31,11 +31,11 @@
 SPARE_LOSS, SPARE_GAIN = 0.3, 0.1  # the same for what requests beyond a share may use of it
 SHARE_SLACK = 1.35  # how far above the typical tenant's pace a tenant still counts as inside its share
 TOO_LATE = 4.0  # an answer past its aim takes so many times as much room as a late one
-ROOM_LOSS, ROOM_GAIN = 0.2, 0.1  # the proxy's room, a late and an early answer
+ROOM_LOSS, ROOM_GAIN, CROWDED = 0.2, 0.1, 1 / 3  # room, late and early answer; where it settles: so many late
 LEAST_SEEN = 10  # requests that a latency must rest on before backends move by it
 SHARED_FREE, OWN = 0.2, 0.5  # of the usual latency: noise in what classes share; less shared is a class's own
 COLD_PART = 0.45  # the part used of what would push a cold backend over
-EJECT_AT = 2.0  # run of failures that ejects
+EJECT_AT, OWN_FAIL = 2.0, 0.4  # run of failures that ejects; what silence of a class of its own adds to it
 EJECT_NS, EJECT_MAX_NS = NS // 2, 8 * NS
 RETRY_RATIO, RETRY_CAP = 0.2, 30.0  # retry budget: earned per answer, and kept at most
 HOLD = 0.25  # share of the aim for which a request may wait for room
@@ -174,7 +174,7 @@
         self.opening = True  # until the first late answer room grows fast
         self.room = 0.0  # how many attempts this proxy may have out in all
         self.virtual = self.warm_rate = self.b_low = self.near_due = self.seen_ns = 0.0
-        self.usual = 0.0  # usual latency of a served attempt, ns
+        self.usual, self.crowd = 0.0, 1.0  # usual latency of a served attempt, ns; part that comes crowded
         self.budget = self.budget_cap = RETRY_CAP
         self.grain = 1.0  # backends for each proxy, one at most: how coarse one attempt is here
         self.e = T_NS / (T_NS // 10)
@@ -470,8 +470,7 @@
         uneven = not warm or (self.near_share > 0 and self.grain < 1)
         self.warm_rate = (sum(warm) if warm else pace) / max(1, len(self.members if uneven else warm))
         self.rate += (1 - math.exp(-3 * span / T_NS)) * (pace - self.rate) if self.rate else pace
-        if self.sent >= LEAST_SEEN:
-            self.rate = max(self.rate, pace)
+        self.rate = max(self.rate, pace) if self.sent >= LEAST_SEEN else self.rate
         self.sent = 0
 
     # Skips
@@ -627,8 +626,7 @@
         while self.waiting:
             for flow in sorted((f for f in self.flows if f.queue), key=lambda f: f.tag):
                 req = flow.queue[0]
-                b = self._pick(req)
-                if b:
+                if b := self._pick(req):
                     break
             if b is None:
                 break
@@ -792,7 +790,9 @@
             if calm := self._calmest(req, ev.latency_ns):
                 b.slow += SLOW_GAIN * (min(SLOW_MOST, ev.latency_ns / calm) - b.slow)
             late = min(LATE * req.aim, CALM_MOST * calm or math.inf)
-            self._learn_room(b, a, req, ev.latency_ns > late, ev.latency_ns > max(late, CALM * calm))
+            crowded = ev.latency_ns > max(late, CALM * calm)
+            self.crowd += USUAL_GAIN * (crowded - self.crowd)
+            self._learn_room(a, req, ev.latency_ns > late, crowded, 1.0)
         elif result == Result.REJECTED:
             # Guards against storms of rejections: a full backend rests for about one service time.
             b.limit = max(1.0, min(b.limit, b.in_flight + 1.0) * CUT)
@@ -804,12 +804,12 @@
             sure = EJECT_AT if result == Result.CONNECT_FAILED else 1.0
             self._note_failure(b, 0.7 if result == Result.ERROR else sure)
         elif result == Result.TIMEOUT or (result == Result.CANCELLED and not req.done):
-            # Guards against overload that shows only as clients running out of time.
-            self._learn_room(b, a, req, True, True)
+            # Guards against overload that shows only in time running out, and lost answers that pass for it.
+            self._learn_room(a, req, True, True, min(1.0, self.crowd / CROWDED) ** 2)
             b.slow += SLOW_GAIN * (SLOW_MOST - b.slow)
             if b.progress < a.sent:  # the longer than usual, the surer
-                sure = (now - a.sent) / (1.5 * self.usual or NS)
-                self._note_failure(b, max(1.0, sure * (self.shared[req.cls_index] >= OWN)))
+                sure = max(1.0, (now - a.sent) / (1.5 * self.usual or NS))
+                self._note_failure(b, sure if self.shared[req.cls_index] >= OWN else OWN_FAIL)
 
     def _compare(self, index: int, latency: int) -> None:
         """How much of each class's lateness all classes share: a crowd makes every class wait alike.
@@ -836,16 +836,16 @@
         # Guards against a jam that was there from the start: its answers are not calm.
         return min(calm[1] or calm[0], LATE * req.aim if self.grain < 1 else math.inf)
 
-    def _learn_room(self, b: Backend, a: Attempt, req: Request, late: bool, crowded: bool) -> None:
+    def _learn_room(self, a: Attempt, req: Request, late: bool, crowded: bool, part: float) -> None:
         """Room grows while it is used and answers come early; it shrinks once for each round of late ones."""
-        used = b.in_flight + 1.0
+        b, used = a.backend, a.backend.in_flight + 1.0
         sick = b.out_until or b.progress < a.sent
+        part *= self.shared[req.cls_index]
         if self._warmth(b) >= 1 and (not sick or 2 * self.sick >= len(self.members)):
             # A cold or sick backend tells nothing of the fleet's room, unless most are sick: overload.
-            weight = TOO_LATE if self.now - a.sent > req.aim else 1.0
-            self._learn_fleet(late, crowded, weight * self.shared[req.cls_index])
+            self._learn_fleet(late, crowded, part * (TOO_LATE if self.now - a.sent > req.aim else 1.0))
         if late:
-            if a.sent >= b.cut_at and used > b.limit / 2 and self.shared[req.cls_index] >= OWN:
+            if a.sent >= b.cut_at and used > b.limit / 2 and part >= OWN:
                 b.limit, b.cut_at = max(1.0, b.limit * CUT), self.now
         elif used > b.limit - 1:
             b.limit += 1.0 / b.limit
