The lab: a model of the fleet, a virtual driver, a judge of the four rules, and baselines

Change: package mothstall/lab. One world (boxes with cores, queue, cold start, tipping over, connections and keys; a discovery that lags; a front; clients with open arrivals; 16 kinds of trouble) on a timeline that is given. The virtual driver plays any policy on a heap of events. The judge finds breaches of the four rules from what clients and boxes saw. Scenarios are TOML, checked with the key's path. Baselines, and `careless`, which breaks every rule.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# `make demo` shows the proxy at work; `make test` does what CI does.
+PYTHON ?= python3
+VENV ?= .venv-lab
+LISTS = requirements.txt requirements-lab.txt requirements-dev.txt
+
+.PHONY: demo test env
+
+env: $(VENV)/.ready
+
+$(VENV)/.ready: $(LISTS)
+	rm -rf $(VENV)
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip -q install -r requirements.txt -r requirements-lab.txt -r requirements-dev.txt
+	touch $@
+
+demo: env
+	$(VENV)/bin/python -O -m mothstall lab run demo
+
+test: env
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy
+	$(VENV)/bin/lint-imports --no-logo
+	$(VENV)/bin/python -m pytest
--- a/mothstall/cli.py
+++ b/mothstall/cli.py
@@ -1,4 +1,4 @@
-"""The command line: serve, check-config, version."""
+"""The command line: serve, check-config, version; the lab's commands stand in `mothstall.lab.command`."""
 
 from __future__ import annotations
 
@@ -23,11 +23,14 @@
         command.add_argument("--config", metavar="FILE", help="the JSON file (default: $LB_CONFIG)")
     serve.add_argument("--log-level", choices=LOG_LEVELS, help="overrides log_level of the file")
     commands.add_parser("version", help="print the version")
+    commands.add_parser("lab", help="play fleets, troubles and loads; `mothstall lab --help`", add_help=False)
     return parser
 
 
 def main(argv: Sequence[str] | None = None, env: Mapping[str, str] = os.environ) -> int:
     words = list(sys.argv[1:] if argv is None else argv)
+    if words[:1] == ["lab"]:
+        return _lab(words[1:])
     args = _parser().parse_args(words or ["serve"])
     if args.command == "version":
         print(f"mothstall {__version__}")
@@ -51,6 +54,18 @@
     return _serve(replace(config, log_level=args.log_level or config.log_level), reread)
 
 
+def _lab(words: Sequence[str]) -> int:
+    """The lab stands on libraries that the proxy does without; they are read when it is called."""
+    try:
+        from mothstall.lab.command import main as lab
+    except ModuleNotFoundError as why:
+        if (why.name or "").startswith("mothstall"):
+            raise
+        print(f"mothstall: lab needs {why.name}: pip install -r requirements-lab.txt", file=sys.stderr)
+        return 2
+    return lab(words)
+
+
 def _serve(config: Config, reread: Callable[[], Config]) -> int:
     from mothstall.net import logs
     from mothstall.net.clock import Poll
--- /dev/null
+++ b/mothstall/lab/command.py
@@ -0,0 +1,84 @@
+"""`mothstall lab`: list, run, compare and bench. Exit codes: 0 done, 2 bad input, 3 a rule was broken."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from mothstall.lab import policies, runs, scenario
+
+EPILOG = "exit codes: 0 done, 1 the run could not be finished, 2 bad input, 3 a rule was broken"
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="mothstall lab", epilog=EPILOG, description="Plays fleets and their troubles, and judges."
+    )
+    commands = parser.add_subparsers(dest="command", metavar="COMMAND", required=True)
+    listing = commands.add_parser("list", help="the shipped scenarios and the policies", epilog=EPILOG)
+    listing.add_argument("--json", action="store_true", help="as JSON on standard output")
+    run = commands.add_parser("run", help="play one scenario and judge it", epilog=EPILOG)
+    run.add_argument("scenario", help="a shipped name, or the path of a .toml file")
+    run.add_argument("--driver", choices=("virtual", "sockets"), default="virtual")
+    run.add_argument("--policy", default="module", help="see `lab list`; the sockets driver plays the module")
+    run.add_argument("--seed", type=int, default=1)
+    run.add_argument("--seconds", type=float, help="in place of the scenario's")
+    run.add_argument("--json", metavar="FILE", help="figures and breaches as JSON; - for standard output")
+    run.add_argument("--report", metavar="FILE", help="one HTML page with plots")
+    return parser
+
+
+def main(words: Sequence[str]) -> int:
+    args = _parser().parse_args(words)
+    try:
+        return _COMMANDS[args.command](args)
+    except (scenario.ScenarioError, policies.PolicyError) as why:
+        print(f"mothstall: {why}", file=sys.stderr)
+        return 2
+    except BrokenPipeError:
+        # Whoever read our output has enough; nothing more can be flushed to it.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return 0
+
+
+def _list(args: argparse.Namespace) -> int:
+    rows = [(name, scenario.load(name).tries) for name in scenario.names()]
+    if args.json:
+        print(json.dumps({"scenarios": dict(rows), "policies": list(policies.NAMES)}, indent=1))
+        return 0
+    wide = max(len(name) for name, _ in rows)
+    for name, tries in rows:
+        print(f"{name:<{wide}}  {tries}")
+    print(f"\npolicies: {', '.join(policies.NAMES)}, rev:REVISION, file:PATH; `,setting=value` may follow")
+    return 0
+
+
+def _run(args: argparse.Namespace) -> int:
+    s = scenario.load(args.scenario)
+    if args.seconds is not None:
+        s = scenario.lasting(s, args.seconds)
+    result = runs.play(s, args.policy, args.seed, args.driver)
+    if args.json:
+        _write_json(args.json, result.as_json())
+    if args.json != "-":
+        print(result.text())
+    return 3 if result.verdict.broken else 0
+
+
+def _write_json(where: str, tree: dict[str, Any]) -> None:
+    text = json.dumps(tree, indent=1)
+    if where == "-":
+        print(text)
+        return
+    try:
+        Path(where).write_text(text + "\n", encoding="utf-8")
+    except OSError as why:
+        raise scenario.ScenarioError(f"--json {where}: {why.strerror}") from why
+
+
+_COMMANDS = {"list": _list, "run": _run}
--- /dev/null
+++ b/mothstall/lab/policies.py
@@ -0,0 +1,339 @@
+"""Policies by name: the project's own, an earlier text of it, and baselines to hold it against.
+
+Baselines keep the four rules by simple means and choose by one idea each. `careless` breaks every rule on
+purpose, so that the judge can be seen to catch it.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import re
+import subprocess
+import sys
+import types
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from mothstall import choice
+from mothstall import interface as io
+from mothstall.interface import NS, Effect, Group, Health, Result, Scope
+from mothstall.lab.virtual import MakePolicy, Policy
+
+ROOT = Path(__file__).parents[2]
+ASK_NS = 2 * NS  # a baseline's pause between calls to discovery that failed
+COLD_RATE = 0.35  # of the fall multiple: what a baseline deals a cold box
+_REVISION = re.compile(r"[0-9A-Za-z_./~^-]{1,80}")
+
+
+class PolicyError(ValueError):
+    """No such policy; the message is one line."""
+
+
+class _Request:
+    __slots__ = ("attempts", "cls", "deadline", "done", "id", "out", "ran")
+
+    def __init__(self, ev: io.RequestArrived, cls: io.RequestClass, now: int) -> None:
+        self.id, self.cls, self.deadline = ev.request, cls, now + ev.left_ns
+        self.attempts: list[int] = []
+        self.out, self.done = 0, False
+        self.ran: dict[int, tuple[io.Entry, int]] = {}  # attempts that may have run: where, and sent when
+
+    def first_ran(self) -> tuple[io.Entry, int] | None:
+        return next(iter(self.ran.values()), None)
+
+
+class Baseline:
+    """Keeps the list, tries again where the class allows it, refuses else. Which box is `choose`."""
+
+    def __init__(self, settings: io.Settings, seed: int) -> None:
+        self.cfg, self.rng = settings, random.Random(seed)
+        self.boxes: dict[int, io.Entry] = {}
+        self.order: list[io.Entry] = []
+        self.in_flight: dict[int, int] = {}
+        self.cold_due: dict[int, int] = {}
+        self.requests: dict[int, _Request] = {}
+        self.acts: list[io.Action] = []
+        self.now, self.version, self.sent, self.began = 0, -1, 0, -1
+        self.heap: list[tuple[int, int, Callable[[], object]]] = []
+        self.seq = 0
+
+    def choose(self, able: list[io.Entry]) -> io.Entry:
+        raise NotImplementedError
+
+    def handle(self, now: int, events: list[io.Event]) -> list[io.Action]:
+        self.acts, self.now = [], now
+        if self.began < 0:
+            self.began = now
+            if not self.cfg.discovery_push:
+                self.acts.append(io.Subscribe(True))
+        for ev in events:
+            if isinstance(ev, io.RequestArrived):
+                self.arrived(ev)
+            elif isinstance(ev, io.AttemptEnded):
+                self.ended(ev)
+            elif isinstance(ev, io.BackendList):
+                self.listed(ev)
+            elif isinstance(ev, io.ClientLeft):
+                self.left(ev)
+        while self.heap and self.heap[0][0] <= now:
+            heapq.heappop(self.heap)[2]()
+        return self.acts
+
+    def later(self, due: int, what: Callable[[], object]) -> None:
+        self.seq += 1
+        heapq.heappush(self.heap, (due, self.seq, what))
+        self.acts.append(io.SetTimer(self.seq, due))
+
+    def listed(self, ev: io.BackendList) -> None:
+        if ev.scope == Scope.FAILED:
+            self.later(self.now + ASK_NS, lambda: self.acts.append(io.Subscribe(True)))
+            return
+        if ev.version < self.version:
+            return
+        self.version = ev.version
+        if ev.scope != Scope.DELTA:
+            self.boxes.clear()
+        for entry in ev.entries:
+            if entry.health == Health.READY:
+                self.boxes[entry.backend] = entry
+            else:
+                self.boxes.pop(entry.backend, None)
+        self.order = sorted(self.boxes.values(), key=lambda e: e.backend)
+
+    def warm(self, entry: io.Entry) -> bool:
+        """A cold box gets a turn now and then: so many a second as it surely bears."""
+        age = self.now - entry.started_ns
+        if not entry.started_ns or age >= self.cfg.cold_ns:
+            return True
+        if self.now < self.cold_due.get(entry.backend, 0):
+            return False
+        warmth = self.cfg.cold_from + (1 - self.cfg.cold_from) * max(0, age) / self.cfg.cold_ns
+        pace = self.sent / max(1, self.now - self.began) / max(1, len(self.boxes))  # a box's part, per ns
+        rate = COLD_RATE * self.cfg.fall_multiple * warmth * pace
+        self.cold_due[entry.backend] = self.now + (int(1 / rate) if rate > 0 else NS)
+        return True
+
+    def able(self, req: _Request) -> list[io.Entry]:
+        """The boxes that this request may go to now."""
+        rows = [e for e in self.order if e.backend not in req.attempts]
+        first, cls = req.first_ran(), req.cls
+        if first is not None and cls.effect != Effect.SAFE:
+            ran, at = first
+            if cls.effect == Effect.UNSAFE or self.now >= at + cls.window_ns:
+                return []
+            if cls.group == Group.ZONE:
+                rows = [e for e in rows if e.zone == ran.zone]
+            elif cls.group == Group.CELL:
+                rows = [e for e in rows if e.cell == ran.cell]
+        return rows
+
+    def arrived(self, ev: io.RequestArrived) -> None:
+        req = self.requests[ev.request] = _Request(ev, self.cfg.classes[ev.cls], self.now)
+        self.send(req)
+
+    def send(self, req: _Request) -> None:
+        rows = self.able(req) if len(req.attempts) < self.cfg.max_attempts and self.now < req.deadline else []
+        warm = [e for e in rows if not e.started_ns or self.now - e.started_ns >= self.cfg.cold_ns]
+        while rows:
+            entry = self.choose(rows)
+            if self.warm(entry):
+                self.go(req, entry)
+                return
+            rows = warm or [e for e in rows if e is not entry]
+        self.give_up(req)
+
+    def go(self, req: _Request, entry: io.Entry) -> None:
+        req.ran[len(req.attempts)] = (entry, self.now)
+        req.attempts.append(entry.backend)
+        req.out += 1
+        self.sent += 1
+        self.in_flight[entry.backend] = self.in_flight.get(entry.backend, 0) + 1
+        self.acts.append(io.SendAttempt(req.id, entry.backend, max(1, req.deadline - self.now)))
+
+    def ended(self, ev: io.AttemptEnded) -> None:
+        self.in_flight[ev.backend] = self.in_flight.get(ev.backend, 1) - 1
+        req = self.requests.get(ev.request)
+        if req is None:
+            return
+        req.out -= 1
+        if ev.result in io.NEVER_RAN:
+            req.ran.pop(ev.attempt, None)
+        if ev.result == Result.OK or req.done:
+            req.done = True
+            if not req.out:
+                del self.requests[ev.request]
+            return
+        self.send(req)
+
+    def give_up(self, req: _Request) -> None:
+        harmless = not req.ran or req.cls.effect == Effect.SAFE
+        if harmless or (req.cls.effect == Effect.KEYED and req.cls.group == Group.ALL):
+            self.acts.append(io.Refuse(req.id, 0))
+        else:
+            self.acts.append(io.Fail(req.id))
+        self.requests.pop(req.id, None)
+
+    def left(self, ev: io.ClientLeft) -> None:
+        req = self.requests.get(ev.request)
+        if req:
+            req.done = True
+            if self.cfg.may_cancel:
+                self.acts += [io.CancelAttempt(req.id, i) for i in range(len(req.attempts))]
+
+
+class Random(Baseline):
+    """Any box."""
+
+    def choose(self, able: list[io.Entry]) -> io.Entry:
+        return able[self.rng.randrange(len(able))]
+
+
+class RoundRobin(Baseline):
+    """The next box in turn."""
+
+    turn = -1
+
+    def choose(self, able: list[io.Entry]) -> io.Entry:
+        found = next((e for e in able if e.backend > self.turn), able[0])
+        self.turn = found.backend
+        return found
+
+
+class LeastInFlight(Baseline):
+    """The box with the fewest of our own requests; among those, any."""
+
+    def choose(self, able: list[io.Entry]) -> io.Entry:
+        least = min(self.in_flight.get(e.backend, 0) for e in able)
+        few = [e for e in able if self.in_flight.get(e.backend, 0) == least]
+        return few[self.rng.randrange(len(few))]
+
+
+class TwoChoices(Baseline):
+    """The better of two drawn boxes."""
+
+    def choose(self, able: list[io.Entry]) -> io.Entry:
+        one, other = (able[self.rng.randrange(len(able))] for _ in range(2))
+        return min(one, other, key=lambda e: self.in_flight.get(e.backend, 0))
+
+
+class Careless(Baseline):
+    """Breaks every rule on purpose: for the judge's sake, and never to be run for real."""
+
+    def listed(self, ev: io.BackendList) -> None:
+        gone = dict(self.boxes)
+        super().listed(ev)
+        for number, entry in gone.items():  # what drains is kept
+            self.boxes.setdefault(number, entry)
+        self.order = sorted(self.boxes.values(), key=lambda e: e.backend)
+
+    def choose(self, able: list[io.Entry]) -> io.Entry:
+        newest = max(able, key=lambda e: (e.started_ns, -self.in_flight.get(e.backend, 0)))
+        return newest if newest.started_ns and self.rng.random() < 0.8 else self.rng.choice(able)
+
+    def warm(self, entry: io.Entry) -> bool:
+        return True
+
+    def able(self, req: _Request) -> list[io.Entry]:
+        return self.order
+
+    def arrived(self, ev: io.RequestArrived) -> None:
+        if ev.request % 199 == 0:
+            return  # lost
+        super().arrived(ev)
+        if ev.request % 101 == 0 and (req := self.requests.get(ev.request)) and self.order:
+            self.go(req, self.rng.choice(self.order))  # a second copy, whatever the class
+
+    def ended(self, ev: io.AttemptEnded) -> None:
+        req = self.requests.get(ev.request)
+        if req and ev.result == Result.OK and ev.request % 67 == 0:
+            self.acts.append(io.Fail(req.id))  # a second answer
+        if req and ev.result == Result.OK and ev.request % 71 == 0:
+            # Sent on, long after its answer.
+            self.later(self.now + NS // 5, lambda: self.acts.append(io.SendAttempt(req.id, ev.backend, NS)))
+        super().ended(ev)
+
+    def give_up(self, req: _Request) -> None:
+        self.acts.append(io.Refuse(req.id, 0))
+        self.requests.pop(req.id, None)
+
+
+BASELINES: dict[str, type[Baseline]] = {
+    "random": Random,
+    "round-robin": RoundRobin,
+    "least-in-flight": LeastInFlight,
+    "two-choices": TwoChoices,
+    "careless": Careless,
+}
+NAMES = ("module", *BASELINES)
+
+
+def at_revision(revision: str) -> Callable[[io.Settings, int], Policy]:
+    """The decision module as it stood at a revision of this repository, on today's interface."""
+    if not _REVISION.fullmatch(revision) or revision.startswith("-"):
+        raise PolicyError(f"policy rev:{revision[:60]}: not a revision")
+    asked = subprocess.run(
+        ["git", "-C", str(ROOT), "show", f"{revision}:mothstall/choice.py"],
+        capture_output=True, text=True, check=False, timeout=30,
+    )  # fmt: skip
+    if asked.returncode:
+        raise PolicyError(f"policy rev:{revision}: {asked.stderr.strip().splitlines()[0][:120]}")
+    return from_text(asked.stdout, f"choice at {revision}")
+
+
+def from_text(text: str, name: str) -> Callable[[io.Settings, int], Policy]:
+    """The decision module of a given text."""
+    module = types.ModuleType(f"lab choice {name}")
+    sys.modules[module.__name__] = module
+    exec(compile(text, name, "exec"), module.__dict__)
+    made: Callable[[io.Settings, int], Policy] = module.Balancer
+    return made
+
+
+def parse(word: str) -> MakePolicy:
+    """A policy from `NAME[,setting=value...]`; NAME is one of NAMES, `rev:REVISION` or `file:PATH`.
+
+    Settings are fields of interface.Settings with a number or true/false. Raises PolicyError.
+    """
+    name, *changes = word.split(",")
+    make: Callable[[io.Settings, int], Any]
+    if name == "module":
+        make = choice.Balancer
+    elif name in BASELINES:
+        make = BASELINES[name]
+    elif name.startswith("rev:"):
+        make = at_revision(name[4:])
+    elif name.startswith("file:"):
+        try:
+            make = from_text(Path(name[5:]).read_text(encoding="utf-8"), name)
+        except (OSError, SyntaxError) as why:
+            raise PolicyError(f"policy {name}: {why}") from why
+    else:
+        raise PolicyError(f"policy {name[:60]!r}: not one of {', '.join(NAMES)}, rev:REVISION, file:PATH")
+    if not changes:
+        return make
+    fields = dict(_setting(name, change) for change in changes)
+
+    def changed(settings: io.Settings, seed: int) -> Policy:
+        made: Policy = make(_replace(settings, fields), seed)
+        return made
+
+    return changed
+
+
+def _replace(settings: io.Settings, fields: dict[str, Any]) -> io.Settings:
+    rows = {name: getattr(settings, name) for name in io.Settings.__slots__}
+    return io.Settings(**{**rows, **fields})
+
+
+def _setting(name: str, change: str) -> tuple[str, Any]:
+    key, sep, text = change.partition("=")
+    kind = io.Settings.__annotations__.get(key)
+    if not sep or kind not in ("int", "float", "bool"):
+        raise PolicyError(f"policy {name}: {change[:60]!r} is no setting=value of a number or true/false")
+    try:
+        value = {"true": True, "false": False}[text] if kind == "bool" else float(text)
+    except (KeyError, ValueError):
+        raise PolicyError(f"policy {name}: {key} cannot be {text[:40]!r}") from None
+    return key, int(value) if kind == "int" else value
--- /dev/null
+++ b/mothstall/lab/scenario.py
@@ -0,0 +1,488 @@
+"""Scenarios: what a TOML file may say of a fleet, its load and its troubles, read into checked structs.
+
+Durations are text with a unit (`250us`, `40ms`, `1.5s`, `2m`) and become whole nanoseconds. Whatever is
+unknown, of the wrong unit or impossible raises ScenarioError with one line that holds the key's path.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+from typing import Any, Literal
+
+import msgspec
+
+from mothstall import interface as io
+from mothstall.settings import from_json
+
+SHIPPED = Path(__file__).parent / "scenarios"
+NS = io.NS
+_SPAN = re.compile(r"(\d{1,9}(?:\.\d{1,6})?)(us|ms|s|m)")
+_UNITS = {"us": 1_000, "ms": 1_000_000, "s": NS, "m": 60 * NS}
+_EFFECTS = {"safe": "pure", "keyed": "token", "unsafe": "side_effect"}
+ANSWER_SLACK_NS = 20_000_000
+REPORTS = ("inflight", "queue", "util")
+
+
+class ScenarioError(ValueError):
+    """A scenario cannot be played; the message is one line and names the key at fault."""
+
+
+class Span(int):
+    """A duration in whole nanoseconds."""
+
+
+def span(text: object) -> Span:
+    match = _SPAN.fullmatch(text) if isinstance(text, str) else None
+    if not match:
+        raise ValueError(f"must be a duration such as '250ms', not {text!r}")
+    return Span(round(float(match[1]) * _UNITS[match[2]]))
+
+
+class _Part(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+    pass
+
+
+class Boxes(_Part, kw_only=True, frozen=True):
+    """One group of alike web boxes; without a zone they are dealt out over all zones."""
+
+    count: int = 6
+    zone: str | None = None
+    cores: int = 2
+    speed: float = 1.0
+    queue: int = 40  # requests that wait for a core at most; more are turned away
+    connections: int = 160
+    handshake: Span = span("4ms")  # work that a new connection costs
+    idle: Span = span("20s")  # after which an idle connection is closed
+    runs_on: bool = False  # work goes on after its request was cancelled
+    contention: float = 0.0  # how much more work each request in service costs the others
+    cell: int = 0
+
+
+class Proxies(_Part, frozen=True):
+    count: int = 3
+    known_age: Span = span("0s")  # how old the list is that a proxy starts with
+
+
+class Rules(_Part, kw_only=True, frozen=True):
+    """What holds for a proxy on its installation: the settings' contract and limits."""
+
+    drain_grace: Span = span("600ms")
+    cold_from: float = 0.2
+    cold: Span = span("12s")
+    warm_shape: float = 1.0  # capacity rises with age to this power; 1 or less keeps the promise
+    fall_multiple: float = 2.5
+    fall: Span = span("2s")
+    max_attempts: int = 4
+    second_copies: bool = True
+    cancelling: bool = True
+    retry_after: bool = True
+    max_retry_after: Span = span("1500ms")
+    connect_timeout: Span = span("150ms")
+    reports: tuple[str, ...] = ("util", "queue")
+    report_age: Span = span("0s")
+    cross_zone_fee: float = 0.0
+    tick: Span = span("5ms")
+
+
+class Kind(_Part, kw_only=True, frozen=True):
+    """A class of requests."""
+
+    name: str
+    part: float  # of all traffic
+    work: Span  # on one core of speed 1, warm
+    spread: float = 0.35  # sigma of the lognormal law of its work
+    waits: Span = span("0s")  # on others, without a core
+    aim: Span = span("300ms")
+    deadline: Span = span("1500ms")
+    worth: float = 1.0
+    late_value: float = 0.3
+    effect: Literal["safe", "keyed", "unsafe"] = "safe"
+    group: Literal["all", "zone", "cell"] = "all"
+    window: Span = span("0s")
+
+
+class Tenant(_Part, kw_only=True, frozen=True):
+    name: str
+    part: float  # of all traffic
+    share: float  # of what the fleet can do; an allowance where told
+    told: bool = True
+
+
+class Clients(_Part, frozen=True):
+    """How clients ask: open arrivals, and what each does when it gets no good answer."""
+
+    fill: float = 0.55  # arrivals' work over what the warm fleet can do
+    rate: float = 0.0  # arrivals a second; goes before fill
+    tries: int = 3
+    at_once: float = 0.2  # part that asks again at once
+    wait: Span = span("250ms")  # the others' mean wait
+    obeys: float = 1.0  # part that heeds Retry-After
+    marks: bool = True  # whether a repeat says that it is one
+    hurried: float = 0.0  # part that leaves at `leaves` of the deadline, though it said the whole
+    leaves: float = 0.4
+    endures: float = 1.0  # how many deadlines a client goes on asking, from its first try
+    keys: int = 0  # subjects that requests are about; 0: none
+    zipf: float = 1.1
+    miss_cost: float = 0.0  # more work, as a part, where the subject is not among a box's last `warm`
+    warm: int = 200
+
+
+class Network(_Part, frozen=True):
+    near: Span = span("400us")  # one way within a zone
+    far: Span = span("4ms")
+    jitter: float = 0.3
+    notice: Span = span("2s")  # until the front sees that a proxy has died
+
+
+class Discovery(_Part, frozen=True):
+    mode: Literal["watch", "ask"] = "ask"
+    lag: Span = span("800ms")  # from a change to its place in the list
+    ask_within: Span = span("10s")
+    service: Span = span("4ms")  # each call, one after another
+
+
+class _Trouble(_Part, tag_field="kind", kw_only=True, frozen=True):
+    at: Span
+    lasts: Span = span("5s")
+
+
+class _OnBoxes(_Trouble, frozen=True):
+    boxes: int = 0  # so many, drawn by seed; 0: by part
+    part: float = 0.0
+    zone: str | None = None
+
+
+class Slow(_OnBoxes, tag="slow", frozen=True):
+    """Another program takes most of the machine, on and off."""
+
+    factor: float = 6.0
+    on: Span = span("0s")  # 0: all the time
+    off: Span = span("0s")
+
+
+class Hang(_OnBoxes, tag="hang", frozen=True):
+    """Takes requests and answers none; what it held is reset at the end."""
+
+
+class Pause(_OnBoxes, tag="pause", frozen=True):
+    """Stands still as a whole, then goes on where it was."""
+
+
+class Crash(_OnBoxes, tag="crash", frozen=True):
+    """The process dies and comes back cold under the same id."""
+
+
+class Failing(_OnBoxes, tag="failing", frozen=True):
+    """Fast errors for a part of requests."""
+
+    odds: float = 1.0
+
+
+class Resets(_OnBoxes, tag="resets", frozen=True):
+    """Connections break after the request; half of what was on them has run."""
+
+    odds: float = 0.5
+
+
+class Spoilt(_OnBoxes, tag="spoilt", frozen=True):
+    """Answers that cannot be read, to requests that have run."""
+
+    odds: float = 0.5
+
+
+class Cut(_OnBoxes, tag="cut", frozen=True):
+    """The network loses what goes one way, or both."""
+
+    way: Literal["in", "out", "both"] = "out"
+
+
+class ZoneLost(_Trouble, tag="zone-lost", kw_only=True, frozen=True):
+    """A zone's boxes and proxies vanish without a word; its boxes come back cold."""
+
+    zone: str
+
+
+class Deploy(_Trouble, tag="deploy", frozen=True):
+    """Boxes are replaced in batches: drained, stopped, a cold successor under a new id."""
+
+    batch: float = 0.2
+    every: Span = span("3s")
+    drain: Span = span("1500ms")
+    only: float = 1.0  # part of the fleet that is replaced
+
+
+class DiscoveryDown(_Trouble, tag="discovery-down", frozen=True):
+    pass
+
+
+class DiscoveryStale(_Trouble, tag="discovery-stale", frozen=True):
+    """Answers, but tells nothing new."""
+
+
+class ProxyKilled(_Trouble, tag="proxy-killed", frozen=True):
+    proxies: int = 1
+
+
+class ProxyHot(_Trouble, tag="proxy-hot", frozen=True):
+    factor: float = 4.0
+
+
+class Dependency(_Trouble, tag="dependency", kw_only=True, frozen=True):
+    """What one class stands on is down: it hangs or fails wherever it is sent."""
+
+    cls: str
+    how: Literal["hang", "fail", "slow"] = "hang"
+    factor: float = 8.0
+
+
+class Burst(_Trouble, tag="burst", frozen=True):
+    factor: float = 2.0
+    tenant: str | None = None
+    cls: str | None = None
+
+
+Trouble = (
+    Slow | Hang | Pause | Crash | Failing | Resets | Spoilt | Cut | ZoneLost | Deploy | DiscoveryDown
+    | DiscoveryStale | ProxyKilled | ProxyHot | Dependency | Burst
+)  # fmt: skip
+OnBoxes = Slow | Hang | Pause | Crash | Failing | Resets | Spoilt | Cut
+
+_KINDS = (
+    Kind(name="search", part=0.55, work=span("25ms")),
+    Kind(name="read", part=0.25, work=span("35ms"), waits=span("10ms"), aim=span("400ms")),
+    Kind(name="file", part=0.14, work=span("40ms"), aim=span("400ms"), worth=2.0,
+         effect="keyed", window=span("1800ms")),
+    Kind(name="sign", part=0.06, work=span("45ms"), aim=span("400ms"), worth=4.0, effect="unsafe"),
+)  # fmt: skip
+_TENANTS = (
+    Tenant(name="north", part=0.5, share=0.35),
+    Tenant(name="south", part=0.2, share=0.25),
+    Tenant(name="shore", part=0.2, share=0.25),
+    Tenant(name="hills", part=0.1, share=0.15),
+)
+
+
+class Scenario(_Part, kw_only=True, frozen=True):
+    tries: str  # one sentence: what it tries
+    name: str = ""
+    seconds: float = 40.0
+    zones: tuple[str, ...] = ("east", "west")
+    traffic: tuple[float, ...] = ()  # part of the clients in each zone; empty: even
+    boxes: tuple[Boxes, ...] = (Boxes(),)
+    proxies: Proxies = Proxies()
+    rules: Rules = Rules()
+    classes: tuple[Kind, ...] = _KINDS
+    tenants: tuple[Tenant, ...] = _TENANTS
+    clients: Clients = Clients()
+    network: Network = Network()
+    discovery: Discovery = Discovery()
+    troubles: tuple[Trouble, ...] = ()
+
+    @property
+    def total_ns(self) -> int:
+        return int(self.seconds * NS)
+
+    @property
+    def box_count(self) -> int:
+        return sum(group.count for group in self.boxes)
+
+    @property
+    def capacity(self) -> float:
+        """Cores of speed 1 in the warm fleet: seconds of work a second."""
+        return sum(group.count * group.cores * group.speed for group in self.boxes)
+
+    @property
+    def rate(self) -> float:
+        """First tries a second, without bursts."""
+        if self.clients.rate:
+            return self.clients.rate
+        parts = sum(kind.part for kind in self.classes)
+        work = sum(kind.part * kind.work for kind in self.classes) / parts
+        return self.clients.fill * self.capacity * NS / work
+
+    @property
+    def trouble_times(self) -> tuple[int, int]:
+        """When the first trouble begins and the last one ends; (0, 0) without any."""
+        if not self.troubles:
+            return 0, 0
+        return min(t.at for t in self.troubles), max(t.at + t.lasts for t in self.troubles)
+
+
+def _hook(kind: type, value: object) -> object:
+    if kind is Span:
+        return span(value)
+    raise NotImplementedError(f"{kind} cannot be read")  # pragma: no cover
+
+
+def from_tree(tree: dict[str, Any], name: str) -> Scenario:
+    """A scenario from what a TOML file holds. Raises ScenarioError."""
+    try:
+        read = msgspec.convert({**tree, "name": name}, Scenario, dec_hook=_hook)
+    except msgspec.ValidationError as why:
+        text = " ".join(str(why).split())
+        raise ScenarioError(f"scenario {name}: {text}") from why
+    for path, wrong in _faults(read):
+        raise ScenarioError(f"scenario {name}: {wrong} - at `$.{path}`")
+    return read
+
+
+def _faults(s: Scenario) -> Iterator[tuple[str, str]]:
+    """What no type tells: counts, parts and times that cannot be."""
+    if not 1 <= s.seconds <= 3600:
+        yield "seconds", "must be 1 to 3600"
+    if not s.zones or len(set(s.zones)) < len(s.zones):
+        yield "zones", "must be different names, one at least"
+    if s.traffic and (len(s.traffic) != len(s.zones) or min(s.traffic) < 0 or not sum(s.traffic)):
+        yield "traffic", "must be a part for each zone"
+    if not 1 <= s.box_count <= 2000:
+        yield "boxes", "must be 1 to 2000 in all"
+    for i, group in enumerate(s.boxes):
+        if group.zone is not None and group.zone not in s.zones:
+            yield f"boxes[{i}].zone", f"no zone is named {group.zone!r}"
+        if group.count < 1 or group.cores < 1 or group.speed <= 0 or group.connections < 1:
+            yield f"boxes[{i}]", "count, cores, speed and connections must be above nought"
+        if group.queue < 0 or group.contention < 0:
+            yield f"boxes[{i}]", "queue and contention must not be negative"
+    if not 1 <= s.proxies.count <= 1000:
+        yield "proxies.count", "must be 1 to 1000"
+    if not s.classes:
+        yield "classes", "must hold one at least"
+    lists: tuple[tuple[str, Sequence[Kind | Tenant]], ...] = (("classes", s.classes), ("tenants", s.tenants))
+    for label, rows in lists:
+        names = [row.name for row in rows]
+        if len(set(names)) < len(names):
+            yield label, "names one twice"
+        for i, row in enumerate(rows):
+            if row.part < 0 or not row.name:
+                yield f"{label}[{i}]", "needs a name, and a part of nought or more"
+        if rows and not sum(row.part for row in rows):
+            yield label, "parts must not all be nought"
+    for i, kind in enumerate(s.classes):
+        if not 0 < kind.aim <= kind.deadline or kind.work <= 0:
+            yield f"classes[{i}]", "needs work, and an aim of at most the deadline"
+        if kind.effect == "keyed" and not kind.window:
+            yield f"classes[{i}].window", "a keyed class needs one"
+    yield from _rule_faults(s)
+    for i, trouble in enumerate(s.troubles):
+        yield from _trouble_faults(s, f"troubles[{i}]", trouble)
+
+
+def _rule_faults(s: Scenario) -> Iterator[tuple[str, str]]:
+    if not 0 < s.rules.cold_from <= 1 or s.rules.fall_multiple <= 1:
+        yield "rules", "cold_from must be 0 to 1, fall_multiple above 1"
+    if not 0 < s.rules.warm_shape <= 1:
+        yield "rules.warm_shape", "must be above 0 and at most 1, else a box is colder than the rules promise"
+    if s.rules.max_attempts < 1:
+        yield "rules.max_attempts", "must be 1 or more"
+    for name in s.rules.reports:
+        if name not in REPORTS:
+            yield "rules.reports", f"must be of {', '.join(REPORTS)}, not {name!r}"
+    c = s.clients
+    if c.rate < 0 or c.fill <= 0 or c.tries < 1 or not 0 < c.leaves <= 1 or c.endures <= 0:
+        yield "clients", "rate, fill, tries, leaves and endures must be above nought"
+    for name in ("at_once", "obeys", "hurried"):
+        if not 0 <= getattr(c, name) <= 1:
+            yield f"clients.{name}", "must be 0 to 1"
+    if s.rate > 100_000:
+        yield "clients.rate", f"comes to {s.rate:.0f} a second, more than 100000"
+
+
+def _trouble_faults(s: Scenario, at: str, t: Trouble) -> Iterator[tuple[str, str]]:
+    if t.at >= s.total_ns:
+        yield f"{at}.at", f"begins after the run's {s.seconds:g} s are over"
+    if t.lasts <= 0:
+        yield f"{at}.lasts", "must be above nought"
+    if isinstance(t, OnBoxes):
+        if not 0 <= t.part <= 1 or not 0 <= t.boxes <= s.box_count or not (t.part or t.boxes):
+            yield at, f"needs boxes (at most {s.box_count}) or a part of 0 to 1"
+        if isinstance(t, Slow) and bool(t.on) != bool(t.off):
+            yield f"{at}.on", "needs an `off` beside it, and the other way round"
+    if isinstance(t, OnBoxes | ZoneLost) and t.zone is not None and t.zone not in s.zones:
+        yield f"{at}.zone", f"no zone is named {t.zone!r}"
+    if isinstance(t, Failing | Resets | Spoilt) and not 0 < t.odds <= 1:
+        yield f"{at}.odds", "must be above 0, at most 1"
+    if isinstance(t, Slow | ProxyHot | Burst | Dependency) and t.factor <= 0:
+        yield f"{at}.factor", "must be above nought"
+    if isinstance(t, ProxyKilled) and not 1 <= t.proxies <= s.proxies.count:
+        yield f"{at}.proxies", f"must be 1 to {s.proxies.count}"
+    if isinstance(t, Deploy) and (not 0 < t.batch <= 1 or not 0 < t.only <= 1 or t.every <= 0):
+        yield at, "batch and only must be above 0, at most 1; every above nought"
+    if isinstance(t, Dependency | Burst) and t.cls is not None and t.cls not in [k.name for k in s.classes]:
+        yield f"{at}.cls", f"no class is named {t.cls!r}"
+    if isinstance(t, Burst) and t.tenant is not None and t.tenant not in [x.name for x in s.tenants]:
+        yield f"{at}.tenant", f"no tenant is named {t.tenant!r}"
+
+
+def names() -> list[str]:
+    """The shipped scenarios, in order."""
+    return sorted(path.stem for path in SHIPPED.glob("*.toml"))
+
+
+def load(which: str) -> Scenario:
+    """A shipped scenario by name, or the file at a path that ends in .toml. Raises ScenarioError."""
+    path = Path(which) if which.endswith(".toml") else SHIPPED / f"{which}.toml"
+    if not which.endswith(".toml") and which not in names():
+        raise ScenarioError(f"scenario {which}: not shipped; `mothstall lab list` names those that are")
+    try:
+        tree = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as why:
+        raise ScenarioError(f"scenario {which}: cannot be read: {why.strerror}") from why
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as why:
+        raise ScenarioError(f"scenario {which}: is not TOML: {why}") from why
+    return from_tree(tree, path.stem)
+
+
+def settings_tree(s: Scenario, position: int) -> dict[str, Any]:
+    """What the proxy at a position of the scenario is told: the nested settings of its configuration."""
+    total = sum(t.share for t in s.tenants) or 1.0
+    whole = s.rate / max(s.clients.fill, 0.05) if not s.clients.rate else s.rate * 1.5
+    return {
+        "classes": [
+            {
+                "name": k.name, "aim-ns": int(k.aim), "deadline-ns": int(k.deadline), "worth": k.worth,
+                "late-value": k.late_value, "effect": _EFFECTS[k.effect], "group": k.group,
+                "window-ns": int(k.window), "streaming": False,
+            }
+            for k in s.classes
+        ],
+        "customers": [
+            {"name": t.name, "share": t.share / total, "allowance-per-s": round(whole * t.share / total, 6)}
+            for t in s.tenants
+        ],
+        "contract": {
+            "answer-slack-ns": ANSWER_SLACK_NS, "ask-within-ns": int(s.discovery.ask_within),
+            "stop-sending-within-ns": int(s.rules.drain_grace), "cold-from": s.rules.cold_from,
+            "cold-ns": int(s.rules.cold), "fall-multiple": s.rules.fall_multiple,
+            "fall-ns": int(s.rules.fall),
+        },
+        "limits": {
+            "max-attempts": s.rules.max_attempts, "parallel-tries": s.rules.second_copies,
+            "cancelling": s.rules.cancelling, "probes": False, "retry-after": s.rules.retry_after,
+            "max-retry-after-ns": int(s.rules.max_retry_after),
+            "connect-timeout-ns": int(s.rules.connect_timeout),
+            "keepalive-ns": min(int(group.idle) for group in s.boxes),
+        },
+        "discovery": "push" if s.discovery.mode == "watch" else "ask",
+        "fees": {"cross-zone": s.rules.cross_zone_fee},
+        "extra": {"warm-keys": s.clients.keys > 0},
+        "telemetry": {"names": list(s.rules.reports)},
+        "zones": list(s.zones), "zone": position % len(s.zones), "kinds": ["box"],
+        "position": position, "replicas-of-me": s.proxies.count, "round-ns": int(s.rules.tick),
+    }  # fmt: skip
+
+
+def settings(s: Scenario, position: int) -> io.Settings:
+    """The same in the interface's terms, read by what reads a real proxy's."""
+    return from_json(settings_tree(s, position))
+
+
+def lasting(s: Scenario, seconds: float) -> Scenario:
+    """The same for another time; troubles that would begin after it are left out. Raises ScenarioError."""
+    kept = tuple(t for t in s.troubles if t.at < seconds * NS)
+    changed = msgspec.structs.replace(s, seconds=seconds, troubles=kept)
+    for path, wrong in _faults(changed):
+        raise ScenarioError(f"scenario {s.name}: {wrong} - at `$.{path}`")
+    return changed
--- /dev/null
+++ b/tests/lab/test_virtual.py
@@ -0,0 +1,116 @@
+"""The virtual driver: the same seed gives the same run, and troubles do what they say."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from mothstall.lab import runs, scenario
+from mothstall.lab.ledger import Answer, Fate
+
+ROOT = Path(__file__).parents[2]
+
+
+def lab(*words: str, **env: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-O", "-m", "mothstall", "lab", *words],
+        cwd=ROOT, env={**os.environ, **env}, capture_output=True, text=True, timeout=60,
+    )  # fmt: skip
+
+
+def small(**more: Any) -> scenario.Scenario:
+    tree = {"tries": "A test.", "seconds": 10.0, "boxes": [{"count": 4}], "clients": {"fill": 0.4}, **more}
+    return scenario.from_tree(tree, "small")
+
+
+def test_the_same_seed_gives_the_same_run_in_every_process() -> None:
+    words = ("run", "demo", "--seconds", "6", "--json", "-", "--seed")
+    one, other = (json.loads(lab(*words, "5", PYTHONHASHSEED=h).stdout) for h in ("1", "2"))
+    assert one == other and one["intents"] > 300
+    assert runs.play(scenario.lasting(scenario.load("demo"), 6.0), "module", 5).digest == one["digest"]
+    assert runs.play(scenario.lasting(scenario.load("demo"), 6.0), "module", 6).digest != one["digest"]
+    needed = {"scenario", "seed", "digest", "worth", "rules", "breaches", "wasted", "latency", "recover_s"}
+    assert needed <= set(one)
+
+
+def test_exit_codes_tell_bad_input_from_broken_rules() -> None:
+    broken = lab("run", "steady", "--seconds", "3", "--policy", "careless")
+    assert broken.returncode == 3 and "BROKEN" in broken.stdout
+    for words in (("nothing",), ("steady", "--policy", "magic"), ("steady", "--seconds", "0")):
+        done = lab("run", *words)
+        assert done.returncode == 2 and done.stderr.count("\n") == 1, done.stderr
+
+
+def test_all_policies_see_the_same_clients() -> None:
+    s = small()
+    rows = [runs.play(s, name, 3).ledger.intents for name in ("module", "random")]
+    for one, other in zip(*rows, strict=True):
+        drawn = [(x.start, x.cls, x.tenant, x.zone, x.work, x.hurried, x.luck) for x in (one, other)]
+        assert drawn[0] == drawn[1]
+
+
+TROUBLES: list[tuple[dict[str, Any], set[Fate]]] = [
+    ({"kind": "hang", "boxes": 1}, {Fate.RESET, Fate.CANCELLED}),
+    ({"kind": "crash", "boxes": 2}, {Fate.LOST}),
+    ({"kind": "failing", "boxes": 1}, {Fate.ERROR}),
+    ({"kind": "resets", "boxes": 2}, {Fate.RESET}),
+    ({"kind": "spoilt", "boxes": 2}, {Fate.SPOILT}),
+    ({"kind": "dependency", "cls": "read", "how": "fail"}, {Fate.ERROR}),
+    ({"kind": "dependency", "cls": "read"}, {Fate.CANCELLED}),
+    ({"kind": "cut", "boxes": 2, "way": "out"}, {Fate.SERVED}),
+]
+
+
+@pytest.mark.parametrize(("trouble", "fates"), TROUBLES, ids=[str(t["kind"]) for t, _ in TROUBLES])
+def test_a_trouble_shows_at_the_boxes_and_breaks_no_rule(trouble: dict[str, Any], fates: set[Fate]) -> None:
+    result = runs.play(small(troubles=[{"at": "3s", "lasts": "4s", **trouble}]), "module", 2)
+    assert fates <= {row.fate for row in result.ledger.arrivals}
+    assert not result.verdict.rules and 0.3 < result.verdict.worth <= 1.0
+
+
+def test_a_lost_zone_is_silent_and_a_killed_proxy_is_not() -> None:
+    lost = runs.play(
+        small(troubles=[{"kind": "zone-lost", "at": "3s", "lasts": "4s", "zone": "west"}]), "module", 2
+    )
+    assert {1} == {proxy for proxy, _, _ in lost.ledger.proxy_down}
+    silent = [t for t in lost.ledger.tries if t.answer == Answer.SILENT]
+    assert silent and all(t.proxy == 1 and (t.excused or t.taken < 0) for t in silent)
+    killed = runs.play(
+        small(troubles=[{"kind": "proxy-killed", "at": "3s", "lasts": "2s", "proxies": 2}]), "module", 2
+    )
+    ends = {t.answer for t in killed.ledger.tries}
+    assert {Answer.BROKEN, Answer.UNREACHED} <= ends and Answer.SILENT not in ends
+    assert not lost.verdict.rules and not killed.verdict.rules
+
+
+def test_a_key_is_served_once_though_its_first_copy_runs_on() -> None:
+    kinds = [{"name": "file", "part": 1, "work": "60ms", "effect": "keyed", "window": "1800ms", "aim": "1s"}]
+    s = small(
+        classes=kinds,
+        boxes=[{"count": 4, "runs_on": True}],
+        troubles=[{"kind": "pause", "at": "3s", "lasts": "1s", "boxes": 2}],
+    )
+    result = runs.play(s, "module", 4)
+    copies = [row for row in result.ledger.arrivals if row.fate == Fate.REPEAT]
+    assert copies and not result.verdict.rules  # some ran beside their first, and no effect came twice
+
+
+def test_troubles_that_outlast_the_run_leave_no_recovery_to_tell() -> None:
+    s = scenario.lasting(scenario.load("never-over"), 14.0)
+    result = runs.play(s, "module", 1)
+    assert result.verdict.recover_s is None and "not within the run" in result.text()
+    assert any(until > s.total_ns for _, until, _ in result.ledger.marks)
+
+
+def test_boxes_are_tipped_by_many_proxies_together_though_each_keeps_its_part() -> None:
+    s = scenario.load("cold-by-many")
+    assert not runs.play(scenario.lasting(s, 14.0), "module", 1).verdict.rules
+    verdict = runs.play(scenario.lasting(s, 14.0), "careless", 1).verdict
+    tips = [b for b in verdict.breaches if b.kind == "tipped"]
+    assert tips and all("proxies" in b.what for b in tips)
