--- a/mothstall/lab/box.py
+++ b/mothstall/lab/box.py
@@ -95,12 +95,14 @@
         ledger: Ledger,
         shared: Shared,
         rng: random.Random,
+        changed: Callable[[Box], object],
         started: int,
         warm_subjects: int = 0,
         miss_cost: float = 0.0,
     ) -> None:
         self.id, self.group, self.zone, self.cell, self.rules = number, group, zone, group.cell, rules
         self.time, self.ledger, self.shared, self.rng = time, ledger, shared, rng
+        self._changed = changed
         self.slow, self.fail_odds, self.reset_odds, self.spoil_odds = 1.0, 0.0, 0.0, 0.0
         self.hung = self.paused = self.cut_in = self.cut_out = self.draining = False
         self.up = self.silent = False
@@ -136,6 +138,7 @@
         self.up, self.life.ended = False, self.time.now
         self.break_all(fate)
         self.connections = 0
+        self._changed(self)
 
     def drain(self) -> None:
         self.draining, self.life.drained = True, self.time.now
--- a/mothstall/lab/ledger.py
+++ b/mothstall/lab/ledger.py
@@ -7,6 +7,10 @@
 from enum import IntEnum
 
 
+class Unfinished(RuntimeError):
+    """A run could not be finished; the message is one line."""
+
+
 class Answer(IntEnum):
     """How one try of a client ended, as the client saw it."""
 
--- /dev/null
+++ b/mothstall/lab/sockets.py
@@ -0,0 +1,686 @@
+"""The sockets driver: real proxies in processes of their own, and the same world behind real connections.
+
+Boxes, discovery, the front and the clients live in this process, on loopback, on ports that the system
+gives. A box that cannot be reached stops accepting with a full backlog, so that connections to it never come
+up. When this machine ran late, and by how much, is said in the result.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import re
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from mothstall.interface import NS
+from mothstall.lab import wire
+from mothstall.lab.box import OVER, Box, Job
+from mothstall.lab.clients import SLACK_NS
+from mothstall.lab.directory import Word
+from mothstall.lab.ledger import Answer, Arrival, Fate, Ledger, Try, Unfinished
+from mothstall.lab.scenario import Scenario, settings_tree
+from mothstall.lab.world import World
+
+ROOT = Path(__file__).parents[2]
+READY_S = 20.0  # how long a proxy may take to start
+LATE_NS = 40_000_000  # a look at the clock later than this is lateness of the machine
+LOOK_NS = 10_000_000
+STARVED_NS = 40_000_000  # a proxy that waited so long for a core within LOOK_PROXIES_NS ran late
+LOOK_PROXIES_NS = 100_000_000
+SWEEP_NS = 500_000_000
+BACKLOG = 256
+_PORT = re.compile(rb"event=listening .*port=(\d+)")
+
+
+class RealTime:
+    """Time as it passes, ns since `begin`."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop, self._start = loop, time.monotonic_ns()
+
+    def begin(self) -> None:
+        self._start = time.monotonic_ns()
+
+    @property
+    def now(self) -> int:
+        return time.monotonic_ns() - self._start
+
+    def at(self, due: int, what: Callable[..., object], *words: Any) -> None:
+        self._loop.call_later(max(0, due - self.now) / NS, what, *words)
+
+
+def listen() -> socket.socket:
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    sock.listen(BACKLOG)
+    sock.setblocking(False)
+    return sock
+
+
+class Listener:
+    """Accepts for one stand-in; it can be made to look like a machine that is not there."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, factory: Callable[[], asyncio.Protocol]) -> None:
+        self._loop, self._factory = loop, factory
+        self.sock = listen()
+        self.port: int = self.sock.getsockname()[1]
+        self._fillers: list[socket.socket] = []
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._accepting = False
+        self.reachable(True)
+
+    def reachable(self, on: bool) -> None:
+        if on == self._accepting:
+            return
+        self._accepting = on
+        if on:
+            for filler in self._fillers:
+                filler.close()
+            self._fillers.clear()
+            self.sock.listen(BACKLOG)
+            self._loop.add_reader(self.sock, self._accept)
+            return
+        self._loop.remove_reader(self.sock)
+        # With its backlog full the kernel drops further connections' first packets, as a cut would.
+        self.sock.listen(0)
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect(("127.0.0.1", self.port))
+            self._fillers.append(filler)
+
+    def _accept(self) -> None:
+        for _ in range(64):
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            task = self._loop.create_task(self._loop.connect_accepted_socket(self._factory, sock))
+            self._tasks.add(task)
+            task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled():
+            task.exception()  # a connection that ended while it was taken in
+
+    def close(self) -> None:
+        if self._accepting:
+            self._loop.remove_reader(self.sock)
+            self._accepting = False
+        for sock in (self.sock, *self._fillers):
+            sock.close()
+        for task in self._tasks:
+            task.cancel()
+
+
+class _Connection(asyncio.Protocol):
+    """What all connections share: a reader, and a close on what cannot be read."""
+
+    transport: asyncio.Transport
+
+    def __init__(self) -> None:
+        self.reader = wire.Reader()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            for message in self.reader.feed(data):
+                self.take(message)
+        except wire.Malformed:
+            self.transport.abort()
+
+    def take(self, message: wire.Message) -> None:
+        raise NotImplementedError
+
+
+class BoxConnection(_Connection):
+    """One connection of a proxy to a box."""
+
+    def __init__(self, server: BoxServer) -> None:
+        super().__init__()
+        self.server, self.life = server, server.box.life
+        self.fresh, self.counted = True, False
+        self.job: Job | None = None
+        self.idle_since = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        if not self.server.box.connect():
+            self.transport.abort()
+            return
+        self.counted = True
+        self.idle_since = self.server.run.time.now
+        self.server.connections.add(self)
+
+    def take(self, message: wire.Message) -> None:
+        run, box = self.server.run, self.server.box
+        number = wire.txn(message)
+        if not 1 <= number <= len(run.ledger.tries) or self.job is not None:
+            raise wire.Malformed("a request that no client sent, or two at once")
+        row = run.ledger.tries[number - 1]
+        arrival = Arrival(number, row.proxy, box.id, run.time.now, row.intent.work)
+        kind = run.s.classes[row.intent.cls]
+        job = self.job = Job(arrival, row.intent, kind, row.intent.work, self.replied)
+        fresh, self.fresh = self.fresh, False
+        box.offer(job, fresh)
+
+    def replied(self, job: Job, fate: Fate) -> None:
+        """The world has an answer; across zones it takes its time."""
+        run, box = self.server.run, self.server.box
+        proxy_zone = job.arrival.proxy % len(run.s.zones)
+        way = run.s.network.far if proxy_zone != box.zone else 0
+        if way and fate not in (Fate.LOST, Fate.RESET):
+            run.time.at(run.time.now + 2 * way, self.write, job, fate)
+        else:
+            self.write(job, fate)
+
+    def write(self, job: Job, fate: Fate) -> None:
+        box = self.server.box
+        if self.job is job:
+            self.job = None
+        if self.transport.is_closing() or box.silent or box.cut_out:
+            return
+        self.idle_since = self.server.run.time.now
+        load = wire.load_text(box.rules.reports, box.report()) if box.rules.reports else ""
+        if fate in (Fate.SERVED, Fate.REPEAT):
+            self.transport.write(wire.answer(200, wire.served(job.arrival.txn), load))
+        elif fate == Fate.TURNED_AWAY:
+            self.transport.write(wire.answer(503, b"full\n", load, "X-Turned-Away: 1\r\n"))
+        elif fate == Fate.ERROR:
+            self.transport.write(wire.answer(500, b"failed\n", load))
+        elif fate == Fate.SPOILT:
+            self.transport.write(b"HTTP/1.1 2\x00\x01 ??\r\nContent-Le\r\n\r\n\x07" + b"\xff" * 40)
+            self.transport.close()
+        else:
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.server.connections.discard(self)
+        box = self.server.box
+        if self.job is not None and self.job.state != OVER:
+            box.withdraw(self.job)
+        self.job = None
+        if self.counted and box.life is self.life:
+            box.disconnect()
+
+
+class BoxServer:
+    """A box behind a real listener: one for each life, so that a new process has a new address."""
+
+    def __init__(self, run: Sockets, box: Box) -> None:
+        self.run, self.box = run, box
+        self.connections: set[BoxConnection] = set()
+        self.listener = Listener(run.loop, lambda: BoxConnection(self))
+
+    def look(self) -> None:
+        """Follows what the world says of the box: gone, silent, cut."""
+        box = self.box
+        if not box.up and not box.silent:
+            self.close()
+            return
+        quiet = box.silent or box.cut_in or box.cut_out
+        self.listener.reachable(not quiet)
+        for connection in list(self.connections):
+            if box.silent or box.cut_in:
+                connection.transport.pause_reading()
+
+    def sweep(self) -> None:
+        """Closes what stood idle for the box's limit."""
+        last = self.run.time.now - self.box.group.idle
+        for connection in list(self.connections):
+            if connection.job is None and connection.idle_since < last:
+                connection.transport.close()
+
+    def close(self) -> None:
+        self.listener.close()
+        for connection in list(self.connections):
+            connection.transport.abort()
+
+    def healed(self) -> None:
+        """A cut is over: what was open through it is reset."""
+        self.listener.reachable(True)
+        for connection in list(self.connections):
+            connection.transport.abort()
+
+
+class DirectoryConnection(_Connection):
+    """One connection of a proxy to discovery, on the listener that is that proxy's own."""
+
+    def __init__(self, run: Sockets, proxy: int) -> None:
+        super().__init__()
+        self.run, self.proxy = run, proxy
+        self.since, self.turn = 0, 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.run.directory_connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.turn += 1
+        self.run.directory_connections.discard(self)
+
+    def take(self, message: wire.Message) -> None:
+        parts = message.line.split(b" ")
+        if len(parts) != 3 or not parts[1].startswith(b"/v1/endpoints"):
+            raise wire.Malformed("not a call that discovery knows")
+        query = dict(pair.partition("=")[::2] for pair in parts[1].decode().partition("?")[2].split("&"))
+        self.since = int(query.get("since") or 0)
+        wait_ms = int(query.get("timeout_ms") or 0) if "since" in query else 0
+        directory, run = self.run.world.directory, self.run
+        due = directory.ask(self.proxy)
+        if due < 0:
+            self.transport.write(wire.answer(503))
+            return
+        self.turn += 1
+        turn = self.turn
+
+        def begin() -> None:
+            if turn != self.turn:
+                return
+            if directory.since(self.since).entries or directory.since(self.since).full or not wait_ms:
+                self.tell(turn)
+                return
+            directory.watch(self.proxy, lambda word: self.news(turn, word))
+            run.time.at(run.time.now + wait_ms * 1_000_000, self.tell, turn)
+
+        run.time.at(due, begin)
+
+    def news(self, turn: int, word: Word | None) -> None:
+        if word is None:
+            self.transport.abort()
+            return
+        self.tell(turn)
+
+    def tell(self, turn: int) -> None:
+        """What is newer, now; a call is answered once."""
+        if turn != self.turn:
+            return
+        self.turn += 1
+        run = self.run
+        if run.world.directory.down:
+            self.transport.abort()
+            return
+        run.world.directory.watch(self.proxy, None)
+        word = run.world.directory.since(self.since)
+        run.world.directory.note(self.proxy, word)
+        tree = wire.listing(word, run.s.zones, run.ports)
+        self.transport.write(wire.answer(200, json.dumps(tree).encode()))
+
+
+class ClientConnection(_Connection):
+    """One connection of a client; one request at a time."""
+
+    def __init__(self, run: Sockets, proxy: int) -> None:
+        super().__init__()
+        self.run, self.proxy = run, proxy
+        self.row: Try | None = None
+        self.last: Try | None = None
+        self.repeated = self.used = False
+
+    def send(self, row: Try, repeated: bool) -> None:
+        run = self.run
+        self.row, self.repeated = row, repeated
+        run.open[row.txn] = self
+        row.taken = run.time.now
+        kind = run.s.classes[row.intent.cls]
+        self.transport.write(wire.request(run.s, row, kind, row.deadline - row.taken, repeated))
+
+    def take(self, message: wire.Message) -> None:
+        run, row = self.run, self.row
+        if row is None:
+            if self.last:  # an answer that nobody asked for
+                run.world.clients.answered(self.last, Answer.FAILED)
+            self.transport.abort()
+            return
+        self.row, self.last, self.used = None, row, True
+        run.open.pop(row.txn, None)
+        if b"close" in message.headers.get(b"connection", b"").lower():
+            self.transport.close()
+        else:
+            run.idle.setdefault(self.proxy, []).append(self)
+        try:
+            answer, after = wire.read_answer(message, row)
+        except wire.Malformed:
+            run.world.clients.answered(row, Answer.BROKEN)
+            raise
+        run.world.clients.answered(row, answer, after)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        run, row = self.run, self.row
+        idle = run.idle.get(self.proxy, [])
+        if self in idle:
+            idle.remove(self)
+        if row is None:
+            return
+        self.row = None
+        run.open.pop(row.txn, None)
+        if row.answer != Answer.OPEN:
+            return
+        if run.proxy_dead(self.proxy, row.taken):
+            row.excused = True
+        elif self.used and not self.reader.begun:
+            # Closed by the proxy while our request was on its way: once more, on a new connection.
+            row.taken = -1
+            run.connect(row, self.repeated)
+            return
+        run.world.clients.answered(row, Answer.BROKEN)
+
+
+class ProxyProcess:
+    """One real proxy."""
+
+    def __init__(self, run: Sockets, number: int) -> None:
+        self.run, self.number = run, number
+        self.process: asyncio.subprocess.Process | None = None
+        self.port = 0
+        self.note_cpu()
+        self.up = False
+        self.lost_at: list[int] = []  # when it was killed or stopped
+        self.waited = -1  # ns that it has waited for a core
+        self.cpu_s = self._cpu_before = 0.0
+        self.listener = Listener(run.loop, lambda: DirectoryConnection(run, number))
+        self._log: asyncio.Task[None] | None = None
+        self._said = asyncio.Event()
+        self.lines = 0
+
+    def config(self) -> Path:
+        run = self.run
+        known = run.world.directory.as_of(run.time.now - run.s.proxies.known_age)
+        run.world.directory.note(self.number, known)
+        tree = {
+            "name": f"lab-{self.number}",
+            "listen": "127.0.0.1:0",
+            "discovery": f"127.0.0.1:{self.listener.port}",
+            "seed": f"{run.world.seed * 1009 + self.number * 31:x}",
+            "known": wire.listing(known, run.s.zones, run.ports),
+            "settings": settings_tree(run.s, self.number),
+        }
+        path = run.folder / f"proxy-{self.number}.json"
+        path.write_text(json.dumps(tree), encoding="utf-8")
+        return path
+
+    async def start(self) -> None:
+        path, before = self.config(), self.cpu_s
+        self._said.clear()
+        self.port = 0
+        words = (sys.executable, "-O", "-m", "mothstall", "serve", "--config", str(path))
+        env = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
+        self.process = await asyncio.create_subprocess_exec(
+            *words, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        self._log = self.run.loop.create_task(self._follow(self.process))
+        try:
+            async with asyncio.timeout(READY_S):
+                await self._said.wait()
+                while self.port and not await self._ready():
+                    await asyncio.sleep(0.02)
+        except TimeoutError:
+            self.port = 0
+        if not self.port:
+            raise Unfinished(
+                f"proxy {self.number} did not start; see {self.run.folder}/proxy-{self.number}.log"
+            )
+        self.up, self.waited, self._cpu_before = True, -1, 0.0
+        self.note_cpu()
+        self.cpu_s = before
+
+    async def _follow(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr
+        with open(self.run.folder / f"proxy-{self.number}.log", "ab") as out:
+            while line := await process.stderr.readline():
+                out.write(line)
+                self.lines += 1
+                if found := _PORT.search(line):
+                    self.port = int(found[1])
+                    self._said.set()
+        self._said.set()
+
+    async def _ready(self) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), 1.0)
+            writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return b" 200 " in line
+
+    def end(self, number: signal.Signals) -> None:
+        self.note_cpu()
+        self.up = False
+        self.lost_at.append(self.run.time.now)
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    def note_cpu(self) -> None:
+        """Adds up what its processes have used since each was ready."""
+        if self.process and self.process.returncode is None:
+            with contextlib.suppress(OSError, IndexError, ValueError):
+                words = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+                used = (int(words[11]) + int(words[12])) / os.sysconf("SC_CLK_TCK")
+                self.cpu_s += used - self._cpu_before
+                self._cpu_before = used
+
+    def starved_ns(self) -> int:
+        """How long it has waited for a core since the last look; 0 where the system does not tell."""
+        if not self.up or not self.process:
+            return 0
+        try:
+            waited = int(Path(f"/proc/{self.process.pid}/schedstat").read_text().split()[1])
+        except (OSError, IndexError, ValueError):
+            return 0
+        before, self.waited = self.waited, waited
+        return waited - before if before >= 0 else 0
+
+    async def stop(self) -> None:
+        self.listener.close()
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        if self._log:
+            await asyncio.wait([self._log], timeout=2.0)
+
+
+class Sockets:
+    """One run on real sockets."""
+
+    def __init__(self, s: Scenario, seed: int, folder: Path) -> None:
+        self.s, self.folder = s, folder
+        self.loop = asyncio.get_running_loop()
+        self.time = RealTime(self.loop)
+        self.servers: dict[int, BoxServer] = {}
+        self.ports: dict[int, int] = {}
+        self.directory_connections: set[DirectoryConnection] = set()
+        self.idle: dict[int, list[ClientConnection]] = {}
+        self.open: dict[int, ClientConnection] = {}
+        self.world = World(s, seed, self.time, self, time.time_ns())
+        self.ledger: Ledger = self.world.ledger
+        self.proxies = [ProxyProcess(self, number) for number in range(s.proxies.count)]
+        self.worst_late = 0
+        self.failure: Exception | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._looked = 0
+        self._over = False
+
+    async def play(self, watch: Callable[[int], object] | None = None) -> Ledger:
+        self.world.prepare()
+        try:
+            await asyncio.gather(*(proxy.start() for proxy in self.proxies))
+            self.time.begin()
+            self.world.base = self.world.directory.base = time.time_ns()
+            self.world.begin()
+            self._looked = self.time.now
+            self._look()
+            self._look_at_proxies()
+            self._sweep()
+            rest = max(k.deadline for k in self.s.classes) + 2 * SLACK_NS
+            end = self.s.total_ns + rest
+            while self.time.now < end and not self.failure:
+                await asyncio.sleep(min(1.0, max(0.0, (end - self.time.now) / NS)))
+                if watch:
+                    watch(self.time.now)
+            for proxy in self.proxies:
+                proxy.note_cpu()
+        finally:
+            self._over = True
+            for connection in [*self.open.values(), *(c for row in self.idle.values() for c in row)]:
+                connection.transport.abort()
+            for server in self.servers.values():
+                server.close()
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.gather(*(proxy.stop() for proxy in self.proxies))
+        if self.failure:
+            raise Unfinished(str(self.failure))
+        return self.ledger
+
+    def notes(self) -> dict[str, Any]:
+        """What the machine did: lateness of this driver and of the proxies, and their CPU."""
+        late = sum(b - a for a, b in self.ledger.late)
+        return {
+            "late": late > 0.01 * self.time.now,
+            "late_s": round(late / NS, 3),
+            "worst_late_ms": round(self.worst_late / 1e6, 1),
+            "proxy_cpu_s": round(sum(proxy.cpu_s for proxy in self.proxies), 3),
+        }
+
+    # Looking after the machine
+
+    def _look(self) -> None:
+        """Guards against blaming proxies for a machine that was late itself."""
+        now = self.time.now
+        lag = now - self._looked - LOOK_NS
+        if lag > LATE_NS:
+            self.ledger.late.append((self._looked, now))
+        self.worst_late = max(self.worst_late, lag)
+        self._looked = now
+        if not self._over:
+            self.loop.call_later(LOOK_NS / NS, self._look)
+
+    def _look_at_proxies(self) -> None:
+        if self._over:
+            return
+        now = self.time.now
+        for proxy in self.proxies:
+            if proxy.starved_ns() > STARVED_NS:
+                self.ledger.late.append((now - LOOK_PROXIES_NS, now))
+            if proxy.up and proxy.process and proxy.process.returncode is not None:
+                self.failure = Unfinished(f"proxy {proxy.number} ended by itself: {proxy.process.returncode}")
+        self.loop.call_later(LOOK_PROXIES_NS / NS, self._look_at_proxies)
+
+    def _sweep(self) -> None:
+        for server in list(self.servers.values()):
+            server.sweep()
+        if not self._over:
+            self.loop.call_later(SWEEP_NS / NS, self._sweep)
+
+    # The world's driver
+
+    def box_up(self, box: Box) -> None:
+        if former := self.servers.get(box.id):
+            former.close()
+        server = self.servers[box.id] = BoxServer(self, box)
+        self.ports[box.id] = server.listener.port
+
+    def box_changed(self, box: Box) -> None:
+        server = self.servers.get(box.id)
+        if server is None:
+            return
+        if not (box.silent or box.cut_in or box.cut_out) and box.up:
+            server.healed()
+        server.look()
+
+    def proxy_down(self, proxy: int, silent: bool) -> None:
+        self.proxies[proxy].end(signal.SIGSTOP if silent else signal.SIGKILL)
+
+    def proxy_up(self, proxy: int, ready: Callable[[], object]) -> None:
+        task = self.loop.create_task(self._restart(self.proxies[proxy], ready))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _restart(self, proxy: ProxyProcess, ready: Callable[[], object]) -> None:
+        if proxy.process and proxy.process.returncode is None:
+            proxy.process.kill()
+            await proxy.process.wait()
+        for connection in self.idle.pop(proxy.number, []):
+            connection.transport.abort()
+        try:
+            await proxy.start()
+        except Unfinished as why:
+            self.failure = why
+            return
+        ready()
+
+    def proxy_dead(self, proxy: int, since: int) -> bool:
+        """Whether a proxy was killed or stopped after a time."""
+        one = self.proxies[proxy]
+        return not one.up or any(at >= since for at in one.lost_at)
+
+    # Clients
+
+    def ask(self, row: Try, repeated: bool) -> None:
+        idle = self.idle.get(row.proxy, [])
+        while idle:
+            connection = idle.pop()
+            if not connection.transport.is_closing():
+                connection.send(row, repeated)
+                return
+        self.connect(row, repeated)
+
+    def connect(self, row: Try, repeated: bool) -> None:
+        task = self.loop.create_task(self._connect(row, repeated))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _connect(self, row: Try, repeated: bool) -> None:
+        proxy = self.proxies[row.proxy]
+        try:
+            _, connection = await self.loop.create_connection(
+                lambda: ClientConnection(self, row.proxy), "127.0.0.1", proxy.port
+            )
+        except OSError:
+            self.world.clients.answered(row, Answer.UNREACHED)
+            return
+        if row.answer == Answer.OPEN:
+            connection.send(row, repeated)
+        else:
+            connection.transport.abort()
+
+    def leave(self, row: Try) -> None:
+        if self.proxy_dead(row.proxy, row.taken):
+            row.excused = True
+        connection = self.open.pop(row.txn, None)
+        if connection:
+            connection.row = None
+            connection.transport.abort()
+
+
+def run(
+    s: Scenario, seed: int, watch: Callable[[Sockets], Callable[[int], object]] | None = None
+) -> tuple[Ledger, dict[str, Any]]:
+    """Plays a scenario on sockets: the ledger, and notes on the machine. Raises Unfinished."""
+
+    async def main() -> tuple[Ledger, dict[str, Any]]:
+        with tempfile.TemporaryDirectory(prefix="mothstall-lab-") as folder:
+            one = Sockets(s, seed, Path(folder))
+            ledger = await one.play(watch(one) if watch else None)
+            return ledger, one.notes()
+
+    return asyncio.run(main())
--- a/mothstall/lab/timeline.py
+++ b/mothstall/lab/timeline.py
@@ -10,7 +10,8 @@
 class Timeline(Protocol):
     """The time, ns since the run's start, and a way to be called at one. Real or simulated."""
 
-    now: int
+    @property
+    def now(self) -> int: ...
 
     def at(self, due: int, what: Callable[..., object], *words: Any) -> None:
         """Calls `what(*words)` at `due`, or as soon as it can where that is past."""
--- a/mothstall/lab/virtual.py
+++ b/mothstall/lab/virtual.py
@@ -22,6 +22,7 @@
 
 BASE_NS = 1_000_000 * NS  # what proxies' clocks show when the run begins
 CALL_NS = 2 * NS  # how long a proxy waits for discovery's answer
+BOOT_NS = 600_000_000  # how long a proxy's process takes to start
 PAUSE_NS = NS  # where the list is pushed: before a watch that failed begins again
 KEEP = 0.6  # of the boxes' idle limit: how long a proxy keeps an idle connection
 _RESULTS = {
@@ -379,6 +380,7 @@
 
     def play(self, watch: Callable[[int], object] | None = None) -> Ledger:
         """Plays the whole scenario. `watch` is called with each second of the run that is over."""
+        self.world.prepare()
         self.world.begin()
         for proxy in self.proxies:
             proxy.boot()
@@ -425,6 +427,9 @@
             self.world.boxes[out.box].withdraw(out.job)
 
     def box_up(self, box: Box) -> None:
+        pass  # whoever sends to it looks at it
+
+    def box_changed(self, box: Box) -> None:
         pass
 
     def proxy_down(self, proxy: int, silent: bool) -> None:
@@ -432,6 +437,10 @@
             self.silent.add(proxy)
         self.proxies[proxy].die(silent)
 
-    def proxy_up(self, proxy: int) -> None:
+    def proxy_up(self, proxy: int, ready: Callable[[], object]) -> None:
+        self.time.at(self.time.now + BOOT_NS, self._boot, proxy, ready)
+
+    def _boot(self, proxy: int, ready: Callable[[], object]) -> None:
         self.silent.discard(proxy)
         self.proxies[proxy].boot()
+        ready()
--- /dev/null
+++ b/mothstall/lab/wire.py
@@ -0,0 +1,156 @@
+"""The platform's protocol as boxes, discovery and clients speak it: bytes to messages and back. Pure.
+
+The stand-ins trust no one, but they are not servers for the world: bodies and heads are bounded, anything
+unreadable raises Malformed, and its connection is to be closed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from mothstall import interface as io
+from mothstall.interface import Health
+from mothstall.lab.directory import Word
+from mothstall.lab.ledger import Answer, Try
+from mothstall.lab.scenario import Kind, Scenario
+
+MOST_HEAD = 16 * 1024
+MOST_BODY = 1024 * 1024
+_PHASES = {Health.READY: "SERVING", Health.DRAINING: "DRAINING", Health.GONE: "DELETED"}
+
+
+class Malformed(ValueError):
+    """Bytes that are no message of the protocol."""
+
+
+@dataclass(slots=True, frozen=True)
+class Message:
+    """A request or an answer: its first line, headers with names in small letters, and body."""
+
+    line: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+class Reader:
+    """Takes bytes as they come and gives whole messages."""
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[Message]:
+        self._data += data
+        while True:
+            end = self._data.find(b"\r\n\r\n")
+            if end < 0:
+                if len(self._data) > MOST_HEAD:
+                    raise Malformed("a head that does not end")
+                return
+            line, *rows = bytes(self._data[:end]).split(b"\r\n")
+            headers = {}
+            for row in rows:
+                name, sep, value = row.partition(b":")
+                if not sep:
+                    raise Malformed(f"{row[:40]!r} is no header")
+                headers[name.strip().lower()] = value.strip()
+            length = headers.get(b"content-length", b"0")
+            if not length.isdigit() or int(length) > MOST_BODY or b"transfer-encoding" in headers:
+                raise Malformed("a body whose end cannot be told")
+            whole = end + 4 + int(length)
+            if len(self._data) < whole:
+                return
+            body = bytes(self._data[end + 4 : whole])
+            del self._data[:whole]
+            yield Message(line, headers, body)
+
+    @property
+    def begun(self) -> bool:
+        """Whether a message has come in part."""
+        return bool(self._data)
+
+
+def request(s: Scenario, row: Try, kind: Kind, left_ns: int, repeated: bool) -> bytes:
+    """A client's request."""
+    safe = kind.effect == "safe"
+    rows = [
+        f"{'GET' if safe else 'POST'} /{kind.name} HTTP/1.1",
+        "Host: service.internal",
+        f"X-Txn: {row.txn:016x}",
+        f"X-Lane: {kind.name}",
+        f"X-Remaining: {max(1, left_ns // 1000)}u",
+    ]
+    if s.tenants:
+        rows.append(f"X-Org: {s.tenants[row.intent.tenant].name}")
+    if repeated:
+        rows.append("X-Resent: 1")
+    body = b""
+    if not safe:
+        body = b"intent %d" % row.intent.id
+        rows += [f"Idempotency-Key: {row.intent.id:032x}", f"Content-Length: {len(body)}"]
+    return "\r\n".join(rows).encode() + b"\r\n\r\n" + body
+
+
+def txn(message: Message) -> int:
+    """The number of the try that a request belongs to."""
+    try:
+        return int(message.headers[b"x-txn"], 16)
+    except (KeyError, ValueError):
+        raise Malformed("a request with no id of ours") from None
+
+
+def served(number: int) -> bytes:
+    """The body of a box's answer: nobody but the box of this very request makes it."""
+    return b"served %016x\n" % number
+
+
+def answer(status: int, body: bytes = b"", load: str = "", more: str = "") -> bytes:
+    """A box's or discovery's answer; `more` holds further headers, each with its end of line."""
+    if load:
+        more += f"X-Pressure: {load}\r\n"
+    return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{more}\r\n".encode() + body
+
+
+def load_text(names: tuple[str, ...], values: tuple[float, ...]) -> str:
+    return ",".join(f"{name}={value:.3f}" for name, value in zip(names, values, strict=True))
+
+
+def read_answer(message: Message, row: Try) -> tuple[Answer, int]:
+    """What an answer means to a client, and when it may come back (ns; 0: not told)."""
+    parts = message.line.split(b" ", 2)
+    if len(parts) < 2 or not parts[1].isdigit():
+        raise Malformed(f"{message.line[:40]!r} is no status")
+    status = int(parts[1])
+    if status == 200:
+        if message.body != served(row.txn):
+            raise Malformed("an answer that no box made for this request")
+        return Answer.SERVED, 0
+    if status in (429, 503):
+        try:
+            after = float(message.headers.get(b"retry-after", b"0"))
+        except ValueError:
+            raise Malformed("Retry-After is no number") from None
+        return Answer.REFUSED, int(after * 1e9)
+    return Answer.FAILED, 0
+
+
+def listing(word: Word, zones: tuple[str, ...], ports: dict[int, int]) -> dict[str, object]:
+    """The list, or its changes, as discovery's JSON."""
+    return {
+        "revision": word.version,
+        "complete": word.full,
+        "members": [member(entry, zones, ports) for entry in word.entries],
+    }
+
+
+def member(entry: io.Entry, zones: tuple[str, ...], ports: dict[int, int]) -> dict[str, object]:
+    return {
+        "id": f"box-{entry.backend}",
+        "host_port": f"127.0.0.1:{ports.get(entry.backend, 1)}",
+        "locality": zones[entry.zone],
+        "flavor": "box",
+        "cell": entry.cell,
+        "phase": _PHASES[entry.health],
+        "size": entry.weight,
+        "up_since_ms": entry.started_ns // 1_000_000,
+    }
--- a/mothstall/lab/world.py
+++ b/mothstall/lab/world.py
@@ -24,16 +24,19 @@
 SAMPLE_NS = 500_000_000
 FIRST_BOX = 101
 BOOT_NS = 800_000_000  # from the end of a box to its successor's start
-PROXY_BOOT_NS = 600_000_000
 
 
 class Driver(Carrier, Protocol):
     def box_up(self, box: Box) -> None:
         """A box is about to be listed: it must be reachable from now on."""
 
+    def box_changed(self, box: Box) -> None:
+        """A box stopped, fell silent, was cut off, or can be reached again."""
+
     def proxy_down(self, proxy: int, silent: bool) -> None: ...
 
-    def proxy_up(self, proxy: int) -> None: ...
+    def proxy_up(self, proxy: int, ready: Callable[[], object]) -> None:
+        """A new process may start; `ready` is called once it takes requests."""
 
 
 class World:
@@ -65,7 +68,7 @@
         self._next_box += 1
         box = self.boxes[number] = Box(
             number, group, zone, self.s.rules, time=self.time, ledger=self.ledger, shared=self.shared,
-            rng=self.rng(f"box {number}"), started=started,
+            rng=self.rng(f"box {number}"), changed=self.driver.box_changed, started=started,
             warm_subjects=self.s.clients.warm,
             miss_cost=self.s.clients.miss_cost if self.s.clients.keys else 0.0,
         )  # fmt: skip
@@ -75,11 +78,14 @@
         started = self.base + box.started if box.started else 0
         return io.Entry(box.id, box.zone, 0, box.cell, health, box.group.cores * box.group.speed, started)
 
-    def begin(self) -> None:
-        """Before the first event: the list, the troubles, the first arrival."""
+    def prepare(self) -> None:
+        """Boxes that can be reached, and the list of them."""
         for box in self.boxes.values():
             self.driver.box_up(box)
         self.directory.seed([self.entry(box, Health.READY) for box in self.boxes.values()])
+
+    def begin(self) -> None:
+        """Before the first event: the troubles, the first arrival."""
         for trouble in self.s.troubles:
             _PLAY[type(trouble)](self, trouble)
         self.time.at(0, self._sample)
@@ -165,6 +171,7 @@
             def do(box: Box) -> None:
                 box.cut_in = on and t.way != "out"
                 box.cut_out = on and t.way != "in"
+                self.driver.box_changed(box)
 
             return do
 
@@ -238,7 +245,7 @@
             for proxy in some:
                 self.start_proxy(proxy)
 
-        self.span(t, kill, revive, f"{t.proxies} proxies killed")
+        self.span(t, kill, revive, "a proxy killed" if t.proxies == 1 else f"{t.proxies} proxies killed")
 
     def proxy_hot(self, t: sc.ProxyHot) -> None:
         proxy = self.luck.randrange(self.s.proxies.count)
@@ -292,17 +299,16 @@
         self.ledger.proxy_down.append((proxy, self.time.now, -1))
         self.front.down(proxy)
         self.driver.proxy_down(proxy, silent)
+        self.directory.forget(proxy)
 
     def start_proxy(self, proxy: int) -> None:
-        self.time.at(self.time.now + PROXY_BOOT_NS, self._started, proxy)
+        self.driver.proxy_up(proxy, lambda: self._started(proxy))
 
     def _started(self, proxy: int) -> None:
         rows = self.ledger.proxy_down
         for i, (who, since, until) in enumerate(rows):
             if who == proxy and until < 0:
                 rows[i] = (who, since, self.time.now)
-        self.directory.forget(proxy)
-        self.driver.proxy_up(proxy)
         self.front.back(proxy)
 
 
--- /dev/null
+++ b/tests/lab/test_sockets.py
@@ -0,0 +1,86 @@
+"""The sockets driver: real proxies on loopback behind the same world, and the protocol that they meet."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mothstall.lab import report, runs, scenario, wire
+from mothstall.lab.ledger import Answer, Fate, Intent, Try
+
+MS = 1_000_000
+SCENE = scenario.from_tree(
+    {
+        "tries": "A test.",
+        "seconds": 8.0,
+        "boxes": [{"count": 6, "idle": "1s"}],
+        "rules": {"cold": "2s", "fall": "1s"},
+        "clients": {"rate": 60.0},
+        "discovery": {"lag": "200ms"},
+        "troubles": [
+            {"kind": "hang", "at": "1s", "lasts": "2s", "boxes": 1},
+            {"kind": "cut", "at": "2s", "lasts": "2s", "boxes": 1, "way": "out"},
+            {"kind": "spoilt", "at": "3s", "lasts": "3s", "boxes": 2},
+            {"kind": "crash", "at": "3s", "lasts": "1s", "boxes": 1},
+            {"kind": "proxy-killed", "at": "3500ms", "lasts": "1s"},
+            {"kind": "deploy", "at": "4500ms", "lasts": "2s", "batch": 0.2, "every": "1s", "only": 0.4},
+            {"kind": "discovery-down", "at": "5s", "lasts": "1s"},
+        ],
+    },
+    "many-troubles",
+)
+
+
+def test_real_proxies_keep_the_rules_under_many_troubles_and_fare_as_in_the_model() -> None:
+    real = runs.play(SCENE, "module", 3, "sockets")
+    assert not real.verdict.rules, real.text()
+    assert {Fate.SERVED, Fate.SPOILT} <= {row.fate for row in real.ledger.arrivals}
+    assert {life.box for life in real.ledger.lives} >= {101, 107}  # a successor was listed and met
+    assert any(spans for spans in real.ledger.told_out.values())
+    assert real.notes["proxy_cpu_s"] > 0
+    model = runs.play(SCENE, "module", 3)
+    assert [x.start for x in real.ledger.intents] == [x.start for x in model.ledger.intents]
+    if not real.notes["late"]:
+        assert abs(real.verdict.worth - model.verdict.worth) < 0.15
+    page = report.page(real)
+    assert "All four rules kept" in page and page.count("<svg") == 5 and "<script" not in page
+
+
+def row() -> Try:
+    return Try(7, Intent(3, 2, 1, 0, 0, 0, 20 * MS, False, True, False, 0.5), 0, 0, 900 * MS)
+
+
+@given(st.lists(st.integers(1, 80), max_size=12))
+def test_messages_are_read_whole_however_they_are_split(cuts: list[int]) -> None:
+    one = wire.request(SCENE, row(), SCENE.classes[2], 800 * MS, True)
+    data, reader, found = one + wire.answer(200, wire.served(7), "util=0.5") + one, wire.Reader(), []
+    for size in cuts:
+        found += list(reader.feed(data[:size]))
+        data = data[size:]
+    found += list(reader.feed(data))
+    assert not reader.begun and [m.body for m in found] == [b"intent 3", wire.served(7), b"intent 3"]
+    assert wire.txn(found[0]) == 7 and found[0].headers[b"x-remaining"] == b"800000u"
+    assert found[2].headers[b"idempotency-key"] == b"%032x" % 3 and found[2].headers[b"x-resent"] == b"1"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"x" * 20_000, b"A\r\nno header\r\n\r\n", b"A\r\nContent-Length: -1\r\n\r\n",
+     b"A\r\nContent-Length: 99999999\r\n\r\n", b"A\r\nTransfer-Encoding: chunked\r\n\r\n"],
+)  # fmt: skip
+def test_what_is_no_message_is_malformed(data: bytes) -> None:
+    with pytest.raises(wire.Malformed):
+        list(wire.Reader().feed(data))
+
+
+def test_answers_are_told_apart_and_one_of_another_request_is_none() -> None:
+    def read(raw: bytes) -> tuple[Answer, int]:
+        return wire.read_answer(next(iter(wire.Reader().feed(raw))), row())
+
+    assert read(wire.answer(200, wire.served(7))) == (Answer.SERVED, 0)
+    assert read(wire.answer(503, more="Retry-After: 0.25\r\n")) == (Answer.REFUSED, 250 * MS)
+    assert read(wire.answer(502)) == (Answer.FAILED, 0)
+    for raw in (wire.answer(200, wire.served(8)), wire.answer(503, more="Retry-After: soon\r\n")):
+        with pytest.raises(wire.Malformed):
+            read(raw)
