--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -274,6 +274,8 @@
             return
         if old:
             self._drop(old)  # a new start under the same id is a new, cold backend
+        # Room follows the list both ways: a backend that comes brings what one that leaves would take.
+        self.room *= 1.0 + 1.0 / max(1, len(self.backends))
         b = self.backends[entry.backend] = Backend(entry, self.now, self.rng.random())
         b.limit = ROOM_START if self._warmth(b) >= 1 else 1.0
 
@@ -467,8 +469,12 @@
         warm = [b.est1 for b in self.members if self._warmth(b) >= 1 and not b.out_until]
         pace = self.sent * NS / span
         # Guards against a cold zone's proxies counting by the few far ones that are warm, which fewer cover.
-        uneven = not warm or (self.near_share > 0 and self.grain < 1)
-        self.warm_rate = (sum(warm) if warm else pace) / max(1, len(self.members if uneven else warm))
+        uneven = self.near_share > 0 and self.grain < 1
+        if warm:
+            self.warm_rate = sum(warm) / len(self.members if uneven else warm)
+        elif self.members:
+            # Guards against a fleet cold as a whole: what its own budget lets through must not shrink it.
+            self.warm_rate = max(self.warm_rate, pace / len(self.members))
         self.rate += (1 - math.exp(-3 * span / T_NS)) * (pace - self.rate) if self.rate else pace
         self.rate = max(self.rate, pace) if self.sent >= LEAST_SEEN else self.rate
         self.sent = 0
--- /dev/null
+++ b/mothstall/lab/bench.py
@@ -0,0 +1,409 @@
+"""What one proxy costs and bears against instant boxes: CPU a request, highest rate, latency at given rates.
+
+Boxes and clients run in processes of their own, so that the proxy has a core to itself. Latency counts from
+when a request was meant to be sent (open arrivals); the highest rate comes from connections that ask again as
+soon as they are answered. `parts` times the pieces of a request's path by themselves, in this process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import multiprocessing
+import os
+import platform
+import random
+import subprocess
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from multiprocessing.connection import Connection
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+from hdrh.histogram import HdrHistogram
+
+from mothstall import interface as io
+from mothstall.choice import Balancer
+from mothstall.interface import NS, Health, Result, Scope
+from mothstall.lab import scenario, wire
+from mothstall.lab.directory import Word
+from mothstall.lab.judge import TOP_US
+from mothstall.lab.ledger import Unfinished
+from mothstall.lab.process import ROOT, ServeProcess
+from mothstall.net import protocol
+
+BOXES = 4
+CLIENTS = 2  # processes
+HELD = 48  # connections that ask without a pause, over all client processes
+RATES = (500, 1500, 3000)
+WARM_S = 1.0
+ANSWER = wire.answer(200, b"x" * 200, "util=0.30,queue=0.00")
+TREE = scenario.from_tree(
+    {"tries": "One proxy and instant boxes.", "zones": ["here"], "proxies": {"count": 1},
+     "boxes": [{"count": BOXES, "cores": 64}], "tenants": [], "clients": {"rate": 1000.0}},
+    "bench",
+)  # fmt: skip
+
+
+# Boxes and clients, each in a process of its own
+
+
+class _InstantBox(asyncio.Protocol):
+    """Answers each request at once; requests are heads without a body."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport, self.rest = transport, b""
+
+    def data_received(self, data: bytes) -> None:
+        data = self.rest + data
+        whole = data.count(b"\r\n\r\n")
+        self.rest = data[data.rfind(b"\r\n\r\n") + 4 :] if whole else data
+        if whole:
+            self.transport.write(ANSWER * whole)
+
+
+def _serve_boxes(pipe: Connection) -> None:
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        servers = [await loop.create_server(_InstantBox, "127.0.0.1", 0) for _ in range(BOXES)]
+        pipe.send([server.sockets[0].getsockname()[1] for server in servers])
+        await loop.run_in_executor(None, _wait, pipe)
+
+    asyncio.run(main())
+
+
+def _wait(pipe: Connection) -> None:
+    with contextlib.suppress(EOFError):  # whoever started us is gone
+        pipe.recv()
+
+
+class _Asker(asyncio.Protocol):
+    """One connection of a client: one request at a time."""
+
+    def __init__(self, done: Callable[[_Asker, bool], object]) -> None:
+        self.done, self.begun, self.data = done, 0.0, b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def ask(self, number: int, begun: float) -> None:
+        self.begun = begun
+        head = b"GET /search HTTP/1.1\r\nHost: service.internal\r\nX-Txn: %016x\r\n" % number
+        self.transport.write(head + b"X-Lane: search\r\nX-Remaining: 1400m\r\n\r\n")
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+        end = self.data.find(b"\r\n\r\n")
+        if end < 0:
+            return
+        at = self.data.lower().find(b"content-length:", 0, end)
+        length = int(self.data[at + 15 : self.data.find(b"\r\n", at)]) if at >= 0 else 0
+        if len(self.data) >= end + 4 + length:
+            good = self.data.startswith(b"HTTP/1.1 200")
+            self.data = self.data[end + 4 + length :]
+            self.done(self, good)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.begun:
+            self.done(self, False)
+
+
+def _ask(pipe: Connection, worker: int, port: int, seconds: float, rate: float, held: int) -> None:
+    """One client process: at a rate (open arrivals) or, with rate 0, as fast as `held` connections go."""
+
+    async def main() -> dict[str, Any]:
+        loop, rng = asyncio.get_running_loop(), random.Random(worker)
+        histogram = HdrHistogram(1, TOP_US, 3)
+        numbers = iter(range(1 + worker * 10_000_000_000, 1 << 62))
+        idle: list[_Asker] = []
+        counts = {"good": 0, "bad": 0, "late_us": 0}
+        begin = loop.time() + WARM_S
+        end = begin + seconds
+
+        def done(asker: _Asker, good: bool) -> None:
+            now, begun, asker.begun = loop.time(), asker.begun, 0.0
+            if begin <= now < end:
+                counts["good" if good else "bad"] += 1
+                histogram.record_value(max(1, min(TOP_US, int((now - begun) * 1e6))))
+            if asker.transport.is_closing():
+                return
+            if rate:
+                idle.append(asker)
+            elif now < end:
+                asker.ask(next(numbers), now)
+
+        async def connect() -> _Asker:
+            _, made = await loop.create_connection(lambda: _Asker(done), "127.0.0.1", port)
+            return made
+
+        askers = [await connect() for _ in range(held)]
+        if not rate:
+            for asker in askers:
+                asker.ask(next(numbers), loop.time())
+            await asyncio.sleep(end - loop.time() + 0.2)
+        else:
+            idle += askers
+            due = loop.time()
+            while due < end:
+                due += rng.expovariate(rate)
+                if (wait := due - loop.time()) > 0:
+                    await asyncio.sleep(wait)
+                counts["late_us"] = max(counts["late_us"], int((loop.time() - due) * 1e6))
+                asker = idle.pop() if idle else await connect()
+                asker.ask(next(numbers), due)
+            await asyncio.sleep(0.3)
+        return {**counts, "histogram": histogram.encode()}
+
+    pipe.send(asyncio.run(main()))
+
+
+# The runs
+
+
+class _List(asyncio.Protocol):
+    """Discovery for one proxy: the same list for ever."""
+
+    def __init__(self, word: Word, ports: dict[int, int]) -> None:
+        self.word, self.ports, self.reader = word, ports, wire.Reader()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        for message in self.reader.feed(data):
+            fresh = b"since=0" in message.line or b"since" not in message.line
+            word = self.word if fresh else Word(self.word.version, False, ())
+            body = json.dumps(wire.listing(word, TREE.zones, self.ports)).encode()
+            wait = 0.0 if fresh or b"timeout_ms=1 " in message.line else 5.0
+            asyncio.get_running_loop().call_later(wait, self._tell, wire.answer(200, body))
+
+    def _tell(self, data: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(data)
+
+
+async def _measure(
+    seconds: float, rates: Sequence[int], say: Callable[[str], object]
+) -> list[dict[str, Any]]:
+    loop = asyncio.get_running_loop()
+    context = multiprocessing.get_context("spawn")
+    mine, theirs = context.Pipe()
+    boxes = context.Process(target=_serve_boxes, args=(theirs,), daemon=True)
+    boxes.start()
+    rows = []
+    with tempfile.TemporaryDirectory(prefix="mothstall-bench-") as folder:
+        proxy = ServeProcess("proxy", Path(folder))
+        try:
+            found: list[int] = await loop.run_in_executor(None, mine.recv)
+            entries = tuple(io.Entry(1 + i, 0, 0, 0, Health.READY, 1.0, 0) for i in range(BOXES))
+            word, ports = Word(1, True, entries), dict(enumerate(found, 1))
+            listing = await loop.create_server(lambda: _List(word, ports), "127.0.0.1", 0)
+            await proxy.start(
+                {
+                    "name": "bench",
+                    "listen": "127.0.0.1:0",
+                    "discovery": f"127.0.0.1:{listing.sockets[0].getsockname()[1]}",
+                    "seed": "1",
+                    "known": wire.listing(word, TREE.zones, ports),
+                    "settings": scenario.settings_tree(TREE, 0),
+                }
+            )
+            for rate in (*rates, 0):
+                say(f"{rate} a second" if rate else f"as fast as {HELD} connections go")
+                rows.append(await _one(context, proxy, seconds, rate))
+            listing.close()
+        finally:
+            await proxy.stop()
+            mine.close()
+            boxes.terminate()
+            boxes.join(2.0)
+    return rows
+
+
+async def _one(context: Any, proxy: ServeProcess, seconds: float, rate: int) -> dict[str, Any]:
+    """One load: what came back, and the CPU that the proxy used for it."""
+    loop = asyncio.get_running_loop()
+    pipes, workers = [], []
+    for worker in range(CLIENTS):
+        mine, theirs = context.Pipe()
+        args = (theirs, worker, proxy.port, seconds, rate / CLIENTS, HELD // CLIENTS)
+        workers.append(context.Process(target=_ask, args=args, daemon=True))
+        workers[-1].start()
+        pipes.append(mine)
+    # CPU is counted over a stretch in the middle of the load, by the requests that it answered.
+    await asyncio.sleep(WARM_S + 0.25 * seconds)
+    proxy.note_cpu()
+    cpu, began = proxy.cpu_s, time.monotonic()
+    await asyncio.sleep(0.6 * seconds)
+    proxy.note_cpu()
+    used, span = proxy.cpu_s - cpu, time.monotonic() - began
+    histogram, good, bad, late = HdrHistogram(1, TOP_US, 3), 0, 0, 0
+    for pipe, process in zip(pipes, workers, strict=True):
+        try:
+            said = await asyncio.wait_for(loop.run_in_executor(None, pipe.recv), seconds + 30)
+        except (EOFError, TimeoutError) as why:
+            raise Unfinished("a client of the bench ended without a word") from why
+        histogram.decode_and_add(said["histogram"])
+        good, bad, late = good + said["good"], bad + said["bad"], max(late, said["late_us"])
+        process.join(5.0)
+    answered = (good + bad) / seconds
+    return {
+        "asked_per_s": rate or None,
+        "answered_per_s": round(answered, 1),
+        "bad": bad,
+        "cpu_part": round(used / span, 3),
+        "cpu_us_per_request": round(1e6 * used / (answered * span), 1) if answered else None,
+        "p50_ms": histogram.get_value_at_percentile(50) / 1000,
+        "p99_ms": histogram.get_value_at_percentile(99) / 1000,
+        "p99.9_ms": histogram.get_value_at_percentile(99.9) / 1000,
+        "clients_late_ms": late / 1000,
+    }
+
+
+# Parts of a request's path
+
+
+def parts(repeats: int = 5) -> dict[str, float]:
+    """Microseconds of CPU for each piece, the median of some repeats."""
+    pieces = {"decisions": _decisions, "read request": _read_request, "parse head (aiohttp)": _parse}
+    return {
+        name: round(sorted(_timed(make()) for _ in range(repeats))[repeats // 2], 1)
+        for name, make in pieces.items()
+    }
+
+
+def _timed(call: Callable[[], object], count: int = 3000) -> float:
+    for _ in range(count // 10):
+        call()
+    began = time.process_time()
+    for _ in range(count):
+        call()
+    return (time.process_time() - began) / count * 1e6
+
+
+def _decisions() -> Callable[[], object]:
+    """One request through the module: it comes, it is sent, it is answered; timers as they fall due."""
+    balancer = Balancer(scenario.settings(TREE, 0), 1)
+    entries = [io.Entry(1 + i, 0, 0, 0, Health.READY, 1.0, 0) for i in range(BOXES)]
+    state = {"now": 1000 * NS, "id": 0}
+    balancer.handle(state["now"], [io.BackendList(Scope.FULL, 1, entries)])
+
+    def call() -> None:
+        state["now"] += 300_000
+        state["id"] += 1
+        request, now = state["id"], state["now"]
+        for action in balancer.handle(now, [io.RequestArrived(request, 0, 0, 0, NS, 0, False)]):
+            if isinstance(action, io.SendAttempt):
+                ended = io.AttemptEnded(request, 0, action.backend, Result.OK, 200_000, True, (0.3, 0.0))
+                balancer.handle(now + 200_000, [ended])
+
+    return call
+
+
+def _read_request() -> Callable[[], object]:
+    from mothstall.config import Names
+    from mothstall.interface import Effect
+
+    names = Names(("search",), (), ("here",), ("box",), (Effect.SAFE,), (1500 * 1_000_000,))
+    headers = [
+        (b"Host", b"service.internal"),
+        (b"X-Txn", b"%016x" % 77),
+        (b"X-Lane", b"search"),
+        (b"X-Remaining", b"1400m"),
+    ]
+    return lambda: protocol.read_request("GET", "/search", headers, b"", names)
+
+
+def _parse() -> Callable[[], object]:
+    loop = asyncio.new_event_loop()
+    base = aiohttp.base_protocol.BaseProtocol(loop=loop)
+    head = b"GET /search HTTP/1.1\r\nHost: service.internal\r\nX-Txn: 4d\r\nX-Lane: search\r\n\r\n"
+    parser = aiohttp.http_parser.HttpRequestParser(base, loop, 2**16)
+    return lambda: parser.feed_data(head)
+
+
+# The command
+
+
+def run(seconds: float, rates: Sequence[int], say: Callable[[str], object]) -> dict[str, Any]:
+    """All figures, with the revision that they belong to. Raises Unfinished."""
+    rows = asyncio.run(_measure(seconds, rates, say))
+    say("the parts by themselves")
+    return {
+        "at": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime()),
+        "revision": revision(),
+        "python": platform.python_version(),
+        "cores": os.cpu_count(),
+        "seconds": seconds,
+        "loads": rows,
+        "parts_us": parts(),
+    }
+
+
+def revision() -> str:
+    """The commit, and a mark where the proxy's own files differ from it."""
+
+    def git(*words: str) -> str:
+        asked = subprocess.run(
+            ["git", "-C", str(ROOT), *words], capture_output=True, text=True, check=False, timeout=30
+        )
+        return asked.stdout.strip() if asked.returncode == 0 else ""
+
+    found = git("rev-parse", "--short=10", "HEAD") or "unknown"
+    return found + ("+changes" if git("status", "--porcelain", "--", "mothstall") else "")
+
+
+def last(folder: Path) -> dict[str, Any] | None:
+    """The newest figures kept in a folder."""
+    for path in sorted(folder.glob("*.json"), reverse=True):
+        try:
+            tree = json.loads(path.read_text(encoding="utf-8"))
+        except (OSError, ValueError):
+            continue
+        if isinstance(tree, dict) and "loads" in tree:
+            return tree
+    return None
+
+
+def keep(tree: dict[str, Any], folder: Path) -> Path:
+    """Writes the figures under their time and revision. Raises OSError."""
+    folder.mkdir(parents=True, exist_ok=True)
+    stamp = tree["at"].replace("-", "").replace(":", "")
+    path = folder / f"{stamp}-{tree['revision'].replace('+', '-')}.json"
+    path.write_text(json.dumps(tree, indent=1) + "\n", encoding="utf-8")
+    return path
+
+
+def text(tree: dict[str, Any], before: dict[str, Any] | None) -> str:
+    """The figures for people, beside those of an earlier time where there are any."""
+    rows = [
+        f"{tree['revision']}, Python {tree['python']}, {tree['cores']} cores, {tree['seconds']:g} s a load",
+        "",
+    ]
+    rows.append("asked/s  answered/s   bad  CPU part  us/request    p50 ms   p99 ms  p99.9 ms")
+    for row in tree["loads"]:
+        asked = row["asked_per_s"] or "all"
+        cost = row["cpu_us_per_request"] or 0.0
+        rows.append(
+            f"{asked!s:>7}  {row['answered_per_s']:10.0f}  {row['bad']:4d}  {row['cpu_part']:8.2f}"
+            f"  {cost:10.1f}  {row['p50_ms']:8.2f} {row['p99_ms']:8.2f}  {row['p99.9_ms']:8.2f}"
+        )
+    rows += ["", "us of CPU by itself: " + ", ".join(f"{k} {v:g}" for k, v in tree["parts_us"].items())]
+    if before:
+        rows.append(f"\nagainst {before['revision']} of {before['at']}:")
+        earlier = {row["asked_per_s"]: row for row in before["loads"]}
+        for row in tree["loads"]:
+            old = earlier.get(row["asked_per_s"])
+            if old and old["cpu_us_per_request"] and row["cpu_us_per_request"]:
+                part = row["cpu_us_per_request"] / old["cpu_us_per_request"] - 1
+                rows.append(
+                    f"{row['asked_per_s'] or 'all'!s:>7}  us/request {part:+.1%}, "
+                    f"answered/s {row['answered_per_s'] / old['answered_per_s'] - 1:+.1%}"
+                )
+    return "\n".join(rows)
--- a/mothstall/lab/command.py
+++ b/mothstall/lab/command.py
@@ -35,6 +35,20 @@
         "demo", help="three real proxies, a hung box and a deploy, 20 s", epilog=EPILOG
     )
     demo.add_argument("--report", metavar="FILE", default="found/demo.html", help="default: found/demo.html")
+    compare = commands.add_parser("compare", help="variants in pairs on the same seeds", epilog=EPILOG)
+    compare.add_argument("policy", nargs="+", help="the first is what the others are held against")
+    compare.add_argument("--scenario", nargs="+", default=["all"], metavar="S", help="names; default: all")
+    compare.add_argument("--seeds", type=int, default=20, help="pairs; default: 20")
+    compare.add_argument("--seconds", type=float, help="in place of each scenario's")
+    compare.add_argument("--workers", type=int, default=0, help="processes; default: one a core")
+    compare.add_argument("--measure", choices=("worth", "worst_10s"), default="worth")
+    compare.add_argument("--markdown", action="store_true", help="the table as Markdown")
+    compare.add_argument("--json", metavar="FILE", help="all figures as JSON; - for standard output")
+    bench = commands.add_parser("bench", help="what one proxy costs a request, and bears", epilog=EPILOG)
+    bench.add_argument("--seconds", type=float, default=5.0, help="a load; default: 5")
+    bench.add_argument("--rates", type=int, nargs="*", help="requests a second; default: 500 1500 3000")
+    bench.add_argument("--keep", metavar="FOLDER", help="write the figures there, as benchmarks/ holds them")
+    bench.add_argument("--json", metavar="FILE", help="figures as JSON; - for standard output")
     return parser
 
 
@@ -99,6 +113,66 @@
     return 3 if result.verdict.broken else 0
 
 
+def _compare(args: argparse.Namespace) -> int:
+    from rich.console import Console
+    from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
+    from rich.table import Table
+
+    from mothstall.lab import compare
+
+    if args.seeds < 1 or args.workers < 0:
+        raise scenario.ScenarioError("--seeds must be 1 or more, --workers 0 or more")
+    if len(set(args.policy)) < len(args.policy):
+        raise policies.PolicyError("a variant is named twice")
+    names = scenario.names() if args.scenario == ["all"] else list(dict.fromkeys(args.scenario))
+    for name in names:
+        scenario.load(name)
+    columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn())
+    with Progress(*columns, console=Console(stderr=True)) as progress:
+        task = progress.add_task("playing", total=len(names) * len(args.policy) * args.seeds)
+        rows = compare.play(
+            names, args.policy, args.seeds, seconds=args.seconds, workers=args.workers,
+            done=lambda: progress.advance(task),
+        )  # fmt: skip
+    if args.json:
+        _write_json(args.json, compare.as_json(rows, args.policy, args.seeds))
+    if args.json != "-":
+        head = ["scenario", args.policy[0], *(f"{name} less it" for name in args.policy[1:])]
+        body = compare.cells(rows, args.policy, args.measure)
+        if args.markdown:
+            print("\n".join("| " + " | ".join(line) + " |" for line in (head, ["---"] * len(head), *body)))
+        else:
+            table = Table(title=f"{args.measure}, {args.seeds} seeds, simulated")
+            for name in head:
+                table.add_column(name, no_wrap=True)
+            for line in body:
+                table.add_row(*line)
+            Console(width=None if sys.stdout.isatty() else 60 + 36 * len(args.policy)).print(table)
+        print("[low, high]: 95% of the mean difference;  ~ means nothing;  ! broke a rule")
+    return 3 if any(row.broken for row in rows if row.policy != "careless") else 0
+
+
+def _bench(args: argparse.Namespace) -> int:
+    from mothstall.lab import bench
+
+    rates = bench.RATES if args.rates is None else tuple(args.rates)
+    if not 1.0 <= args.seconds <= 120 or any(not 1 <= rate <= 100_000 for rate in rates):
+        raise scenario.ScenarioError("--seconds must be 1 to 120, --rates 1 to 100000")
+    folder = Path(args.keep or "benchmarks")
+    before = bench.last(folder)
+    tree = bench.run(args.seconds, rates, lambda what: print(f"measuring: {what}", file=sys.stderr))
+    if args.json:
+        _write_json(args.json, tree)
+    if args.json != "-":
+        print(bench.text(tree, before))
+    if args.keep:
+        try:
+            print(f"kept in {bench.keep(tree, folder)}", file=sys.stderr)
+        except OSError as why:
+            raise scenario.ScenarioError(f"--keep {args.keep}: {why.strerror}") from why
+    return 0
+
+
 def _write_report(result: runs.Result, where: str) -> None:
     from mothstall.lab import report
 
@@ -121,4 +195,4 @@
         raise scenario.ScenarioError(f"--json {where}: {why.strerror}") from why
 
 
-_COMMANDS = {"list": _list, "run": _run, "demo": _demo}
+_COMMANDS = {"list": _list, "run": _run, "demo": _demo, "compare": _compare, "bench": _bench}
--- /dev/null
+++ b/mothstall/lab/compare.py
@@ -0,0 +1,157 @@
+"""Experiments: variants played in pairs on the same seeds, differences with intervals, and what they mean.
+
+Clients and troubles draw from streams of their own, so two variants with one seed meet the same day; a pair's
+difference holds far less chance than either figure. Intervals are percentile bootstraps over pairs (Efron,
+"Bootstrap methods", 1979), drawn from a seed of their own.
+"""
+
+from __future__ import annotations
+
+import multiprocessing
+import os
+from collections.abc import Callable, Sequence
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from dataclasses import dataclass, field
+from typing import Any
+
+import numpy as np
+
+from mothstall.lab import policies, runs, scenario
+
+DRAWS = 4000
+CONFIDENCE = 0.95
+LEAST_SEEDS = 4  # with fewer pairs no interval is given
+MEASURES = ("worth", "worst_10s")
+
+
+@dataclass(slots=True)
+class Row:
+    """One variant in one scenario, over all seeds; lists run over the seeds in order."""
+
+    scenario: str
+    policy: str
+    worth: list[float] = field(default_factory=list)
+    worst_10s: list[float] = field(default_factory=list)
+    broken: dict[str, int] = field(default_factory=dict)  # breaches by kind, over all seeds
+
+
+@dataclass(slots=True, frozen=True)
+class Difference:
+    """A variant less the first one: mean over pairs, and its interval."""
+
+    mean: float
+    low: float
+    high: float
+
+    @property
+    def means_nothing(self) -> bool:
+        """Whether nought lies within the interval, or there were too few pairs to tell."""
+        return not (self.low > 0 or self.high < 0)
+
+    def __str__(self) -> str:
+        text = f"{self.mean:+.3f} [{self.low:+.3f}, {self.high:+.3f}]"
+        return text + (" ~" if self.means_nothing else "")
+
+
+def difference(one: Sequence[float], other: Sequence[float]) -> Difference:
+    """`other` less `one`, pair by pair."""
+    pairs = np.asarray(other) - np.asarray(one)
+    mean = float(pairs.mean())
+    if len(pairs) < LEAST_SEEDS:
+        return Difference(mean, -1.0, 1.0)
+    draws = np.random.default_rng(len(pairs)).integers(0, len(pairs), (DRAWS, len(pairs)))
+    means = pairs[draws].mean(axis=1)
+    tail = (1 - CONFIDENCE) / 2
+    return Difference(mean, float(np.quantile(means, tail)), float(np.quantile(means, 1 - tail)))
+
+
+def mean(values: Sequence[float]) -> Difference:
+    """The mean of one variant's figures, with its interval."""
+    return difference([0.0] * len(values), values)
+
+
+def _one(name: str, seconds: float | None, policy: str, seed: int) -> tuple[float, float, dict[str, int]]:
+    s = scenario.load(name)
+    if seconds is not None:
+        s = scenario.lasting(s, seconds)
+    verdict = runs.play(s, policy, seed).verdict
+    return verdict.worth, verdict.worst_10s, verdict.rules
+
+
+def play(
+    names: Sequence[str],
+    variants: Sequence[str],
+    seeds: int,
+    *,
+    seconds: float | None = None,
+    workers: int = 0,
+    done: Callable[[], object] | None = None,
+) -> list[Row]:
+    """All variants in all scenarios with seeds 1 to `seeds`. Raises ScenarioError, PolicyError.
+
+    `done` is called with each run that ends. Runs share nothing, so the order of their ends does not matter.
+    """
+    for variant in variants:
+        policies.parse(variant)
+    rows = {(name, policy): Row(name, policy) for name in names for policy in variants}
+    found: dict[tuple[str, str, int], tuple[float, float, dict[str, int]]] = {}
+    # Long ones first, so that no core is left with one at the end.
+    jobs = [(n, p, seed) for n in sorted(names, key=_length, reverse=True) for p in variants
+            for seed in range(1, seeds + 1)]  # fmt: skip
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(workers or os.cpu_count() or 1, mp_context=context) as pool:
+        out = {pool.submit(_one, n, seconds, p, seed): (n, p, seed) for n, p, seed in jobs}
+        for future in as_completed(out):
+            found[out[future]] = future.result()
+            if done:
+                done()
+    for (name, policy), row in rows.items():
+        for seed in range(1, seeds + 1):
+            worth, worst, rules = found[name, policy, seed]
+            row.worth.append(worth)
+            row.worst_10s.append(worst)
+            for kind, count in rules.items():
+                row.broken[kind] = row.broken.get(kind, 0) + count
+    return list(rows.values())
+
+
+def _length(name: str) -> float:
+    s = scenario.load(name)
+    return s.seconds * s.rate * (1.0 + s.proxies.count / 100)
+
+
+def as_json(rows: Sequence[Row], variants: Sequence[str], seeds: int) -> dict[str, Any]:
+    first = {row.scenario: row for row in rows if row.policy == variants[0]}
+    tree: dict[str, Any] = {"variants": list(variants), "seeds": seeds, "scenarios": {}}
+    for row in rows:
+        entry: dict[str, Any] = {"broken": row.broken}
+        for name in MEASURES:
+            values, base = getattr(row, name), getattr(first[row.scenario], name)
+            diff = difference(base, values)
+            entry[name] = {
+                "mean": round(float(np.mean(values)), 5),
+                "values": [round(value, 5) for value in values],
+                "difference": round(diff.mean, 5),
+                "interval": [round(diff.low, 5), round(diff.high, 5)],
+                "means_nothing": diff.means_nothing,
+            }
+        tree["scenarios"].setdefault(row.scenario, {})[row.policy] = entry
+    return tree
+
+
+def cells(rows: Sequence[Row], variants: Sequence[str], measure: str) -> list[list[str]]:
+    """A table: a scenario a line; the first variant's mean, then each other's difference from it.
+
+    A mark `~` says that a difference means nothing, `!` that a rule was broken.
+    """
+    table = []
+    by = {(row.scenario, row.policy): row for row in rows}
+    for name in dict.fromkeys(row.scenario for row in rows):
+        base = by[name, variants[0]]
+        line = [name, f"{np.mean(getattr(base, measure)):.3f}" + " !" * bool(base.broken)]
+        for variant in variants[1:]:
+            row = by[name, variant]
+            diff = difference(getattr(base, measure), getattr(row, measure))
+            line.append(str(diff) + " !" * bool(row.broken))
+        table.append(line)
+    return table
--- /dev/null
+++ b/mothstall/lab/process.py
@@ -0,0 +1,129 @@
+"""A real proxy in a process of its own: started, watched, measured, ended."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import re
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+from mothstall.lab.ledger import Unfinished
+
+ROOT = Path(__file__).parents[2]
+READY_S = 20.0  # how long a proxy may take to start
+_PORT = re.compile(rb"event=listening .*port=(\d+)")
+
+
+class ServeProcess:
+    """`python -O -m mothstall serve` on a port that the system gives."""
+
+    def __init__(self, name: str, folder: Path) -> None:
+        self.name, self.folder = name, folder
+        self.port = 0
+        self.cpu_s = 0.0  # used since each of its processes was ready, up to the last look
+        self._process: asyncio.subprocess.Process | None = None
+        self._log: asyncio.Task[None] | None = None
+        self._said = asyncio.Event()
+        self._cpu_before = 0.0
+        self._waited = -1
+
+    async def start(self, config: dict[str, Any]) -> None:
+        """Returns once it answers that it is ready. Raises Unfinished."""
+        path = self.folder / f"{self.name}.json"
+        path.write_text(json.dumps(config), encoding="utf-8")
+        self._said.clear()
+        self.port, self._waited = 0, -1
+        words = (sys.executable, "-O", "-m", "mothstall", "serve", "--config", str(path))
+        env = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
+        self._process = await asyncio.create_subprocess_exec(
+            *words, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        self._log = asyncio.get_running_loop().create_task(self._follow(self._process))
+        try:
+            async with asyncio.timeout(READY_S):
+                await self._said.wait()
+                while self.port and not await self._ready():
+                    await asyncio.sleep(0.02)
+        except TimeoutError:
+            self.port = 0
+        if not self.port:
+            raise Unfinished(f"{self.name} did not start: {self._last_line()}")
+        self._cpu_before = self._cpu()
+
+    async def _follow(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr
+        with open(self.folder / f"{self.name}.log", "ab") as out:
+            while line := await process.stderr.readline():
+                out.write(line)
+                if found := _PORT.search(line):
+                    self.port = int(found[1])
+                    self._said.set()
+        self._said.set()
+
+    def _last_line(self) -> str:
+        with contextlib.suppress(OSError, IndexError):
+            text = (self.folder / f"{self.name}.log").read_text(encoding="utf-8", errors="replace")
+            return text.strip().splitlines()[-1][:200]
+        return "it said nothing"
+
+    async def _ready(self) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), 1.0)
+            writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return b" 200 " in line
+
+    @property
+    def running(self) -> bool:
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def returncode(self) -> int | None:
+        return self._process.returncode if self._process else None
+
+    def _cpu(self) -> float:
+        """CPU seconds of the process that runs; what was read last where the system does not tell."""
+        if self.running and self._process:
+            with contextlib.suppress(OSError, IndexError, ValueError):
+                words = Path(f"/proc/{self._process.pid}/stat").read_text().rpartition(")")[2].split()
+                return (int(words[11]) + int(words[12])) / os.sysconf("SC_CLK_TCK")
+        return self._cpu_before
+
+    def note_cpu(self) -> None:
+        """Adds what was used since the last look to `cpu_s`."""
+        used = self._cpu()
+        self.cpu_s += used - self._cpu_before
+        self._cpu_before = used
+
+    def starved_ns(self) -> int:
+        """How long it has waited for a core since the last look; 0 where the system does not tell."""
+        if not self.running or not self._process:
+            return 0
+        try:
+            waited = int(Path(f"/proc/{self._process.pid}/schedstat").read_text().split()[1])
+        except (OSError, IndexError, ValueError):
+            return 0
+        before, self._waited = self._waited, waited
+        return waited - before if before >= 0 else 0
+
+    def signal(self, number: signal.Signals) -> None:
+        self.note_cpu()
+        if self.running and self._process:
+            self._process.send_signal(number)
+
+    async def stop(self) -> None:
+        """Ends it at once, and waits until it is gone."""
+        if self.running and self._process:
+            self._process.kill()
+            await self._process.wait()
+        if self._log:
+            await asyncio.wait([self._log], timeout=2.0)
--- a/mothstall/lab/runs.py
+++ b/mothstall/lab/runs.py
@@ -12,12 +12,12 @@
 from mothstall.lab.judge import RULES, Verdict, judge
 from mothstall.lab.ledger import Ledger, Unfinished
 from mothstall.lab.scenario import Scenario
-from mothstall.lab.virtual import Virtual
+from mothstall.lab.virtual import MakePolicy, Virtual
 
 # Given a driver that begins, what to call with each second that is over (ns since the start).
 Watch = Callable[[Any], Callable[[int], object]]
 
-__all__ = ["Result", "Unfinished", "play"]
+__all__ = ["Result", "Unfinished", "play", "play_made"]
 
 
 @dataclass(slots=True)
@@ -110,12 +110,13 @@
 def play(s: Scenario, policy: str, seed: int, driver: str = "virtual", watch: Watch | None = None) -> Result:
     """One run and its verdict. Raises PolicyError, Unfinished, and what a broken policy raises."""
     if driver == "virtual":
-        return _virtual(s, policy, seed, watch)
+        return play_made(s, policies.parse(policy), policy, seed, watch)
     return _sockets(s, policy, seed, watch)
 
 
-def _virtual(s: Scenario, policy: str, seed: int, watch: Watch | None) -> Result:
-    run = Virtual(s, policies.parse(policy), seed)
+def play_made(s: Scenario, make: MakePolicy, name: str, seed: int, watch: Watch | None = None) -> Result:
+    """One run of a policy that the caller has made, on the virtual driver."""
+    run = Virtual(s, make, seed)
     gc.collect()
     gc.freeze()  # a run makes many rows and next to no cycles: collecting them would only cost time
     gc.disable()
@@ -124,7 +125,7 @@
     finally:
         gc.enable()
         gc.unfreeze()
-    return Result(s, policy, "virtual", seed, ledger.digest(), judge(s, ledger), ledger)
+    return Result(s, name, "virtual", seed, ledger.digest(), judge(s, ledger), ledger)
 
 
 def _sockets(s: Scenario, policy: str, seed: int, watch: Watch | None) -> Result:
--- a/mothstall/lab/sockets.py
+++ b/mothstall/lab/sockets.py
@@ -10,11 +10,8 @@
 import asyncio
 import contextlib
 import json
-import os
-import re
 import signal
 import socket
-import sys
 import tempfile
 import time
 from collections.abc import Callable
@@ -27,18 +24,16 @@
 from mothstall.lab.clients import SLACK_NS
 from mothstall.lab.directory import Word
 from mothstall.lab.ledger import Answer, Arrival, Fate, Ledger, Try, Unfinished
+from mothstall.lab.process import ServeProcess
 from mothstall.lab.scenario import Scenario, settings_tree
 from mothstall.lab.world import World
 
-ROOT = Path(__file__).parents[2]
-READY_S = 20.0  # how long a proxy may take to start
 LATE_NS = 40_000_000  # a look at the clock later than this is lateness of the machine
 LOOK_NS = 10_000_000
 STARVED_NS = 40_000_000  # a proxy that waited so long for a core within LOOK_PROXIES_NS ran late
 LOOK_PROXIES_NS = 100_000_000
 SWEEP_NS = 500_000_000
 BACKLOG = 256
-_PORT = re.compile(rb"event=listening .*port=(\d+)")
 
 
 class RealTime:
@@ -382,120 +377,40 @@
         run.world.clients.answered(row, Answer.BROKEN)
 
 
-class ProxyProcess:
-    """One real proxy."""
+class RealProxy:
+    """One proxy of the run: its process, its own way to discovery, and when it was ended."""
 
     def __init__(self, run: Sockets, number: int) -> None:
         self.run, self.number = run, number
-        self.process: asyncio.subprocess.Process | None = None
-        self.port = 0
-        self.note_cpu()
+        self.process = ServeProcess(f"proxy-{number}", run.folder)
         self.up = False
         self.lost_at: list[int] = []  # when it was killed or stopped
-        self.waited = -1  # ns that it has waited for a core
-        self.cpu_s = self._cpu_before = 0.0
         self.listener = Listener(run.loop, lambda: DirectoryConnection(run, number))
-        self._log: asyncio.Task[None] | None = None
-        self._said = asyncio.Event()
-        self.lines = 0
 
-    def config(self) -> Path:
+    async def start(self) -> None:
         run = self.run
         known = run.world.directory.as_of(run.time.now - run.s.proxies.known_age)
         run.world.directory.note(self.number, known)
-        tree = {
-            "name": f"lab-{self.number}",
-            "listen": "127.0.0.1:0",
-            "discovery": f"127.0.0.1:{self.listener.port}",
-            "seed": f"{run.world.seed * 1009 + self.number * 31:x}",
-            "known": wire.listing(known, run.s.zones, run.ports),
-            "settings": settings_tree(run.s, self.number),
-        }
-        path = run.folder / f"proxy-{self.number}.json"
-        path.write_text(json.dumps(tree), encoding="utf-8")
-        return path
-
-    async def start(self) -> None:
-        path, before = self.config(), self.cpu_s
-        self._said.clear()
-        self.port = 0
-        words = (sys.executable, "-O", "-m", "mothstall", "serve", "--config", str(path))
-        env = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
-        self.process = await asyncio.create_subprocess_exec(
-            *words, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL,
-            stderr=asyncio.subprocess.PIPE,
-        )  # fmt: skip
-        self._log = self.run.loop.create_task(self._follow(self.process))
-        try:
-            async with asyncio.timeout(READY_S):
-                await self._said.wait()
-                while self.port and not await self._ready():
-                    await asyncio.sleep(0.02)
-        except TimeoutError:
-            self.port = 0
-        if not self.port:
-            raise Unfinished(
-                f"proxy {self.number} did not start; see {self.run.folder}/proxy-{self.number}.log"
-            )
-        self.up, self.waited, self._cpu_before = True, -1, 0.0
-        self.note_cpu()
-        self.cpu_s = before
-
-    async def _follow(self, process: asyncio.subprocess.Process) -> None:
-        assert process.stderr
-        with open(self.run.folder / f"proxy-{self.number}.log", "ab") as out:
-            while line := await process.stderr.readline():
-                out.write(line)
-                self.lines += 1
-                if found := _PORT.search(line):
-                    self.port = int(found[1])
-                    self._said.set()
-        self._said.set()
-
-    async def _ready(self) -> bool:
-        try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-            writer.write(b"GET /ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n")
-            line = await asyncio.wait_for(reader.readline(), 1.0)
-            writer.close()
-        except (OSError, TimeoutError):
-            return False
-        return b" 200 " in line
+        await self.process.start(
+            {
+                "name": f"lab-{self.number}",
+                "listen": "127.0.0.1:0",
+                "discovery": f"127.0.0.1:{self.listener.port}",
+                "seed": f"{run.world.seed * 1009 + self.number * 31:x}",
+                "known": wire.listing(known, run.s.zones, run.ports),
+                "settings": settings_tree(run.s, self.number),
+            }
+        )
+        self.up = True
 
     def end(self, number: signal.Signals) -> None:
-        self.note_cpu()
         self.up = False
         self.lost_at.append(self.run.time.now)
-        if self.process and self.process.returncode is None:
-            self.process.send_signal(number)
-
-    def note_cpu(self) -> None:
-        """Adds up what its processes have used since each was ready."""
-        if self.process and self.process.returncode is None:
-            with contextlib.suppress(OSError, IndexError, ValueError):
-                words = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
-                used = (int(words[11]) + int(words[12])) / os.sysconf("SC_CLK_TCK")
-                self.cpu_s += used - self._cpu_before
-                self._cpu_before = used
-
-    def starved_ns(self) -> int:
-        """How long it has waited for a core since the last look; 0 where the system does not tell."""
-        if not self.up or not self.process:
-            return 0
-        try:
-            waited = int(Path(f"/proc/{self.process.pid}/schedstat").read_text().split()[1])
-        except (OSError, IndexError, ValueError):
-            return 0
-        before, self.waited = self.waited, waited
-        return waited - before if before >= 0 else 0
+        self.process.signal(number)
 
     async def stop(self) -> None:
         self.listener.close()
-        if self.process and self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
-        if self._log:
-            await asyncio.wait([self._log], timeout=2.0)
+        await self.process.stop()
 
 
 class Sockets:
@@ -512,7 +427,7 @@
         self.open: dict[int, ClientConnection] = {}
         self.world = World(s, seed, self.time, self, time.time_ns())
         self.ledger: Ledger = self.world.ledger
-        self.proxies = [ProxyProcess(self, number) for number in range(s.proxies.count)]
+        self.proxies = [RealProxy(self, number) for number in range(s.proxies.count)]
         self.worst_late = 0
         self.failure: Exception | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -537,7 +452,7 @@
                 if watch:
                     watch(self.time.now)
             for proxy in self.proxies:
-                proxy.note_cpu()
+                proxy.process.note_cpu()
         finally:
             self._over = True
             for connection in [*self.open.values(), *(c for row in self.idle.values() for c in row)]:
@@ -558,7 +473,7 @@
             "late": late > 0.01 * self.time.now,
             "late_s": round(late / NS, 3),
             "worst_late_ms": round(self.worst_late / 1e6, 1),
-            "proxy_cpu_s": round(sum(proxy.cpu_s for proxy in self.proxies), 3),
+            "proxy_cpu_s": round(sum(proxy.process.cpu_s for proxy in self.proxies), 3),
         }
 
     # Looking after the machine
@@ -579,10 +494,13 @@
             return
         now = self.time.now
         for proxy in self.proxies:
-            if proxy.starved_ns() > STARVED_NS:
+            if not proxy.up:
+                continue
+            if proxy.process.starved_ns() > STARVED_NS:
                 self.ledger.late.append((now - LOOK_PROXIES_NS, now))
-            if proxy.up and proxy.process and proxy.process.returncode is not None:
-                self.failure = Unfinished(f"proxy {proxy.number} ended by itself: {proxy.process.returncode}")
+            if not proxy.process.running:
+                code = proxy.process.returncode
+                self.failure = Unfinished(f"proxy {proxy.number} ended by itself: {code}")
         self.loop.call_later(LOOK_PROXIES_NS / NS, self._look_at_proxies)
 
     def _sweep(self) -> None:
@@ -615,10 +533,8 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _restart(self, proxy: ProxyProcess, ready: Callable[[], object]) -> None:
-        if proxy.process and proxy.process.returncode is None:
-            proxy.process.kill()
-            await proxy.process.wait()
+    async def _restart(self, proxy: RealProxy, ready: Callable[[], object]) -> None:
+        await proxy.process.stop()  # where it only stood still
         for connection in self.idle.pop(proxy.number, []):
             connection.transport.abort()
         try:
@@ -653,7 +569,7 @@
         proxy = self.proxies[row.proxy]
         try:
             _, connection = await self.loop.create_connection(
-                lambda: ClientConnection(self, row.proxy), "127.0.0.1", proxy.port
+                lambda: ClientConnection(self, row.proxy), "127.0.0.1", proxy.process.port
             )
         except OSError:
             self.world.clients.answered(row, Answer.UNREACHED)
--- a/mothstall/lab/virtual.py
+++ b/mothstall/lab/virtual.py
@@ -77,6 +77,7 @@
         self.used: dict[int, int] = {}  # connections with a request on them
         self.version = 0
         self.asking = False
+        self._news_due = 0
 
     # Life
 
@@ -326,7 +327,8 @@
         if due < 0 or due - run.time.now > CALL_NS:
             run.time.at(run.time.now + CALL_NS, self._told, life, None)
         else:
-            run.time.at(due + run.delay(self.zone, 0), self._answered, life)
+            self._news_due = max(self._news_due, due + run.delay(self.zone, 0))
+            run.time.at(self._news_due, self._answered, life)
 
     def _answered(self, life: int) -> None:
         directory = self.run.world.directory
@@ -339,8 +341,10 @@
         self._told(life, directory.since(self.version), first=True)
 
     def _news(self, life: int, word: Word | None) -> None:
+        # Guards against news that overtakes older news: a watch is one connection.
         run = self.run
-        run.time.at(run.time.now + run.delay(self.zone, 0), self._told, life, word)
+        self._news_due = max(self._news_due, run.time.now + run.delay(self.zone, 0))
+        run.time.at(self._news_due, self._told, life, word)
 
     def _told(self, life: int, word: Word | None, first: bool = False) -> None:
         run = self.run
