--- a/mothstall/lab/bench.py
+++ b/mothstall/lab/bench.py
@@ -13,6 +13,7 @@
 import multiprocessing
 import os
 import platform
+import pstats
 import random
 import subprocess
 import tempfile
@@ -40,6 +41,7 @@
 HELD = 48  # connections that ask without a pause, over all client processes
 RATES = (500, 1500, 3000)
 WARM_S = 1.0
+SYSTEM_CALLS = ("'poll'", "'send'", "'recv'", "'accept'", "_socket.socket")
 ANSWER = wire.answer(200, b"x" * 200, "util=0.30,queue=0.00")
 TREE = scenario.from_tree(
     {"tries": "One proxy and instant boxes.", "zones": ["here"], "proxies": {"count": 1},
@@ -189,7 +191,7 @@
 
 
 async def _measure(
-    seconds: float, rates: Sequence[int], say: Callable[[str], object]
+    seconds: float, rates: Sequence[int], say: Callable[[str], object], profile: Path | None = None
 ) -> list[dict[str, Any]]:
     loop = asyncio.get_running_loop()
     context = multiprocessing.get_context("spawn")
@@ -198,7 +200,7 @@
     boxes.start()
     rows = []
     with tempfile.TemporaryDirectory(prefix="mothstall-bench-") as folder:
-        proxy = ServeProcess("proxy", Path(folder))
+        proxy = ServeProcess("proxy", Path(folder), profile)
         try:
             found: list[int] = await loop.run_in_executor(None, mine.recv)
             entries = tuple(io.Entry(1 + i, 0, 0, 0, Health.READY, 1.0, 0) for i in range(BOXES))
@@ -219,7 +221,7 @@
                 rows.append(await _one(context, proxy, seconds, rate))
             listing.close()
         finally:
-            await proxy.stop()
+            await proxy.stop(10.0 if profile else 0.0)
             mine.close()
             boxes.terminate()
             boxes.join(2.0)
@@ -328,9 +330,56 @@
     return lambda: parser.feed_data(head)
 
 
+def spent(profile: Path, requests: int) -> dict[str, float]:
+    """Microseconds of a request by where they go, from a profile of the whole process.
+
+    What built-in functions take counts for the file that calls them, but for system calls, which stand by
+    themselves. A profiled process is slower than another: shares mean more than sums.
+    """
+    stats: dict[Any, Any] = pstats.Stats(str(profile)).stats  # type: ignore[attr-defined]
+    sums: dict[str, float] = {}
+    for (file, _, name), (_, _, own, _, callers) in stats.items():
+        if file != "~" or any(word in name for word in SYSTEM_CALLS):
+            rows = [(_place(file, name), own)]
+        else:
+            rows = [(_place(by[0], by[2]), row[2]) for by, row in callers.items()]
+        for place, seconds in rows:
+            sums[place] = sums.get(place, 0.0) + seconds
+    return {
+        place: round(seconds / max(1, requests) * 1e6, 1)
+        for place, seconds in sorted(sums.items(), key=lambda row: -row[1])
+        if place
+    }
+
+
+def _place(file: str, name: str) -> str:
+    """Which part of the program a function belongs to; empty for what only starting takes."""
+    if file == "~":
+        if "poll" in name:
+            return "waiting (poll)"
+        return "system calls" if any(word in name for word in SYSTEM_CALLS) else ""
+    path = Path(file)
+    if "mothstall" in path.parts:
+        return f"mothstall/{'net/' if path.parent.name == 'net' else ''}{path.name}"
+    for place in ("asyncio", "aiohttp"):
+        if place in path.parts:
+            return place
+    return ""
+
+
 # The command
 
 
+def profile(seconds: float, say: Callable[[str], object]) -> dict[str, Any]:
+    """Where the time of a saturated proxy goes, by file. Raises Unfinished."""
+    with tempfile.TemporaryDirectory(prefix="mothstall-profile-") as folder:
+        path = Path(folder) / "serve.profile"
+        rows = asyncio.run(_measure(seconds, (), say, path))
+        # All that it answered, also while it warmed up.
+        count = round(rows[-1]["answered_per_s"] * (seconds + WARM_S))
+        return {"revision": revision(), "seconds": seconds, "loads": rows, "spent_us": spent(path, count)}
+
+
 def run(seconds: float, rates: Sequence[int], say: Callable[[str], object]) -> dict[str, Any]:
     """All figures, with the revision that they belong to. Raises Unfinished."""
     rows = asyncio.run(_measure(seconds, rates, say))
--- a/mothstall/lab/command.py
+++ b/mothstall/lab/command.py
@@ -48,6 +48,9 @@
     bench.add_argument("--seconds", type=float, default=5.0, help="a load; default: 5")
     bench.add_argument("--rates", type=int, nargs="*", help="requests a second; default: 500 1500 3000")
     bench.add_argument("--keep", metavar="FOLDER", help="write the figures there, as benchmarks/ holds them")
+    bench.add_argument(
+        "--profile", action="store_true", help="where the time of a saturated proxy goes instead"
+    )
     bench.add_argument("--json", metavar="FILE", help="figures as JSON; - for standard output")
     return parser
 
@@ -158,6 +161,14 @@
     rates = bench.RATES if args.rates is None else tuple(args.rates)
     if not 1.0 <= args.seconds <= 120 or any(not 1 <= rate <= 100_000 for rate in rates):
         raise scenario.ScenarioError("--seconds must be 1 to 120, --rates 1 to 100000")
+    if args.profile:
+        tree = bench.profile(args.seconds, lambda what: print(f"measuring: {what}", file=sys.stderr))
+        if args.json:
+            _write_json(args.json, tree)
+        if args.json != "-":
+            print(f"{tree['revision']}, profiled; us a request by where they go")
+            print("\n".join(f"{us:8.1f}  {place}" for place, us in tree["spent_us"].items()))
+        return 0
     folder = Path(args.keep or "benchmarks")
     before = bench.last(folder)
     tree = bench.run(args.seconds, rates, lambda what: print(f"measuring: {what}", file=sys.stderr))
--- a/mothstall/lab/live.py
+++ b/mothstall/lab/live.py
@@ -84,7 +84,10 @@
 
     def _table(self, run: Playing, now: int) -> Group:
         worth, asked, refused = self._service(run.ledger, now)
-        table = Table(expand=False, title=f"{self.s.name}: {now / NS:.0f} of {self.s.seconds:.0f} s")
+        table = Table(
+            expand=False,
+            title=f"{self.s.name}: {min(now / NS, self.s.seconds):.0f} of {self.s.seconds:.0f} s",
+        )
         for name in ("box", "zone", "state", "warmth", "in flight", ""):
             table.add_column(name, justify="right" if name in ("warmth", "in flight") else "left")
         for box in run.world.boxes.values():
--- a/mothstall/lab/process.py
+++ b/mothstall/lab/process.py
@@ -22,8 +22,9 @@
 class ServeProcess:
     """`python -O -m mothstall serve` on a port that the system gives."""
 
-    def __init__(self, name: str, folder: Path) -> None:
+    def __init__(self, name: str, folder: Path, profile: Path | None = None) -> None:
         self.name, self.folder = name, folder
+        self._prefix = ("-m", "cProfile", "-o", str(profile)) if profile else ()
         self.port = 0
         self.cpu_s = 0.0  # used since each of its processes was ready, up to the last look
         self._process: asyncio.subprocess.Process | None = None
@@ -38,7 +39,7 @@
         path.write_text(json.dumps(config), encoding="utf-8")
         self._said.clear()
         self.port, self._waited = 0, -1
-        words = (sys.executable, "-O", "-m", "mothstall", "serve", "--config", str(path))
+        words = (sys.executable, "-O", *self._prefix, "-m", "mothstall", "serve", "--config", str(path))
         env = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
         self._process = await asyncio.create_subprocess_exec(
             *words, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL,
@@ -120,8 +121,12 @@
         if self.running and self._process:
             self._process.send_signal(number)
 
-    async def stop(self) -> None:
-        """Ends it at once, and waits until it is gone."""
+    async def stop(self, gently_s: float = 0.0) -> None:
+        """Ends it, and waits until it is gone: at once, or by SIGTERM and within so many seconds."""
+        if gently_s and self.running and self._process:
+            self._process.terminate()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._process.wait(), gently_s)
         if self.running and self._process:
             self._process.kill()
             await self._process.wait()
--- /dev/null
+++ b/tests/lab/test_experiments.py
@@ -0,0 +1,93 @@
+"""Experiments: pairs, intervals and variants; the bench of one proxy; what is shown while a run goes on."""
+
+from __future__ import annotations
+
+import io
+import json
+from pathlib import Path
+
+import pytest
+from rich.console import Console
+
+from mothstall.lab import bench, command, compare, policies, scenario
+from mothstall.lab.compare import difference
+from mothstall.lab.live import Board
+from mothstall.lab.virtual import Virtual
+
+
+def test_a_difference_means_something_only_where_its_interval_is_off_nought() -> None:
+    same = difference([0.5, 0.6, 0.7, 0.8], [0.52, 0.57, 0.73, 0.77])
+    assert same.means_nothing and str(same).endswith("~")
+    better = difference([0.5, 0.6, 0.7, 0.8], [0.55, 0.66, 0.74, 0.86])
+    assert not better.means_nothing and 0 < better.low <= better.mean <= better.high
+    assert better == difference([0.5, 0.6, 0.7, 0.8], [0.55, 0.66, 0.74, 0.86])  # its draws are seeded
+    assert difference([0.1, 0.1], [0.9, 0.9]).means_nothing  # two pairs tell nothing
+
+
+def test_variants_are_played_in_pairs_and_held_against_the_first(tmp_path: Path) -> None:
+    # One file for the module as it stands: a variant that differs in nothing differs by nothing.
+    copy = tmp_path / "choice.py"
+    copy.write_text((policies.ROOT / "mothstall" / "choice.py").read_text(encoding="utf-8"), encoding="utf-8")
+    variants = ["module", f"file:{copy}", "random", "module,max_attempts=1", "careless"]
+    rows = compare.play(["hung-box"], variants, 4, seconds=16.0, workers=2)
+    by = {row.policy: row for row in rows}
+    assert by["module"].worth == by[f"file:{copy}"].worth and len(set(by["module"].worth)) == 4
+    assert not difference(by["module"].worth, by["random"].worth).means_nothing
+    assert by["careless"].broken and not by["module"].broken
+    line = compare.cells(rows, variants, "worth")[0]
+    assert line[2].endswith("~") and not line[3].endswith("~") and line[5].endswith("!")
+    tree = compare.as_json(rows, variants, 4)["scenarios"]["hung-box"]
+    assert tree["careless"]["worth"]["difference"] == pytest.approx(
+        tree["careless"]["worth"]["mean"] - tree["module"]["worth"]["mean"], abs=1e-4
+    )
+
+
+@pytest.mark.parametrize(
+    "word",
+    ["modul", "rev:--output=x", "rev:no-such-revision", "file:/no/such.py", "module,max_attempts",
+     "module,zone=x", "module,classes=1", "module,may_cancel=yes"],
+)  # fmt: skip
+def test_what_is_no_variant_is_refused_in_one_line(word: str) -> None:
+    with pytest.raises(policies.PolicyError) as caught:
+        policies.parse(word)
+    assert "\n" not in str(caught.value)
+
+
+def test_bad_words_of_the_commands_end_with_2(capsys: pytest.CaptureFixture[str]) -> None:
+    for words in (
+        ["compare", "module", "module"],
+        ["compare", "module", "--seeds", "0"],
+        ["compare", "module", "--scenario", "nothing"],
+        ["bench", "--seconds", "0"],
+        ["run", "steady", "--driver", "sockets", "--policy", "random"],
+        ["run", "steady", "--seconds", "1", "--json", "/no/such/folder/x.json"],
+    ):
+        assert command.main(words) == 2, words
+        assert capsys.readouterr().err.count("\n") == 1
+    assert command.main(["list", "--json"]) == 0
+    assert set(json.loads(capsys.readouterr().out)["scenarios"]) == set(scenario.names())
+
+
+def test_the_bench_measures_a_real_proxy_and_keeps_its_figures(tmp_path: Path) -> None:
+    said: list[str] = []
+    tree = bench.run(1.0, (100,), said.append)
+    rate, most = tree["loads"]
+    assert rate["asked_per_s"] == 100 and rate["bad"] == 0 and 50 < rate["answered_per_s"] < 200
+    assert most["answered_per_s"] > rate["answered_per_s"] and most["cpu_us_per_request"] > 0
+    assert set(tree["parts_us"]) == {"decisions", "read request", "parse head (aiohttp)"} and len(said) == 3
+    path = bench.keep(tree, tmp_path)
+    (tmp_path / "20990101-broken.json").write_text("{", encoding="utf-8")
+    assert bench.last(tmp_path) == json.loads(path.read_text(encoding="utf-8"))
+    assert "against" in bench.text(tree, bench.last(tmp_path))
+
+
+def test_a_run_is_shown_while_it_goes_on() -> None:
+    s = scenario.lasting(scenario.load("hung-box"), 13.0)
+    for terminal in (False, True):
+        out = io.StringIO()
+        run = Virtual(s, policies.parse("module"), 1)
+        with Board(s, Console(file=out, force_terminal=terminal, width=120)) as board:
+            run.play(board.watch(run))
+        shown = out.getvalue()
+        assert "2 hung" in shown and "worth" in shown
+        assert ("hung-box: 13 of 13 s" in shown) is terminal
