Decisions: a class that fails or hangs everywhere is told from sick boxes sooner

Change: each class keeps the part of its answers that were errors; where a class's is far above the least, its errors count by that part.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -168,6 +168,7 @@
         self.calm = [[0.0, 0.0, 0.0] for _ in settings.classes]  # a class's mean latency, the calmest, count
         self.most_worth = max(c.worth for c in settings.classes)
         self.lag = [0.0 for _ in settings.classes]  # mean latency of late, what ended in silence at its age
+        self.errors = [0.0 for _ in settings.classes]  # part of each class's answers of late that are errors
         self.shared = [1.0 for _ in settings.classes]  # the part of a class's lateness that every class shows
         self.spare = math.inf  # the part of the room that requests beyond a share may use
         self.part = 1.0 / settings.proxies  # this proxy's part of all traffic, as its typical tenant shows
@@ -786,6 +787,7 @@
         sure = (now - a.sent) / (1.5 * self.usual) if self.usual else 1.0
         if (result := ev.result) == Result.OK:
             self._compare(req.cls_index, now - a.sent)
+            self._blame(req.cls_index, 0.0)
             b.done, b.rests = b.done + 1, 1.0
             req.flow.good += 1.0
             b.progress = now
@@ -808,7 +810,7 @@
             self._learn_fleet(True, True, 1.0)
         elif result in (Result.CONNECT_FAILED, Result.RESET, Result.ERROR):
             sure = EJECT_AT if result == Result.CONNECT_FAILED else 1.0
-            self._note_failure(b, 0.7 if result == Result.ERROR else sure)
+            self._note_failure(b, 0.7 * self._blame(req.cls_index, 1.0) if result == Result.ERROR else sure)
         elif sure >= 1 and (result == Result.TIMEOUT or (result == Result.CANCELLED and not req.done)):
             self._compare(req.cls_index, now - a.sent)
             # Guards against overload that shows only in time running out, and lost answers that pass for it.
@@ -823,10 +825,20 @@
         Guards against a class, slow or silent wherever it goes, that passes for a crowd or sick backends.
         """
         self.lag[index] += USUAL_GAIN * (latency - self.lag[index])
-        over = [max(0.0, lag - calm[1]) for lag, calm in zip(self.lag, self.calm, strict=True)]
-        if self.grain == 1 and all(calm[1] for calm in self.calm):
-            free = SHARED_FREE * self.usual
-            self.shared = [(min(over) + free) / (mine + free) for mine in over]
+        # Classes whose calmest mean is not known yet neither count nor are counted.
+        over = [max(0.0, lag - c[1]) if c[1] else -1.0 for lag, c in zip(self.lag, self.calm, strict=True)]
+        if self.grain == 1 and max(over) >= 0:
+            free, least = SHARED_FREE * self.usual, min(mine for mine in over if mine >= 0)
+            self.shared = [(least + free) / (mine + free) if mine >= 0 else 1.0 for mine in over]
+
+    def _blame(self, index: int, failed: float) -> float:
+        """How much of a class's errors all classes show: a sick backend fails them alike.
+
+        Guards against a class that fails wherever it is sent, and ejects one backend after the other.
+        """
+        self.errors[index] += USUAL_GAIN * (failed - self.errors[index])
+        part = (min(self.errors) + SHARED_FREE) / (self.errors[index] + SHARED_FREE)
+        return part if part < OWN else 1.0
 
     def _calmest(self, req: Request, latency: int) -> float:
         """The calmest mean latency that the class has shown while little was out.
--- a/mothstall/lab/report.py
+++ b/mothstall/lab/report.py
@@ -145,6 +145,11 @@
     figure.subplots_adjust(left=0.065, right=0.985, bottom=0.17, top=0.97 - 0.06 * len(ends))
 
 
+def _legend(axes: Axes, columns: int, place: Any) -> None:
+    if axes.get_legend_handles_labels()[0]:
+        axes.legend(ncols=columns, fontsize=8, frameon=False, loc=place)
+
+
 def _worth(result: Result) -> Figure:
     figure, axes = _figure(3.2)
     s = result.scenario
@@ -163,7 +168,7 @@
     whole = [(t, g / a) for t, a, g in rows]
     axes.plot(*zip(*whole, strict=True), color="#1c2733", lw=1.6, label="all")
     axes.set_ylim(0, 1.04)
-    axes.legend(ncols=len(s.classes) + 1, fontsize=8, frameon=False, loc="lower right")
+    _legend(axes, len(s.classes) + 1, "lower right")
     _mark(axes, result)
     return figure
 
@@ -182,7 +187,7 @@
     axes.set_xlabel("percentile (dotted: the aim)")
     axes.set_yscale("log")
     axes.set_ylabel("ms")
-    axes.legend(ncols=4, fontsize=8, frameon=False, loc="upper left")
+    _legend(axes, 4, "upper left")
     return figure
 
 
@@ -235,8 +240,7 @@
             )  # fmt: skip
             base = [a + b for a, b in zip(base, counts[end], strict=True)]
     axes.set_ylabel("tries a second")
-    if any(base):
-        axes.legend(ncols=6, fontsize=8, frameon=False, loc="upper right")
+    _legend(axes, len(ENDS), "upper right")
     _mark(axes, result)
     return figure
 
