Lab: long experiments keep their runs and go on where they broke off; tests of hard cases

Some of the issue's hard cases had no test.

Tests: a late machine on sockets, 300 proxies through a hang, that serving imports nothing of the lab, an experiment that broke off within a line.

--- a/mothstall/lab/command.py
+++ b/mothstall/lab/command.py
@@ -43,6 +43,7 @@
     compare.add_argument("--workers", type=int, default=0, help="processes; default: one a core")
     compare.add_argument("--measure", choices=("worth", "worst_10s"), default="worth")
     compare.add_argument("--markdown", action="store_true", help="the table as Markdown")
+    compare.add_argument("--kept", metavar="FILE", help="keep each run there, and go on where it broke off")
     compare.add_argument("--json", metavar="FILE", help="all figures as JSON; - for standard output")
     bench = commands.add_parser("bench", help="what one proxy costs a request, and bears", epilog=EPILOG)
     bench.add_argument("--seconds", type=float, default=5.0, help="a load; default: 5")
@@ -131,11 +132,12 @@
     for name in names:
         scenario.load(name)
     columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn())
+    kept = compare.Kept(Path(args.kept)) if args.kept else None
     with Progress(*columns, console=Console(stderr=True)) as progress:
         task = progress.add_task("playing", total=len(names) * len(args.policy) * args.seeds)
         rows = compare.play(
             names, args.policy, args.seeds, seconds=args.seconds, workers=args.workers,
-            done=lambda: progress.advance(task),
+            done=lambda: progress.advance(task), kept=kept,
         )  # fmt: skip
     if args.json:
         _write_json(args.json, compare.as_json(rows, args.policy, args.seeds))
--- a/mothstall/lab/compare.py
+++ b/mothstall/lab/compare.py
@@ -7,11 +7,15 @@
 
 from __future__ import annotations
 
+import contextlib
+import hashlib
+import json
 import multiprocessing
 import os
 from collections.abc import Callable, Sequence
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import numpy as np
@@ -78,6 +82,43 @@
     return verdict.worth, verdict.worst_10s, verdict.rules
 
 
+class Kept:
+    """Runs of long experiments, a line each as they end, so that a broken-off one goes on where it was.
+
+    A run counts only for the program that made it: its fingerprint is in each line. Lines that cannot be read
+    (the last one, where the machine stopped within it) are left out and played again.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.program = fingerprint()
+        self.found: dict[tuple[str, str, int, float | None], tuple[float, float, dict[str, int]]] = {}
+        with contextlib.suppress(FileNotFoundError):
+            for line in path.read_text(encoding="utf-8", errors="replace").splitlines():
+                with contextlib.suppress(ValueError, KeyError, TypeError):
+                    row = json.loads(line)
+                    if row["program"] == self.program:
+                        key = (row["scenario"], row["policy"], row["seed"], row["seconds"])
+                        self.found[key] = (row["worth"], row["worst_10s"], row["rules"])
+
+    def add(
+        self, key: tuple[str, str, int, float | None], result: tuple[float, float, dict[str, int]]
+    ) -> None:
+        names = ("scenario", "policy", "seed", "seconds", "worth", "worst_10s", "rules")
+        row = dict(zip(names, (*key, *result), strict=True))
+        with self.path.open("a", encoding="utf-8") as out:
+            out.write(json.dumps({**row, "program": self.program}) + "\n")
+
+
+def fingerprint() -> str:
+    """Of all that a virtual run depends on: the decisions, the lab, its scenarios."""
+    made = hashlib.blake2b(digest_size=8)
+    package = Path(__file__).parents[1]
+    for path in sorted([*package.glob("*.py"), *package.glob("lab/*.py"), *package.glob("lab/scenarios/*")]):
+        made.update(path.name.encode() + path.read_bytes())
+    return made.hexdigest()
+
+
 def play(
     names: Sequence[str],
     variants: Sequence[str],
@@ -86,6 +127,7 @@
     seconds: float | None = None,
     workers: int = 0,
     done: Callable[[], object] | None = None,
+    kept: Kept | None = None,
 ) -> list[Row]:
     """All variants in all scenarios with seeds 1 to `seeds`. Raises ScenarioError, PolicyError.
 
@@ -100,9 +142,19 @@
             for seed in range(1, seeds + 1)]  # fmt: skip
     context = multiprocessing.get_context("spawn")
     with ProcessPoolExecutor(workers or os.cpu_count() or 1, mp_context=context) as pool:
-        out = {pool.submit(_one, n, seconds, p, seed): (n, p, seed) for n, p, seed in jobs}
+        out = {}
+        for n, p, seed in jobs:
+            if kept and (n, p, seed, seconds) in kept.found:
+                found[n, p, seed] = kept.found[n, p, seed, seconds]
+                if done:
+                    done()
+            else:
+                out[pool.submit(_one, n, seconds, p, seed)] = (n, p, seed)
         for future in as_completed(out):
-            found[out[future]] = future.result()
+            n, p, seed = out[future]
+            found[n, p, seed] = future.result()
+            if kept:
+                kept.add((n, p, seed, seconds), found[n, p, seed])
             if done:
                 done()
     for (name, policy), row in rows.items():
--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -4,6 +4,8 @@
 
 import io
 import json
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -42,6 +44,33 @@
     )
 
 
+def test_a_broken_off_experiment_goes_on_where_it_was(tmp_path: Path) -> None:
+    path = tmp_path / "kept"
+    first = compare.play(["steady"], ["random"], 2, seconds=2.0, workers=1, kept=compare.Kept(path))
+    lines = path.read_text(encoding="utf-8").splitlines()
+    assert len(lines) == 2
+    path.write_text(lines[0] + "\n" + lines[1][:40], encoding="utf-8")  # the machine stopped in the second
+    again = compare.Kept(path)
+    assert len(again.found) == 1
+    key = next(iter(again.found))
+    again.found[key] = (0.125, 0.125, {})  # what is kept is taken, not played
+    rows = compare.play(["steady"], ["random"], 2, seconds=2.0, workers=1, kept=again)
+    assert 0.125 in rows[0].worth and set(rows[0].worth) & set(first[0].worth)
+    other = json.loads(lines[0])
+    path.write_text(json.dumps({**other, "program": "another"}) + "\n", encoding="utf-8")
+    assert not compare.Kept(path).found
+
+
+def test_serving_imports_nothing_of_the_lab() -> None:
+    check = (
+        "import sys, mothstall.cli, mothstall.net.proxy\n"
+        "heavy = {'msgspec', 'numpy', 'rich', 'matplotlib', 'hdrh', 'mothstall.lab'} & set(sys.modules)\n"
+        "sys.exit(str(heavy) if heavy else 0)"
+    )
+    done = subprocess.run([sys.executable, "-c", check], cwd=policies.ROOT, capture_output=True, timeout=30)
+    assert done.returncode == 0, done.stderr
+
+
 @pytest.mark.parametrize(
     "word",
     ["modul", "rev:--output=x", "rev:no-such-revision", "file:/no/such.py", "module,max_attempts",
--- a/tests/lab/test_sockets.py
+++ b/tests/lab/test_sockets.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -47,6 +50,18 @@
     assert "All four rules kept" in page and page.count("<svg") == 5 and "<script" not in page
 
 
+def test_a_machine_that_runs_late_is_said_to_and_breaks_no_rule() -> None:
+    s = scenario.lasting(scenario.load("steady"), 2.5)
+
+    def stall(_: object) -> Callable[[int], object]:
+        return lambda now: time.sleep(1.7) if now < 1_500 * MS else None  # longer than any deadline
+
+    result = runs.play(s, "module", 1, "sockets", stall)
+    assert result.notes["late"] and result.notes["worst_late_ms"] > 1500
+    assert not result.verdict.rules, result.text()
+    assert "LATE" in result.text()
+
+
 def row() -> Try:
     return Try(7, Intent(3, 2, 1, 0, 0, 0, 20 * MS, False, True, False, 0.5), 0, 0, 900 * MS)
 
--- a/tests/lab/test_virtual.py
+++ b/tests/lab/test_virtual.py
@@ -114,3 +114,12 @@
     verdict = runs.play(scenario.lasting(s, 14.0), "careless", 1).verdict
     tips = [b for b in verdict.breaches if b.kind == "tipped"]
     assert tips and all("proxies" in b.what for b in tips)
+
+
+def test_three_hundred_proxies_before_sixty_boxes_keep_the_rules_through_a_hang() -> None:
+    s = scenario.load("three-hundred")
+    hang = [t for t in s.troubles if t.at == 10_000_000_000]
+    assert len(hang) == 1
+    result = runs.play(scenario.lasting(s, 12.0), "module", 1)
+    assert not result.verdict.rules and result.verdict.worth > 0.9
+    assert len({t.proxy for t in result.ledger.tries}) == 300
