Workers of an experiment end when whoever started them is killed

Need: killing `lab compare` left its eight workers behind, waiting for ever on a queue that nobody fills.

Change: each worker looks once a second whether its parent is still the one that started it, and ends if not.

--- a/mothstall/lab/compare.py
+++ b/mothstall/lab/compare.py
@@ -12,6 +12,8 @@
 import json
 import multiprocessing
 import os
+import threading
+import time
 from collections.abc import Callable, Sequence
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from dataclasses import dataclass, field
@@ -25,6 +27,7 @@
 DRAWS = 4000
 CONFIDENCE = 0.95
 LEAST_SEEDS = 4  # with fewer pairs no interval is given
+PARENT_S = 1.0  # how often a worker looks whether its parent lives
 MEASURES = ("worth", "worst_10s")
 
 
@@ -141,7 +144,8 @@
     jobs = [(n, p, seed) for n in sorted(names, key=_length, reverse=True) for p in variants
             for seed in range(1, seeds + 1)]  # fmt: skip
     context = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(workers or os.cpu_count() or 1, mp_context=context) as pool:
+    count = workers or os.cpu_count() or 1
+    with ProcessPoolExecutor(count, mp_context=context, initializer=_follow, initargs=(os.getpid(),)) as pool:
         out = {}
         for n, p, seed in jobs:
             if kept and (n, p, seed, seconds) in kept.found:
@@ -167,6 +171,17 @@
     return list(rows.values())
 
 
+def _follow(parent: int) -> None:
+    """Guards against workers left behind for ever when whoever started them was killed."""
+
+    def look() -> None:
+        while os.getppid() == parent:
+            time.sleep(PARENT_S)
+        os._exit(1)
+
+    threading.Thread(target=look, daemon=True).start()
+
+
 def _length(name: str) -> float:
     s = scenario.load(name)
     return s.seconds * s.rate * (1.0 + s.proxies.count / 100)
--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -6,6 +6,8 @@
 import json
 import subprocess
 import sys
+import time
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -61,6 +63,30 @@
     assert not compare.Kept(path).found
 
 
+def test_workers_end_when_their_experiment_is_killed(tmp_path: Path) -> None:
+    words = ("lab", "compare", "random", "--scenario", "overload", "--seeds", "4", "--workers", "2")
+    path = tmp_path / "kept"
+    process = subprocess.Popen(
+        [sys.executable, "-m", "mothstall", *words, "--kept", str(path)],
+        cwd=policies.ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
+    )  # fmt: skip
+    children = Path(f"/proc/{process.pid}/task/{process.pid}/children")
+
+    def waits_for(condition: Callable[[], bool]) -> bool:
+        end = time.monotonic() + 20
+        while not condition() and time.monotonic() < end:
+            time.sleep(0.05)
+        return condition()
+
+    try:
+        assert waits_for(lambda: len(children.read_text().split()) >= 3)  # two workers, and their tracker
+        started = [int(pid) for pid in children.read_text().split()]
+    finally:
+        process.kill()
+        process.wait()
+    assert waits_for(lambda: not any(Path(f"/proc/{pid}/exe").exists() for pid in started))
+
+
 def test_serving_imports_nothing_of_the_lab() -> None:
     check = (
         "import sys, mothstall.cli, mothstall.net.proxy\n"
