Operators' door, figures by class, drain and rejoin, and an inherited clients' socket

Cause: the second process of an upgrade ended as the address was taken; a drain and the figures could not be asked for. Change: net/admin.py (plain sockets out of the reserve, 16 callers, oldest makes way), net/figures.py (pure counts by class; counters are changed through it), net/phases.py (pure drain machine: idle connections end at 1.9 s, what comes later has to be answered by 3.6 s), net/listener.py ($LB_LISTEN_FD, checked, never shut down). choice.py only gains a count of ejected backends.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -215,6 +215,10 @@
             self.acts.append(io.SetTimer(self.timer_at, self.timer_at))
         return self.acts
 
+    def out_of_rotation(self) -> int:
+        """How many listed backends are ejected, or on trial after it; changes nothing."""
+        return sum(b.out_until > 0 for b in self.backends.values())
+
     def _begin(self, now: int) -> None:
         self.now = self.slot_at = now
         self._at(now + T_NS // 10, self._close_slot)
--- a/mothstall/cli.py
+++ b/mothstall/cli.py
@@ -77,6 +77,6 @@
         with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(poll)) as runner:
             runner.run(run(config, reread, poll))
     except OSError as why:
-        print(f"mothstall: listen {config.listen}: {why.strerror or why}", file=sys.stderr)
+        print(f"mothstall: {why.strerror or why}", file=sys.stderr)
         return 1
     return 0
--- a/mothstall/config.py
+++ b/mothstall/config.py
@@ -2,12 +2,15 @@
 
 Everything comes from one JSON file, named by `--config` or `LB_CONFIG`; `LB_NAME`, `LB_LISTEN` and
 `LB_DISCOVERY` go before what it says. When the file is read again, its `discovery` goes before
-`LB_DISCOVERY`, which is as old as the process.
+`LB_DISCOVERY`, which is as old as the process. `LB_ADMIN_ADDR` goes before `admin_addr`; `LB_LISTEN_FD`
+names a listener that the process inherits.
 """
 
 from __future__ import annotations
 
 import json
+import os
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -51,6 +54,8 @@
     name: str
     listen: Address
     discovery: Address
+    admin: Address | None  # where operators call; none: no door
+    listen_fd: int | None  # the clients' socket, where the process inherits it
     seed: int
     descriptors: int  # limits.sockets
     known: Mapping[str, Any] | None
@@ -84,10 +89,32 @@
     for key in ("name", "listen") if again else ("name", "listen", "discovery"):
         if env.get(f"LB_{key.upper()}"):
             tree[key] = env[f"LB_{key.upper()}"]
-    return from_tree(tree)
+    if env.get("LB_ADMIN_ADDR"):
+        tree["admin_addr"] = env["LB_ADMIN_ADDR"]
+    return from_tree(tree, None if again else inherited(env.get("LB_LISTEN_FD")))
+
+
+def inherited(text: str | None) -> int | None:
+    """The descriptor that `LB_LISTEN_FD` names, if it names one: a stream socket that listens."""
+    if not text:
+        return None
+    if not text.isascii() or not text.isdigit():
+        raise ConfigError(f"LB_LISTEN_FD must be a descriptor's number, not {text[:60]!r}")
+    number = int(text[:9])
+    try:
+        copy = os.dup(number)
+        with socket.socket(fileno=copy) as sock:
+            listens = sock.type == socket.SOCK_STREAM and sock.getsockopt(
+                socket.SOL_SOCKET, socket.SO_ACCEPTCONN
+            )
+    except OSError as why:
+        raise ConfigError(f"LB_LISTEN_FD: descriptor {number}: {why.strerror}") from why
+    if not listens:
+        raise ConfigError(f"LB_LISTEN_FD: descriptor {number} is no stream socket that listens")
+    return number
 
 
-def from_tree(tree: Mapping[str, Any]) -> Config:
+def from_tree(tree: Mapping[str, Any], listen_fd: int | None = None) -> Config:
     raw = _of(tree, "settings", dict)
     try:
         parsed = settings.from_json(raw)
@@ -107,10 +134,16 @@
     level = _of(tree, "log_level", str, "info")
     if level not in LOG_LEVELS:
         raise ConfigError(f"log_level must be one of {', '.join(LOG_LEVELS)}, not {level[:60]!r}")
+    listen = _address(tree, "listen")
+    admin = _address(tree, "admin_addr") if tree.get("admin_addr") is not None else None
+    if admin is not None and admin == listen and admin.port:
+        raise ConfigError(f"admin_addr is that of listen, {listen}")
     return Config(
         name=_of(tree, "name", str, "mothstall"),
-        listen=_address(tree, "listen"),
+        listen=listen,
         discovery=_address(tree, "discovery"),
+        admin=admin,
+        listen_fd=listen_fd,
         seed=number,
         descriptors=descriptors,
         known=_of(tree, "known", dict, {}) or None,
@@ -133,6 +166,7 @@
 _AT_START = {
     "name": "name",
     "listen": "listen",
+    "admin": "admin_addr",
     "descriptors": "limits.sockets",
     "settings": "settings",
     "names": "settings",
--- /dev/null
+++ b/mothstall/net/admin.py
@@ -0,0 +1,185 @@
+"""The operators' door: a listener of its own, one call to a connection, few callers at a time.
+
+It stands on plain sockets with descriptors out of the reserve, so that no crowd of clients takes its place.
+What is told to it and what it tells are given by `answer`; it knows calls and callers alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mothstall.config import Address
+from mothstall.net.counters import Counters
+from mothstall.net.listener import listening
+
+log = logging.getLogger("mothstall.admin")
+
+MOST_CALLERS = 16
+ACCEPT_MOST = 64  # in one turn of the event loop
+OWED_S = 5.0  # for a whole call
+MOST_CALL = 8 * 1024
+CALLS = {
+    "/api/ready": "GET", "/api/telemetry": "GET", "/api/evacuate": "POST", "/api/rejoin": "POST",
+}  # fmt: skip
+REASONS = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict",
+    413: "Content Too Large", 500: "Internal Server Error", 503: "Service Unavailable",
+}  # fmt: skip
+
+Answer = tuple[int, str]
+
+
+class BadCall(ValueError):
+    """A call that cannot be taken; `status` is the answer to it."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+def read_call(came: bytes) -> str | None:
+    """The path of the call in `came`; None while it is not whole. Pure."""
+    head, end, rest = came.partition(b"\r\n\r\n")
+    if not end:
+        if len(came) > MOST_CALL:
+            raise BadCall(413, "the call is too long")
+        return None
+    rows = head.split(b"\r\n")
+    words = rows[0].split(b" ")
+    if len(words) != 3 or words[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
+        raise BadCall(400, "no call of HTTP/1.1")
+    length: int | None = None
+    for row in rows[1:]:
+        name, colon, value = row.partition(b":")
+        if not colon or not name or name != name.strip():
+            raise BadCall(400, "a header is unreadable")
+        lower = name.lower()
+        if lower == b"transfer-encoding":
+            raise BadCall(400, "a call has no chunks")
+        if lower == b"content-length":
+            text = value.strip()
+            if length is not None or not text.isdigit():
+                raise BadCall(400, "Content-Length is unreadable")
+            length = int(text[:9])
+    if (length or 0) > MOST_CALL:
+        raise BadCall(413, "the call is too long")
+    path = words[1].decode("ascii", "replace")
+    if path not in CALLS:
+        raise BadCall(404, "no such call")
+    if words[0].decode("ascii", "replace") != CALLS[path]:
+        raise BadCall(405, f"the call is {CALLS[path]} {path}")
+    return path if len(rest) >= (length or 0) else None
+
+
+@dataclass(slots=True, eq=False)
+class _Caller:
+    sock: socket.socket
+    since: float
+    came: bytes = b""
+
+
+class Door:
+    def __init__(
+        self,
+        address: Address,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        counters: Counters,
+        answer: Callable[[str], Answer],
+    ) -> None:
+        self._address, self.loop, self.counters, self._answer = address, loop, counters, answer
+        self._listener: socket.socket | None = None
+        self._callers: dict[_Caller, None] = {}  # in the order in which they came
+        self._sweeper: asyncio.TimerHandle | None = None
+        self.port = 0
+
+    async def start(self) -> None:
+        """OSError if the address is not to be had."""
+        sock = await listening("admin_addr", self._address, 128)
+        self._listener, self.port = sock, sock.getsockname()[1]
+        self.loop.add_reader(sock, self._accept)
+        self._sweep()
+
+    def stop(self) -> None:
+        if self._sweeper:
+            self._sweeper.cancel()
+        for caller in list(self._callers):
+            self._end(caller)
+        if self._listener:
+            self.loop.remove_reader(self._listener)
+            self._listener.close()
+            self._listener = None
+
+    def _accept(self) -> None:
+        for _ in range(ACCEPT_MOST):
+            if self._listener is None:
+                return
+            try:
+                sock, _peer = self._listener.accept()
+            except OSError:
+                return
+            if len(self._callers) >= MOST_CALLERS:
+                # Guards against callers that hold on with no whole call: the longest of them makes way.
+                self._end(next(iter(self._callers)))
+            sock.setblocking(False)
+            caller = _Caller(sock, self.loop.time())
+            self._callers[caller] = None
+            # A call that came with its connection is answered before any other may take its place.
+            self._read(caller)
+            if caller in self._callers:
+                self.loop.add_reader(sock, self._read, caller)
+
+    def _read(self, caller: _Caller) -> None:
+        try:
+            data = caller.sock.recv(MOST_CALL)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            self._end(caller)
+            return
+        if not data:
+            self._end(caller)
+            return
+        caller.came += data
+        try:
+            path = read_call(caller.came)
+            if path is None:
+                return
+            status, text = self._answer(path)
+        except BadCall as why:
+            status, text = why.status, f"{why}\n"
+        except Exception:
+            self.counters.add("faults")
+            log.exception("call fault")
+            status, text = 500, "fault\n"
+        self._say(caller, status, text)
+
+    def _say(self, caller: _Caller, status: int, text: str) -> None:
+        """The whole answer at once: the kernel takes far more for a caller that reads late."""
+        body = text.encode()
+        head = (
+            f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: text/plain\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        try:
+            caller.sock.send(head.encode() + body)
+        except OSError as why:
+            log.info("answer not sent", extra={"kv": {"why": why}})
+        self._end(caller)
+
+    def _end(self, caller: _Caller) -> None:
+        self._callers.pop(caller, None)
+        self.loop.remove_reader(caller.sock)
+        caller.sock.close()
+
+    def _sweep(self) -> None:
+        now = self.loop.time()
+        for caller in list(self._callers):
+            if now - caller.since < OWED_S:
+                break
+            self._end(caller)
+        self._sweeper = self.loop.call_later(1.0, self._sweep)
--- a/mothstall/net/backend.py
+++ b/mothstall/net/backend.py
@@ -26,6 +26,7 @@
 from mothstall.net.actor import Actor
 from mothstall.net.clock import Clock
 from mothstall.net.counters import Counters
+from mothstall.net.figures import Figures
 
 log = logging.getLogger("mothstall.backend")
 
@@ -173,6 +174,8 @@
 
     def resume_writing(self) -> None:
         self.flushed = True
+        if self.attempt is not None:
+            self.owner.relayed(self.attempt)
 
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Guards against a call back with no data while a body is read; bodies never fill their buffer."""
@@ -198,6 +201,8 @@
         self.attempt = attempt
         self._head, self._interim, self._message, self._body = b"", 0, None, None
         self.transport.write(raw)
+        if self.flushed:
+            self.owner.relayed(attempt)
 
     def data_received(self, data: bytes) -> None:
         attempt = self.attempt
@@ -322,12 +327,13 @@
         pool: Pool,
         connect_timeout_ns: int,
         load_names: tuple[str, ...],
+        figures: Figures,
         report: Callable[[Ended | Probed], None],
     ) -> None:
         super().__init__(f"backend {ident}", loop, counters)
         self.number, self.ident, self.address, self.started_ns = number, ident, address, started_ns
         self._clock, self._pool, self._report = clock, pool, report
-        self._load_names = load_names
+        self._load_names, self._figures = load_names, figures
         self._connect_s = connect_timeout_ns / NS
         # Guards against a successor at the same address: a link of an earlier life is never used again.
         self.life = 0
@@ -363,6 +369,11 @@
     def out(self) -> int:
         return len(self._out)
 
+    def relayed(self, attempt: _Attempt) -> None:
+        """The last byte of an attempt was handed on."""
+        if attempt.order is not None:
+            self._figures.relayed += 1
+
     # Links
 
     def _new_life(self) -> None:
--- a/mothstall/net/clock.py
+++ b/mothstall/net/clock.py
@@ -42,6 +42,10 @@
         """Since when what the event loop is reading now may have been waiting."""
         return self.now() if self._poll is None else int(self._poll.earliest * 1e9) + self._offset
 
+    def unix_ns(self, at: float) -> int:
+        """The same the other way: Unix time when the event loop's clock shows `at`."""
+        return int(at * 1e9) + self._offset
+
     def loop_time(self, at_ns: int) -> float:
         """When the event loop's clock shows `at_ns`."""
         return (at_ns - self._offset) / 1e9
--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -22,6 +22,7 @@
 from mothstall.net.clock import Clock
 from mothstall.net.counters import Counters
 from mothstall.net.discovery import Discovery, Fetch, Told, Watch
+from mothstall.net.figures import Figures, Outcome
 
 log = logging.getLogger("mothstall.decider")
 
@@ -44,6 +45,7 @@
     inbound: protocol.Inbound
     came_ns: int
     reply: Callable[[Reply], None]
+    latest_ns: int | None = None  # by when it has to be answered, whatever its client says
 
 
 @dataclass(slots=True)
@@ -83,10 +85,12 @@
         loop: asyncio.AbstractEventLoop,
         counters: Counters,
         clock: Clock,
+        figures: Figures,
         make_backend: Callable[[int, protocol.Member], peer.Backend],
     ) -> None:
         super().__init__("decider", loop, counters)
         self._config, self._clock, self._make = config, clock, make_backend
+        self._figures = figures
         self._balancer = Balancer(config.settings, config.seed)
         self._lives = 0
         self._pending: dict[int, _Pending] = {}
@@ -99,6 +103,14 @@
     def attach(self, discovery: Discovery) -> None:
         self._discovery = discovery
 
+    def listed_count(self) -> int:
+        return len(self._entries)
+
+    def out_of_rotation(self) -> int:
+        """Listed backends that get nothing new: those that drain, and those that the module has ejected."""
+        draining = sum(entry.health != Health.READY for entry in self._entries.values())
+        return draining + self._balancer.out_of_rotation()
+
     # Messages to events
 
     def receive(self, batch: list[Message]) -> None:
@@ -129,10 +141,12 @@
     def _arrived(self, message: Arrived, now: int) -> io.Event | None:
         inbound = message.inbound
         deadline = message.came_ns + inbound.left_ns
+        if message.latest_ns is not None:
+            deadline = min(deadline, message.latest_ns)
         overdue_at = self._clock.loop_time(deadline + self._config.answer_slack_ns // 2)
         backstop = self.loop.call_at(overdue_at, self.tell, Overdue(message.request))
         self._pending[message.request] = _Pending(message, deadline, backstop)
-        self.counters.add("requests")
+        self._figures.take(inbound.cls)
         return io.RequestArrived(
             message.request, inbound.cls, inbound.tenant, 0, deadline - now, 0, inbound.repeated
         )
@@ -144,8 +158,7 @@
             entry.out -= 1
             entry.silent = message.result == Result.TIMEOUT
             if not entry.answered and message.answer and message.result == Result.OK:
-                self.counters.add("answers_ok")
-                self._answer(entry, Reply(200, message.answer.body, message.answer.head))
+                self._answer(entry, Reply(200, message.answer.body, message.answer.head), Outcome.FULFILLED)
             finished = entry.answered
             self._forget(entry)
         return io.AttemptEnded(
@@ -162,8 +175,7 @@
         entry = self._pending.get(request)
         if entry is None or entry.answered:
             return None
-        self.counters.add("requests_left")
-        self._answer(entry, None)
+        self._answer(entry, None, Outcome.LEFT)
         self._forget(entry)
         return io.ClientLeft(request)
 
@@ -276,17 +288,16 @@
         reply = Reply(503, b"refused\n")
         if action.retry_after_ns:
             reply.head += b"Retry-After: %.3f\r\n" % (action.retry_after_ns / 1e9)
-        self.counters.add("answers_refused")
-        self._answer(entry, reply)
+        self._answer(entry, reply, Outcome.THROTTLED)
         self._forget(entry)
 
     def _fail(self, entry: _Pending) -> None:
-        self.counters.add("answers_failed")
-        self._answer(entry, Reply(504 if entry.silent else 502, b"failed\n"))
+        self._answer(entry, Reply(504 if entry.silent else 502, b"failed\n"), Outcome.FAULTED)
         self._forget(entry)
 
-    def _answer(self, entry: _Pending, reply: Reply | None) -> None:
+    def _answer(self, entry: _Pending, reply: Reply | None, outcome: Outcome) -> None:
         hold(not entry.answered, "one final answer", self.counters)
+        self._figures.end(entry.arrived.inbound.cls, outcome)
         entry.answered = True
         entry.backstop.cancel()
         if reply:
--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import itertools
 import logging
 import socket
@@ -27,6 +26,8 @@
 from mothstall.net.clock import Clock
 from mothstall.net.counters import Counters
 from mothstall.net.decider import Arrived, Left, Message, Reply
+from mothstall.net.listener import inherited, listening
+from mothstall.net.phases import SILENT_S, Phase, Phases
 
 log = logging.getLogger("mothstall.frontend")
 # What aiohttp itself has to say of connections is counted here, not logged.
@@ -34,7 +35,6 @@
 quiet.setLevel(logging.CRITICAL)
 
 BACKLOG = 1024
-BIND_TRIES, BIND_PAUSE_S = 30, 0.05
 KEEP_S = 6.0  # an idle client connection that was served
 OWED_S = 2.0  # for a first byte and a whole head, and again for a body
 UNREAD_S = 5.0  # for an answer that the client does not read
@@ -265,7 +265,7 @@
         """
         self._front.counters.add("requests_bad")
         whole = self._payload is None or self._payload.is_eof()
-        if not whole or not self._stays or self._front.draining or self.transport is None:
+        if not whole or not self._stays or not self._front.phases.taking or self.transport is None:
             self._refuse(status, why)
             return
         self._inbound = self._payload = None
@@ -318,6 +318,13 @@
         else:
             self.force_close()
 
+    def check_drained(self, now: float, overdue: bool) -> None:
+        """Guards against a connection that is held idle, or with half a request, past the end of a drain."""
+        if self.state == State.IDLE or (self.state == State.SILENT and now - self.since >= SILENT_S):
+            self.force_close()
+        elif overdue and self.state in (State.HEAD, State.BODY, State.SILENT, State.HELD):
+            self._refuse(408, "the proxy drains")
+
 
 class Server(web.Server):
     """aiohttp's table of connections, with connections of our own."""
@@ -342,10 +349,13 @@
         clock: Clock,
         decide: Callable[[Message], None],
         ready: Callable[[], bool],
+        phases: Phases,
+        listen_fd: int | None = None,
     ) -> None:
+        """`listen_fd`: the descriptor of the clients' socket, where others hold it too."""
         self._address, self.names, self._most = address, names, most
         self.loop, self.counters, self.clock = loop, counters, clock
-        self._decide, self._ready = decide, ready
+        self._decide, self._ready, self.phases, self._inherited = decide, ready, phases, listen_fd
         self._ids = itertools.count(1)
         self._server = Server(self)
         self._table = self._server._connections
@@ -356,25 +366,13 @@
         self._taking: set[asyncio.Task[None]] = set()
         self._waiting_since: float | None = None  # since when newcomers wait for room
         self._sweeper: asyncio.TimerHandle | None = None
-        self.draining = False
         self.port = 0
 
     async def start(self) -> None:
-        family = socket.AF_INET6 if ":" in self._address.host else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        for left in reversed(range(BIND_TRIES)):
-            try:
-                sock.bind((self._address.host, self._address.port))
-                break
-            except OSError as why:
-                # Guards against an earlier process that is still on its way out.
-                if why.errno != errno.EADDRINUSE or not left:
-                    sock.close()
-                    raise
-                await asyncio.sleep(BIND_PAUSE_S)
-        sock.listen(BACKLOG)
+        if self._inherited is None:
+            sock = await listening("listen", self._address, BACKLOG)
+        else:
+            sock = inherited(self._inherited)
         self._listener, self.port = sock, sock.getsockname()[1]
         self.loop.add_reader(sock, self._accept)
         self._sweep()
@@ -452,7 +450,7 @@
         Guards against clients that ask once and hold their connection: they run out of connections themselves
         long before the proxy does.
         """
-        return self.draining or len(self._table) >= EDGE_PART * self._most
+        return not self.phases.taking or len(self._table) >= EDGE_PART * self._most
 
     # Connections
 
@@ -467,17 +465,21 @@
 
     def _sweep(self) -> None:
         now = self.loop.time()
+        drained = self.phases.tick(now) is Phase.DRAINED
+        overdue = drained and now >= (self.phases.latest(now) or now)
         for connection in list(self._table):
-            if isinstance(connection, Connection):
-                connection.check(now)
+            if not isinstance(connection, Connection):
+                continue
+            connection.check(now)
+            if drained:
+                connection.check_drained(now, overdue)
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
     def asked(self, path: str) -> Reply:
         """What the proxy tells of itself."""
         if path == "/counters":
             return Reply(200, self.counters.text().encode())
-        up = self._ready() and not self.draining
-        return Reply(200, b"ready\n") if up else Reply(503, b"not ready\n")
+        return Reply(200, b"ready\n") if self.takes_clients() else Reply(503, b"not ready\n")
 
     def arrived(self, connection: Connection, inbound: protocol.Inbound, came_ns: int) -> int | None:
         """Hands a request to the decisions; None if its id is that of an open one."""
@@ -486,7 +488,9 @@
         self._open.add(inbound.txn)
         number = next(self._ids)
         connection.open_as(number)
-        self._decide(Arrived(number, inbound, came_ns, connection.answer))
+        latest = self.phases.latest(self.loop.time())
+        latest_ns = None if latest is None else self.clock.unix_ns(latest)
+        self._decide(Arrived(number, inbound, came_ns, connection.answer, latest_ns))
         return number
 
     def answered(self, inbound: protocol.Inbound | None) -> None:
@@ -499,15 +503,15 @@
 
     # Stopping
 
-    def drain(self) -> None:
-        """From now on each answer closes its connection."""
-        self.draining = True
+    def takes_clients(self) -> bool:
+        return self._ready() and self._listener is not None and self.phases.taking
 
     async def close(self) -> None:
         """Takes in what already knocked, then stops listening."""
         if self._listener:
             self.loop.remove_reader(self._listener)
-            self._accept(at_the_end=True)
+            if self._inherited is None:
+                self._accept(at_the_end=True)
             self._listener.close()
             self._listener = None
         await asyncio.gather(*self._taking)
--- /dev/null
+++ b/mothstall/net/listener.py
@@ -0,0 +1,39 @@
+"""A listening socket: bound with some patience, or a copy of one that the process inherits."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import socket
+
+from mothstall.config import Address
+
+BIND_TRIES, BIND_PAUSE_S = 30, 0.05
+
+
+async def listening(key: str, address: Address, backlog: int) -> socket.socket:
+    """OSError, whose text names `key`, if the address is not to be had."""
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    for left in reversed(range(BIND_TRIES)):
+        try:
+            sock.bind((address.host, address.port))
+            sock.listen(backlog)
+            return sock
+        except OSError as why:
+            # Guards against an earlier process that is still on its way out.
+            if why.errno != errno.EADDRINUSE or not left:
+                sock.close()
+                raise OSError(why.errno, f"{key} {address}: {why.strerror or why}") from why
+        await asyncio.sleep(BIND_PAUSE_S)
+    raise AssertionError("the last try returns or raises")
+
+
+def inherited(descriptor: int) -> socket.socket:
+    """A copy of its own: others hold the socket too, which is never shut down here."""
+    sock = socket.socket(fileno=os.dup(descriptor))
+    sock.setblocking(False)
+    return sock
--- /dev/null
+++ b/mothstall/net/phases.py
@@ -0,0 +1,59 @@
+"""Whether the proxy takes clients: serving, draining, drained or stopping. Pure: no clock, no sockets.
+
+Times are seconds of any clock that only moves forward. Each word may come twice, or when it changes nothing.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+IDLE_S = 1.9  # after the word to drain an idle connection may still bring a request so long
+SILENT_S = 0.2  # from then on one on which nothing came is closed after so long
+LATEST_S = 3.6  # what comes after IDLE_S is answered, or closed if it is not whole, so long after the word
+
+
+class Phase(Enum):
+    SERVING = "serving"
+    DRAINING = "draining"  # takes what still comes; each answer ends its connection
+    DRAINED = "drained"  # the same, and no connection is idle
+    STOPPING = "stopping"
+
+
+class Phases:
+    def __init__(self) -> None:
+        self.phase = Phase.SERVING
+        self._since = 0.0
+
+    def evacuate(self, now: float) -> bool:
+        """Told to drain; a second word does not begin it anew. False: the process ends anyway."""
+        if self.phase is Phase.SERVING:
+            self.phase, self._since = Phase.DRAINING, now
+        return self.phase is not Phase.STOPPING
+
+    def rejoin(self) -> bool:
+        """Told to take clients again; False once the process is to end."""
+        if self.phase is Phase.STOPPING:
+            return False
+        self.phase = Phase.SERVING
+        return True
+
+    def stop(self) -> None:
+        """Told to end, from whatever phase: there is no way back."""
+        self.phase = Phase.STOPPING
+
+    def tick(self, now: float) -> Phase:
+        """Moves on with time."""
+        if self.phase is Phase.DRAINING and now - self._since >= IDLE_S:
+            self.phase = Phase.DRAINED
+        return self.phase
+
+    @property
+    def taking(self) -> bool:
+        return self.phase is Phase.SERVING
+
+    def latest(self, now: float) -> float | None:
+        """By when a request that comes now has to be answered, however long its client would wait.
+
+        Guards against a connection still held for a young request when the drain has to be over.
+        """
+        return self._since + LATEST_S if self.tick(now) is Phase.DRAINED else None
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -9,9 +9,9 @@
 import signal
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from mothstall.config import Config, ConfigError, needs_start
+from mothstall.config import Address, Config, ConfigError, needs_start
 from mothstall.interface import NS, Scope
 from mothstall.net import protocol
 from mothstall.net.backend import IDLE_PART, Backend, Pool
@@ -19,7 +19,12 @@
 from mothstall.net.counters import Counters
 from mothstall.net.decider import Decider
 from mothstall.net.discovery import Discovery, Move, Told
+from mothstall.net.figures import Figures
 from mothstall.net.frontend import Frontend
+from mothstall.net.phases import Phases
+
+if TYPE_CHECKING:
+    from mothstall.net.admin import Door
 
 log = logging.getLogger("mothstall.proxy")
 
@@ -39,8 +44,15 @@
         free = min(config.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVE
         backends = int(free * BACKEND_PART)
         self._pool = Pool(IDLE_PART * config.idle_ns / NS, backends, self.counters, self.loop)
+        self.figures = Figures(config.names.classes, self.counters)
+        self._phases = Phases()
         self._decider = Decider(
-            config, loop=self.loop, counters=self.counters, clock=self._clock, make_backend=self._backend
+            config,
+            loop=self.loop,
+            counters=self.counters,
+            clock=self._clock,
+            figures=self.figures,
+            make_backend=self._backend,
         )
         known = self._known()
         self._discovery = Discovery(
@@ -64,7 +76,10 @@
             clock=self._clock,
             decide=self._decider.tell,
             ready=self._decider.listed.is_set,
+            phases=self._phases,
+            listen_fd=config.listen_fd,
         )
+        self._door: Door | None = None
 
     @property
     def port(self) -> int:
@@ -91,6 +106,7 @@
             pool=self._pool,
             connect_timeout_ns=self.config.settings.connect_timeout_ns,
             load_names=self.config.settings.load_names,
+            figures=self.figures,
             report=self._decider.tell,
         )
 
@@ -101,10 +117,42 @@
         log.error("fault", extra={"kv": {"where": context.get("message"), "why": repr(why)}}, exc_info=why)
 
     async def start(self) -> None:
-        self._discovery.start()
-        await self._frontend.start()
+        """OSError, whose text names the key, if an address is not to be had."""
+        try:
+            if self.config.admin is not None:
+                await self._open_door(self.config.admin)
+            self._discovery.start()
+            await self._frontend.start()
+        except OSError:
+            if self._door:
+                self._door.stop()
+            await self._discovery.stop()
+            raise
         log.info("listening", extra={"kv": {"name": self.config.name, "port": self.port}})
 
+    async def _open_door(self, address: Address) -> None:
+        from mothstall.net.admin import Door
+
+        self._door = Door(address, loop=self.loop, counters=self.counters, answer=self.called)
+        await self._door.start()
+
+    @property
+    def admin_port(self) -> int:
+        return self._door.port if self._door else 0
+
+    def called(self, path: str) -> tuple[int, str]:
+        """What operators ask or say; status and text of the answer."""
+        if path == "/api/telemetry":
+            return 200, self.figures.text(
+                registry_entries=self._decider.listed_count(), out_of_rotation=self._decider.out_of_rotation()
+            )
+        if path == "/api/ready":
+            return (200, "ready\n") if self._frontend.takes_clients() else (503, "not ready\n")
+        was = self._phases.phase
+        done = self._phases.evacuate(self.loop.time()) if path == "/api/evacuate" else self._phases.rejoin()
+        log.info("called", extra={"kv": {"call": path, "from": was.value, "to": self._phases.phase.value}})
+        return (200, f"{self._phases.phase.value}\n") if done else (409, "the process ends\n")
+
     def reload(self, fresh: Config) -> None:
         """Takes over what can change while the proxy runs, and names what cannot in the log."""
         self.counters.add("reloads")
@@ -117,14 +165,17 @@
 
     async def stop(self, drain_s: float = DRAIN_S) -> None:
         """Ends in order: takes in what still comes, answers all that it has, then lets go."""
-        self._frontend.drain()
-        await asyncio.sleep(drain_s)
+        self._phases.stop()
+        # Others hold an inherited socket: who knocks from now on is theirs to take in.
+        await asyncio.sleep(0.0 if self.config.listen_fd is not None else drain_s)
         await self._frontend.close()
         longest = max(c.deadline_ns for c in self.config.settings.classes) / NS
         end = self.loop.time() + longest + 0.5
         while self._frontend.close_idle() and self.loop.time() < end:
             await asyncio.sleep(0.01)
         await self._frontend.stop()
+        if self._door:
+            self._door.stop()
         await self._discovery.stop()
         self._pool.close()
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -242,9 +242,11 @@
 
 
 def tree_of(directory: Directory, members: list[dict[str, Any]], **changes: Any) -> dict[str, Any]:
+    operators = changes.pop("operators", None)  # the operators' address
     return {
         "name": "n0",
         "listen": "127.0.0.1:0",
+        "admin_addr": operators,
         "discovery": f"127.0.0.1:{directory.port}",
         "seed": "5",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": changes.pop("sockets", 1024)},
@@ -273,6 +275,13 @@
         finally:
             client.close()
 
+    async def call(self, path: str, method: str | None = None) -> Reply:
+        """A call of the operators."""
+        return await call(self.proxy.admin_port, path, method)
+
+    async def figures(self) -> dict[str, int]:
+        return read_figures((await self.call("/api/telemetry")).body)
+
     async def until(self, condition: Callable[[], bool], seconds: float = 3.0) -> None:
         async with asyncio.timeout(seconds):
             while not condition():
@@ -312,6 +321,22 @@
     return "\r\n".join(rows).encode() + b"\r\n\r\n" + body
 
 
+async def call(port: int, path: str, method: str | None = None) -> Reply:
+    """A call at the operators' door of a proxy on this machine."""
+    method = method or ("POST" if path in ("/api/evacuate", "/api/rejoin") else "GET")
+    client = Client(*await asyncio.open_connection("127.0.0.1", port))
+    try:
+        client.writer.write(f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n".encode())
+        return await client.read()
+    finally:
+        client.close()
+
+
+def read_figures(text: bytes) -> dict[str, int]:
+    rows = (row.partition(":") for row in text.decode().splitlines())
+    return {name.removeprefix("app."): int(value.partition("|")[0]) for name, _, value in rows}
+
+
 class Client:
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
--- a/tests/test_net_failures.py
+++ b/tests/test_net_failures.py
@@ -17,6 +17,7 @@
 from mothstall.net import frontend, protocol
 from mothstall.net.clock import Clock
 from mothstall.net.counters import Counters
+from mothstall.net.figures import Figures
 from tests.peers import (
     Behaviour,
     Client,
@@ -56,6 +57,7 @@
             pool=self.pool,
             connect_timeout_ns=150_000_000,
             load_names=("util", "queue"),
+            figures=Figures(("a",), self.counters),
             report=self.reports.append,
         )
 
--- /dev/null
+++ b/tests/test_net_operators.py
@@ -0,0 +1,332 @@
+"""The operators' door, the figures, a drain and a rejoin, and the clients' socket that a process inherits."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import socket
+from pathlib import Path
+
+import pytest
+
+from mothstall import config
+from mothstall.net import phases
+from mothstall.net.admin import MOST_CALLERS, BadCall, read_call
+from mothstall.net.counters import Counters
+from mothstall.net.figures import Figures, Outcome
+from mothstall.net.phases import Phase, Phases
+from tests.peers import (
+    Client,
+    Directory,
+    StandIn,
+    answer,
+    call,
+    request_bytes,
+    rig,
+    says,
+    serves,
+    silent,
+    tree_of,
+)
+from tests.test_net_process import MAIN, ROOT, run_main
+
+DOOR = "127.0.0.1:0"
+
+
+@pytest.mark.parametrize(
+    ("raw", "told"),
+    [
+        (b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n", "/api/ready"),
+        (b"POST /api/rejoin HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", "/api/rejoin"),
+        (b"POST /api/rejoin HTTP/1.1\r\nContent-Length: 2\r\n\r\n{", None),
+        (b"GET /api/ready HTTP/1.1\r\nHost: x\r\n", None),
+        (b"GET /api/evacuate HTTP/1.1\r\n\r\n", 405),
+        (b"GET /api/ready?x HTTP/1.1\r\n\r\n", 404),
+        (b"GET /api/ready HTTP/2\r\n\r\n", 400),
+        (b"POST /api/rejoin HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"POST /api/rejoin HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx", 400),
+        (b"POST /api/rejoin HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+        (b"POST /api/rejoin HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", 413),
+        (b"GET /api/ready HTTP/1.1\r\nno header\r\n\r\n", 400),
+        (b"x" * 9000, 413),
+    ],
+)
+def test_a_call_is_read_whole_or_turned_down(raw: bytes, told: str | int | None) -> None:
+    if isinstance(told, int):
+        with pytest.raises(BadCall) as caught:
+            read_call(raw)
+        assert caught.value.status == told
+    else:
+        assert read_call(raw) == told
+
+
+def test_phases_move_by_word_and_by_time() -> None:
+    p = Phases()
+    assert p.taking and p.rejoin() and p.latest(9.0) is None  # a rejoin of one that never drained
+    assert p.evacuate(10.0) and not p.taking
+    assert p.evacuate(11.0)  # told twice: the first word counts
+    assert p.tick(10.0 + phases.IDLE_S - 0.1) is Phase.DRAINING and p.latest(10.5) is None
+    assert p.tick(10.0 + phases.IDLE_S) is Phase.DRAINED and p.latest(12.5) == 10.0 + phases.LATEST_S
+    assert p.rejoin() and p.taking and p.tick(20.0) is Phase.SERVING
+    assert p.evacuate(30.0) and p.rejoin() and p.tick(40.0) is Phase.SERVING  # in mid-drain
+    assert p.evacuate(50.0)
+    p.stop()
+    assert (
+        not p.rejoin() and not p.evacuate(51.0) and p.tick(60.0) is Phase.STOPPING and p.latest(60.0) is None
+    )
+
+
+def test_figures_add_up_and_no_more_may_end_than_were_taken() -> None:
+    f = Figures(("a", "b"), Counters())
+    for outcome in Outcome:
+        f.take(1)
+        f.end(1, outcome)
+    f.take(0)
+    f.relayed = 7
+    assert f.text(registry_entries=3).splitlines() == [
+        *("app.fulfilled.a:0|c", "app.fulfilled.b:1|c", "app.throttled.a:0|c", "app.throttled.b:1|c"),
+        *("app.faulted.a:0|c", "app.faulted.b:1|c", "app.relayed:7|c", "app.open_requests:1|g"),
+        "app.registry_entries:3|g",
+    ]
+    with pytest.raises(AssertionError):
+        f.end(1, Outcome.LEFT)
+
+
+def test_figures_are_what_the_peers_counted() -> None:
+    async def run() -> None:
+        async with rig(serves, operators=DOOR, limits__max_attempts=1) as r:
+            assert (await r.ask("search")).status == 200
+            assert (await r.ask("pay", body=b"x" * 60_000)).status == 200
+            r.backends[0].behave = says(answer(b"no", 500))
+            failed = await r.ask("order")
+            assert failed.status == 502
+            r.backends[0].behave = silent
+            client = await r.client()
+            client.writer.write(request_bytes("search"))
+            await r.until(lambda: len(r.backends[0].seen) == 4)
+            told = await r.figures()
+            assert told["open_requests"] == 1 and told["relayed"] == 4
+            client.close()
+            await r.until(lambda: r.count("requests_left") == 1)
+            told = await r.figures()
+            assert [told[f"fulfilled.{c}"] for c in ("search", "pay", "order")] == [1, 1, 0]
+            assert [told[f"faulted.{c}"] for c in ("search", "pay", "order")] == [0, 0, 1]
+            assert told["open_requests"] == 0 and told["registry_entries"] == 1
+            assert sum(n for name, n in told.items() if name.startswith("throttled")) == 0
+            r.directory.tell(r.backends[0].row("DRAINING"))
+            async with asyncio.timeout(3):
+                while (await r.figures())["out_of_rotation"] != 1:
+                    await asyncio.sleep(0.02)
+
+    asyncio.run(run())
+
+
+def test_an_ejected_backend_is_out_of_rotation_until_it_serves() -> None:
+    async def run() -> None:
+        async with rig(serves, serves, operators=DOOR) as r:
+            for _ in range(6):
+                await r.ask()
+            assert (await r.figures())["out_of_rotation"] == 0
+            await max(r.backends, key=lambda b: len(b.seen)).stop()
+            async with asyncio.timeout(5):
+                while (await r.figures())["out_of_rotation"] != 1:
+                    assert (await r.ask()).status == 200
+
+    asyncio.run(run())
+
+
+def test_callers_who_hold_on_make_way_and_calls_are_answered() -> None:
+    async def run() -> None:
+        async with rig(serves, operators=DOOR) as r:
+            held = [await asyncio.open_connection("127.0.0.1", r.proxy.admin_port) for _ in range(50)]
+            for _, writer in held[::2]:
+                writer.write(b"GET /api/rea")
+            reply = await asyncio.wait_for(r.call("/api/ready"), 1)
+            assert (reply.status, reply.headers["connection"]) == (200, "close")
+            assert (await r.call("/api/nothing")).status == 404
+            assert (await r.call("/api/evacuate", "GET")).status == 405
+            assert (await r.call("/api/ready")).status == 200
+            assert r.proxy._door is not None and len(r.proxy._door._callers) <= MOST_CALLERS
+            for _, writer in held:
+                writer.close()
+
+    asyncio.run(run())
+
+
+def test_a_drain_ends_idle_connections_late_serves_what_comes_and_a_rejoin_takes_clients_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(phases, "IDLE_S", 0.5)
+    monkeypatch.setattr(phases, "LATEST_S", 1.2)
+
+    async def run() -> None:
+        async with rig(serves, operators=DOOR) as r:
+            asks, idle, half = await r.client(), await r.client(), await r.client()
+            for client in (asks, idle):
+                assert (await client.ask()).status == 200
+            half.writer.write(b"GET /search HTTP/1.1\r\n")
+            assert (await r.call("/api/evacuate")).status == 200
+            assert (await r.call("/api/evacuate")).status == 200
+            assert (await r.call("/api/ready")).status == 503
+            front = await r.client()
+            front.writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert (await front.read()).status == 503
+            reply = await asks.ask()  # a request on an open connection is served, and is its last
+            assert (reply.status, reply.headers["connection"]) == (200, "close")
+            assert not await idle.closed(0.2)
+            assert await idle.closed(2)
+            assert (await half.read()).status == 408
+            late = await r.ask()  # too late to be held: answered all the same
+            assert late.status in (200, 503)
+            known = r.proxy._decider._balancer
+            assert (await r.call("/api/rejoin")).status == 200
+            assert (await r.call("/api/ready")).status == 200
+            again = await r.client()
+            for _ in range(2):
+                reply = await again.ask()
+                assert reply.status == 200 and "connection" not in reply.headers
+            assert r.proxy._decider._balancer is known
+
+    asyncio.run(run())
+
+
+def test_a_request_that_comes_late_in_a_drain_is_answered_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(phases, "IDLE_S", 0.0)
+    monkeypatch.setattr(phases, "LATEST_S", 0.4)
+
+    async def run() -> None:
+        async with rig(silent, operators=DOOR) as r:
+            await r.call("/api/evacuate")
+            began = asyncio.get_running_loop().time()
+            reply = await r.ask("order", remaining="990m")
+            assert reply.status in (502, 503, 504)
+            assert asyncio.get_running_loop().time() - began < 0.8
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("env", "said"),
+    [
+        ({"LB_ADMIN_ADDR": "nowhere"}, "admin_addr"),
+        ({"LB_ADMIN_ADDR": "127.0.0.1:7001", "LB_LISTEN": "127.0.0.1:7001"}, "admin_addr"),
+        ({"LB_LISTEN_FD": "77"}, "LB_LISTEN_FD"),
+        ({"LB_LISTEN_FD": "0"}, "LB_LISTEN_FD"),
+        ({"LB_LISTEN_FD": "-1"}, "LB_LISTEN_FD"),
+    ],
+)
+def test_faulty_addresses_and_descriptors_end_with_2_and_the_key(
+    tmp_path: Path, env: dict[str, str], said: str
+) -> None:
+    path = tmp_path / "config.json"
+    directory = Directory([])
+    path.write_text(json.dumps(tree_of(directory, [])))
+    done = run_main("check-config", "--config", str(path), **env)
+    assert done.returncode == 2 and said in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_an_operators_address_that_is_taken_ends_with_1_and_the_key(tmp_path: Path) -> None:
+    with socket.socket() as other:
+        other.bind(("127.0.0.1", 0))
+        other.listen()
+        path = tmp_path / "config.json"
+        tree = tree_of(Directory([]), [], operators=f"127.0.0.1:{other.getsockname()[1]}")
+        path.write_text(json.dumps(tree))
+        done = run_main("serve", "--config", str(path))
+    assert done.returncode == 1 and "mothstall: admin_addr" in done.stderr and "Unclosed" not in done.stderr
+
+
+class Platform:
+    """Holds the clients' socket, and starts processes that inherit it as descriptor 3."""
+
+    def __init__(self, tmp_path: Path, stand_in: StandIn, directory: Directory) -> None:
+        self.path, self.stand_in, self.directory = tmp_path, stand_in, directory
+        self.sock = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.port = self.sock.getsockname()[1]
+        self.processes: list[asyncio.subprocess.Process] = []
+
+    async def start(self) -> tuple[asyncio.subprocess.Process, int]:
+        """A process, and the operators' port of it, once it says that it takes clients."""
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            door: int = free.getsockname()[1]
+        tree = tree_of(self.directory, [self.stand_in.row()], operators=f"127.0.0.1:{door}")
+        tree["listen"] = f"127.0.0.1:{self.port}"
+        path = self.path / f"config-{len(self.processes)}.json"
+        path.write_text(json.dumps(tree))
+        env = {**os.environ, "LB_CONFIG": str(path), "LB_LISTEN_FD": "3", "TMPDIR": str(self.path)}
+        process = await asyncio.create_subprocess_exec(
+            *MAIN,
+            env=env,
+            cwd=ROOT,
+            pass_fds=(3,),
+            preexec_fn=lambda: os.dup2(self.sock.fileno(), 3),
+            stderr=asyncio.subprocess.PIPE,
+        )
+        self.processes.append(process)
+        async with asyncio.timeout(10):
+            while True:
+                with contextlib.suppress(OSError):
+                    if (await call(door, "/api/ready")).status == 200:
+                        return process, door
+                await asyncio.sleep(0.02)
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+
+    async def end(self) -> None:
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        self.sock.close()
+
+
+def test_a_new_version_takes_over_the_clients_socket_and_no_request_ends_at_the_door(tmp_path: Path) -> None:
+    async def run() -> None:
+        stand_in = StandIn(serves)
+        await stand_in.start()
+        directory = Directory([stand_in.row()])
+        await directory.start()
+        platform = Platform(tmp_path, stand_in, directory)
+        asked, over = 0, asyncio.Event()
+
+        async def ask_along() -> None:
+            nonlocal asked
+            while not over.is_set():
+                client = await platform.client()
+                assert (await client.ask("order")).status == 200
+                asked += 1
+                client.close()
+                await asyncio.sleep(0.002)
+
+        try:
+            old, _ = await platform.start()
+            askers = [asyncio.create_task(ask_along()) for _ in range(3)]
+            new, _ = await platform.start()
+            old.terminate()
+            assert await asyncio.wait_for(old.wait(), 5) == 0
+            before = asked
+            await asyncio.sleep(0.3)
+            over.set()
+            await asyncio.gather(*askers)
+            assert asked > before and len(stand_in.seen) == asked
+            assert new.returncode is None
+        finally:
+            await platform.end()
+            await directory.stop()
+            await stand_in.stop()
+
+    asyncio.run(run())
+
+
+def test_a_listener_that_is_inherited_is_checked_by_type() -> None:
+    with socket.socket() as quiet, socket.create_server(("127.0.0.1", 0)) as loud:
+        assert config.inherited(str(loud.fileno())) == loud.fileno()
+        with pytest.raises(config.ConfigError, match="LB_LISTEN_FD"):
+            config.inherited(str(quiet.fileno()))
+    assert config.inherited(None) is None and config.inherited("") is None
