Bodies over 64 KiB are relayed as they come, in bounded memory

Cause: longer bodies were refused (413) or counted as spoilt answers. Small bodies: as before, but taken out of aiohttp's reader at once, which stopped its parser for good at 8192 chunks.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -74,7 +74,7 @@
 class Attempt:
     def __init__(self, backend: Backend, sent: int, trial: bool) -> None:
         self.backend, self.sent, self.trial = backend, sent, trial
-        self.out, self.never_ran, self.rejected = True, False, False
+        self.out, self.never_ran, self.rejected, self.held = True, False, False, False
 
 
 class Request:
@@ -206,6 +206,12 @@
                 self._on_left(ev)
             elif isinstance(ev, io.ResponseStarted):
                 self._on_started(ev)
+            elif isinstance(ev, io.AttemptHeld):
+                self._on_held(ev)
+            elif isinstance(ev, io.AttemptWritten):
+                self._on_written(ev)
+            elif isinstance(ev, io.AnswerCut) and (b := self.backends.get(ev.backend)):
+                self._note_failure(b, 1.0)
         while self.heap and self.heap[0][0] <= self.now:
             heapq.heappop(self.heap)[2]()
         if self.waiting:
@@ -689,6 +695,7 @@
     def _second_copy(self, req: Request) -> None:
         """A second copy, only away from silence: for merely late answers, copies make all of them late."""
         spent = req.done or req.started or req.out != 1 or len(req.attempts) >= self.cfg.max_attempts
+        spent = spent or req.attempts[-1].held
         if spent or self.waiting or req.deadline - self.now < self.usual / 2:
             return
         a, b = req.attempts[-1], req.attempts[-1].backend
@@ -706,6 +713,32 @@
         if req := self.requests.get(ev.request):
             req.started = True
 
+    def _on_held(self, ev: io.AttemptHeld) -> None:
+        """Guards against slow clients that make a backend look hung: what has not come is not in flight."""
+        req = self.requests.get(ev.request)
+        if req and ev.attempt < len(req.attempts) and (a := req.attempts[ev.attempt]).out and not a.held:
+            a.held = True
+            self._no_longer_out(a.backend)
+
+    def _on_written(self, ev: io.AttemptWritten) -> None:
+        """From now on it is in flight, and its request's time counts."""
+        req, now = self.requests.get(ev.request), self.now
+        if req is None or ev.attempt >= len(req.attempts) or not (a := req.attempts[ev.attempt]).held:
+            return
+        a.held, a.sent, b = False, now, a.backend
+        b.busy_since = b.busy_since if b.in_flight else now
+        b.in_flight += 1
+        self.in_flight += 1
+        if not req.done:
+            self.latency[int(req.priority)].since += (now - req.arrived) / req.aim
+            req.arrived, req.deadline, req.ran_at = now, now + ev.left_ns, now
+
+    def _no_longer_out(self, b: Backend) -> None:
+        b.in_flight -= 1
+        self.in_flight -= 1
+        if not b.in_flight:
+            b.busy_ns += self.now - max(b.busy_since, self.slot_at)
+
     def _on_left(self, ev: io.ClientLeft) -> None:
         if (req := self.requests.get(ev.request)) and not req.done:
             self._finish(req, self.now - req.arrived)
@@ -753,7 +786,10 @@
             spent = self.now - req.arrived
             self._finish(req, spent if ev.result == Result.OK else max(spent, req.cls.deadline_ns))
         elif not req.out:
-            self._again(req, ev.result)
+            if ev.again:
+                self._again(req, ev.result)
+            else:
+                self._give_up(req)
 
     def _again(self, req: Request, result: Result) -> None:
         """Another try where the class allows it, the time suffices and the budget pays for it."""
@@ -779,10 +815,10 @@
     def _learn(self, a: Attempt, req: Request, ev: io.AttemptEnded) -> None:
         """What the end of an attempt tells of its backend: progress, room, or illness."""
         b, now = a.backend, self.now
-        b.in_flight -= 1
-        self.in_flight -= 1
-        if not b.in_flight:
-            b.busy_ns += now - max(b.busy_since, self.slot_at)
+        if a.held:
+            a.held = False
+        else:
+            self._no_longer_out(b)
         if a.trial:
             b.probing = False
         if ev.load and "util" in self.cfg.load_names:
--- a/mothstall/config.py
+++ b/mothstall/config.py
@@ -58,6 +58,8 @@
     listen_fd: int | None  # the clients' socket, where the process inherits it
     seed: int
     descriptors: int  # limits.sockets
+    memory_bytes: int  # limits.memory_mb
+    most_body: int  # limits.body_mb, in bytes: what a body may hold, either way
     known: Mapping[str, Any] | None
     settings: Settings
     names: Names
@@ -126,6 +128,11 @@
     descriptors = _of(limits, "sockets", int, 1024, "limits.")
     if descriptors < LEAST_DESCRIPTORS:
         raise ConfigError(f"limits.sockets must be {LEAST_DESCRIPTORS} or more, not {descriptors}")
+    memory_mb = _of(limits, "memory_mb", int, 192, "limits.")
+    body_mb = _of(limits, "body_mb", int, 40, "limits.")
+    for key, value in (("memory_mb", memory_mb), ("body_mb", body_mb)):
+        if value < 1:
+            raise ConfigError(f"limits.{key} must be 1 or more, not {value}")
     seed = _of(tree, "seed", str, "0")
     try:
         number = int(seed, 16)
@@ -146,6 +153,8 @@
         listen_fd=listen_fd,
         seed=number,
         descriptors=descriptors,
+        memory_bytes=memory_mb << 20,
+        most_body=body_mb << 20,
         known=_of(tree, "known", dict, {}) or None,
         settings=parsed,
         names=Names(
@@ -168,6 +177,8 @@
     "listen": "listen",
     "admin": "admin_addr",
     "descriptors": "limits.sockets",
+    "memory_bytes": "limits.memory_mb",
+    "most_body": "limits.body_mb",
     "settings": "settings",
     "names": "settings",
     "idle_ns": "settings.limits.keepalive-ns",
--- a/mothstall/interface.py
+++ b/mothstall/interface.py
@@ -155,6 +155,33 @@
     load: tuple[float, ...]
 
 
+    again: bool = True  # False: the first bytes of its body are gone, so that it cannot be sent again
+
+
+@dataclass(slots=True)
+class AttemptHeld:
+    """The request's body is still on its way to the backend, which begins once it has all of it."""
+
+    request: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class AttemptWritten:
+    """An attempt that was held is written whole; its client waits `left_ns` from now on."""
+
+    request: int
+    attempt: int
+    left_ns: int
+
+
+@dataclass(slots=True)
+class AnswerCut:
+    """A long answer, whose attempt had ended well with its first bytes, broke off at the backend."""
+
+    backend: int
+
+
 @dataclass(slots=True)
 class ClientLeft:
     request: int
@@ -173,7 +200,10 @@
     load: tuple[float, ...]
 
 
-Event = BackendList | RequestArrived | ResponseStarted | AttemptEnded | ClientLeft | TimerFired | ProbeEnded
+Event = (
+    BackendList | RequestArrived | ResponseStarted | AttemptEnded | AttemptHeld | AttemptWritten | AnswerCut
+    | ClientLeft | TimerFired | ProbeEnded
+)  # fmt: skip
 
 
 # Actions
--- a/mothstall/net/counters.py
+++ b/mothstall/net/counters.py
@@ -25,6 +25,7 @@
     "attempts_not_sent": "attempts never sent: their request was over or their backend unknown",
     "probes": "probes sent",
     "answers_with_more": "good answers of backends with more behind them: passed on, connection closed",
+    "answers_cut": "long answers that broke off at the backend after their first bytes were passed on",
     "unreadable": "answers of backends or of discovery that cannot be read",
     "discovery_calls": "calls to discovery",
     "discovery_failures": "calls to discovery that failed",
--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -23,6 +23,7 @@
 from mothstall.net.counters import Counters
 from mothstall.net.discovery import Discovery, Fetch, Told, Watch
 from mothstall.net.figures import Figures, Outcome
+from mothstall.net.relay import Stream
 
 log = logging.getLogger("mothstall.decider")
 
@@ -37,6 +38,8 @@
     status: int
     body: bytes
     head: bytes = PLAIN  # further headers, each with its end of line
+    stream: Stream | None = None  # a long body, in place of `body`
+    length: int | None = None  # of the stream, where it is known
 
 
 @dataclass(slots=True)
@@ -63,18 +66,38 @@
     request: int
 
 
-Message = Arrived | Left | Due | Overdue | peer.Ended | peer.Probed | Told
+@dataclass(slots=True)
+class Passed:
+    """The relay of a long answer is over, one way or the other."""
+
+    request: int
+    outcome: Outcome
+
+
+@dataclass(slots=True)
+class Held:
+    """An attempt was ordered whose body is still on its way."""
+
+    request: int
+    attempt: int
+
+
+Message = (
+    Arrived | Left | Due | Overdue | Passed | Held | Told
+    | peer.Ended | peer.Written | peer.Broke | peer.Probed
+)  # fmt: skip
 
 
 @dataclass(slots=True)
 class _Pending:
     arrived: Arrived
     deadline_ns: int
-    backstop: asyncio.TimerHandle
+    backstop: asyncio.TimerHandle | None
     attempts: list[peer.Backend | None] = field(default_factory=list)
     out: int = 0
     answered: bool = False
     silent: bool = False  # the last attempt ran out of time
+    relaying: bool = False  # answered as far as the first bytes of a long answer
 
 
 class Decider(Actor[Message]):
@@ -136,6 +159,15 @@
             return self._gone(message.request)
         if isinstance(message, Overdue):
             return self._overdue(message.request)
+        if isinstance(message, Passed):
+            self._passed(message.request, message.outcome)
+            return None
+        if isinstance(message, Held):
+            return io.AttemptHeld(message.request, message.attempt)
+        if isinstance(message, peer.Written):
+            return self._written(message, now)
+        if isinstance(message, peer.Broke):
+            return io.AnswerCut(message.backend)
         return io.ProbeEnded(message.backend, message.result, message.latency_ns, message.load)
 
     def _arrived(self, message: Arrived, now: int) -> io.Event | None:
@@ -143,22 +175,51 @@
         deadline = message.came_ns + inbound.left_ns
         if message.latest_ns is not None:
             deadline = min(deadline, message.latest_ns)
-        overdue_at = self._clock.loop_time(deadline + self._config.answer_slack_ns // 2)
-        backstop = self.loop.call_at(overdue_at, self.tell, Overdue(message.request))
+        # The time of a request with a long body counts from when all of it is written.
+        backstop = self._backstop(message.request, deadline) if inbound.stream is None else None
         self._pending[message.request] = _Pending(message, deadline, backstop)
         self._figures.take(inbound.cls)
         return io.RequestArrived(
             message.request, inbound.cls, inbound.tenant, 0, deadline - now, 0, inbound.repeated
         )
 
+    def _backstop(self, request: int, deadline: int) -> asyncio.TimerHandle:
+        overdue_at = self._clock.loop_time(deadline + self._config.answer_slack_ns // 2)
+        return self.loop.call_at(overdue_at, self.tell, Overdue(request))
+
+    def _written(self, message: peer.Written, now: int) -> io.Event | None:
+        entry = self._pending.get(message.request)
+        if entry is None or entry.answered:
+            return None
+        left = entry.arrived.inbound.left_ns
+        entry.deadline_ns = now + left
+        entry.backstop = self._backstop(message.request, entry.deadline_ns)
+        return io.AttemptWritten(message.request, message.attempt, left)
+
+    def _passed(self, request: int, outcome: Outcome) -> None:
+        entry = self._pending.get(request)
+        if entry is not None and entry.relaying:
+            entry.relaying = False
+            self._figures.end(entry.arrived.inbound.cls, outcome)
+            self._forget(entry)
+
     def _ended(self, message: peer.Ended) -> io.Event:
         entry = self._pending.get(message.request)
-        finished = True
+        finished, again = True, True
+        if message.answer and message.answer.stream and (entry is None or entry.answered):
+            message.answer.stream.drop()
         if entry:
+            upload = entry.arrived.inbound.stream
+            again = upload is None or not upload.opened
             entry.out -= 1
             entry.silent = message.result == Result.TIMEOUT
             if not entry.answered and message.answer and message.result == Result.OK:
-                self._answer(entry, Reply(200, message.answer.body, message.answer.head), Outcome.FULFILLED)
+                answer = message.answer
+                reply = Reply(200, answer.body, answer.head, answer.stream, answer.length)
+                if answer.stream is None:
+                    self._answer(entry, reply, Outcome.FULFILLED)
+                else:
+                    self._begin(entry, reply)
             finished = entry.answered
             self._forget(entry)
         return io.AttemptEnded(
@@ -169,10 +230,12 @@
             message.latency_ns,
             finished,
             message.load,
+            again,
         )
 
     def _gone(self, request: int) -> io.Event | None:
         entry = self._pending.get(request)
+        self._passed(request, Outcome.LEFT)
         if entry is None or entry.answered:
             return None
         self._answer(entry, None, Outcome.LEFT)
@@ -267,7 +330,10 @@
             return
         number = len(entry.attempts)
         actor = self._backends.get(action.backend)
-        if entry.answered or number >= self._config.settings.max_attempts or now >= entry.deadline_ns:
+        inbound = entry.arrived.inbound
+        late = now >= entry.deadline_ns and inbound.stream is None
+        gone = inbound.stream is not None and (inbound.stream.opened or entry.out > 0)
+        if entry.answered or number >= self._config.settings.max_attempts or late or gone:
             actor = None
         entry.attempts.append(actor)
         entry.out += 1
@@ -279,7 +345,9 @@
         if action.timeout_ns:
             due = min(due, now + action.timeout_ns)
         self.counters.add("attempts")
-        actor.tell(peer.Send(action.request, number, entry.arrived.inbound, due))
+        if inbound.stream is not None:
+            self.tell(Held(action.request, number))
+        actor.tell(peer.Send(action.request, number, inbound, due))
 
     def _refuse(self, action: io.Refuse) -> None:
         entry = self._pending.get(action.request)
@@ -299,12 +367,21 @@
         hold(not entry.answered, "one final answer", self.counters)
         self._figures.end(entry.arrived.inbound.cls, outcome)
         entry.answered = True
-        entry.backstop.cancel()
+        if entry.backstop:
+            entry.backstop.cancel()
         if reply:
             entry.arrived.reply(reply)
 
+    def _begin(self, entry: _Pending, reply: Reply) -> None:
+        """A long answer begins; what becomes of it is told by `Passed`."""
+        hold(not entry.answered, "one final answer", self.counters)
+        entry.answered = entry.relaying = True
+        if entry.backstop:
+            entry.backstop.cancel()
+        entry.arrived.reply(reply)
+
     def _forget(self, entry: _Pending) -> None:
-        if entry.answered and not entry.out:
+        if entry.answered and not entry.out and not entry.relaying:
             self._pending.pop(entry.arrived.request, None)
 
     def recover(self, batch: list[Message], why: Exception) -> None:
--- a/mothstall/net/protocol.py
+++ b/mothstall/net/protocol.py
@@ -14,8 +14,9 @@
 
 from mothstall.config import Address, Names, parse_address
 from mothstall.interface import Effect, Entry, Health, Result
+from mothstall.net.relay import Stream
 
-MOST_BODY = 64 * 1024
+MOST_BODY = 64 * 1024  # of a body that is held whole; longer ones are relayed
 
 TXN, LANE, ORG, REMAINING, RESENT = b"x-txn", b"x-lane", b"x-org", b"x-remaining", b"x-resent"
 KEY = b"idempotency-key"
@@ -58,14 +59,18 @@
     tenant: int
     left_ns: int
     repeated: bool
+    stream: Stream | None = None  # a long body, in place of `body`
+    length: int | None = None  # of the stream, where it is known
 
 
 @dataclass(slots=True)
 class Answer:
-    """A backend's 200 answer, whole."""
+    """A backend's 200 answer, whole, or as far as its first bytes."""
 
     body: bytes
     head: bytes  # the headers that go on, each with its end of line
+    stream: Stream | None = None  # a long body, in place of `body`
+    length: int | None = None  # of the stream, where it is known
 
 
 def duration_ns(text: str) -> int:
@@ -141,7 +146,11 @@
 
 
 def request_bytes(inbound: Inbound, left_ns: int) -> bytes:
-    """The request as one attempt writes it."""
+    """The request as one attempt writes it; of one with a long body the head alone."""
+    if inbound.stream is not None:
+        framing = _framing(inbound.length)
+        left = duration_text(left_ns).encode()
+        return b"%bX-Remaining: %b\r\n%b\r\n" % (inbound.head, left, framing)
     length = b"" if not inbound.body and inbound.head.startswith(b"GET") else b"%d" % len(inbound.body)
     framing = b"Content-Length: %b\r\n" % length if length else b""
     left = duration_text(left_ns).encode()
@@ -154,6 +163,26 @@
 }
 
 
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+
+
+def _framing(length: int | None) -> bytes:
+    return CHUNKED if length is None else b"Content-Length: %d\r\n" % length
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def response_head(head: bytes, length: int | None, chunks: bool, close: bool) -> bytes:
+    """The head of a long 200 answer; with neither length nor chunks its end is that of the connection."""
+    framing = _framing(length) if chunks or length is not None else b""
+    return b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (head, framing, b"Connection: close\r\n" if close else b"")
+
+
 def response_bytes(status: int, head: bytes, body: bytes, close: bool) -> bytes:
     """An answer to a client."""
     ending = b"Connection: close\r\n" if close else b""
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -22,6 +22,7 @@
 from mothstall.net.figures import Figures
 from mothstall.net.frontend import Frontend
 from mothstall.net.phases import Phases
+from mothstall.net.relay import Grants, grants_for
 
 if TYPE_CHECKING:
     from mothstall.net.admin import Door
@@ -43,7 +44,15 @@
         self._clock = Clock(poll)
         free = min(config.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVE
         backends = int(free * BACKEND_PART)
-        self._pool = Pool(IDLE_PART * config.idle_ns / NS, backends, self.counters, self.loop)
+        most_streams = grants_for(config.memory_bytes)
+        self._pool = Pool(
+            IDLE_PART * config.idle_ns / NS,
+            backends,
+            self.counters,
+            self.loop,
+            grants=Grants(most_streams),
+            most_body=config.most_body,
+        )
         self.figures = Figures(config.names.classes, self.counters)
         self._phases = Phases()
         self._decider = Decider(
@@ -77,6 +86,8 @@
             decide=self._decider.tell,
             ready=self._decider.listed.is_set,
             phases=self._phases,
+            grants=Grants(most_streams),
+            most_body=config.most_body,
             listen_fd=config.listen_fd,
         )
         self._door: Door | None = None
--- /dev/null
+++ b/mothstall/net/relay.py
@@ -0,0 +1,183 @@
+"""Long bodies on their way from one peer to the other, a window at a time. Pure: no sockets, no clock.
+
+A stream stands between a source, which can be paused, and a sink, which says when it is full. What it holds
+is bounded by its window and one read of the source. Grants bound how many streams are on their way at once.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Protocol
+
+WINDOW = 64 * 1024  # held for one stream while its sink takes nothing
+READ_MOST = 64 * 1024  # taken from a peer's connection at once
+GRANT = 2 * (WINDOW + READ_MOST)  # what one stream may cost, buffers of its sink's transport included
+GRANT_PART = 0.25  # of the memory limit, for all streams together
+LEAST_GRANTS = 4
+
+
+class Source(Protocol):
+    def pause(self) -> None: ...
+    def resume(self) -> None: ...
+    def dropped(self) -> None:
+        """The sink takes nothing more."""
+
+
+class Sink(Protocol):
+    def take(self, data: bytes) -> None: ...
+    def done(self) -> None:
+        """All of it was given to `take`."""
+
+    def broken(self) -> None:
+        """The rest never comes: whoever reads has to see that it was cut."""
+
+
+class Grants:
+    """Permits for streams, given in the order in which they were asked for."""
+
+    def __init__(self, most: int) -> None:
+        self.most = max(1, most)
+        self._held: set[Stream] = set()
+        self._waiting: dict[Stream, None] = {}
+
+    def ask(self, stream: Stream) -> bool:
+        if len(self._held) < self.most:
+            self._held.add(stream)
+            return True
+        self._waiting[stream] = None
+        return False
+
+    def release(self, stream: Stream) -> None:
+        self._waiting.pop(stream, None)
+        if stream not in self._held:
+            return
+        self._held.discard(stream)
+        if self._waiting:
+            heir = next(iter(self._waiting))
+            del self._waiting[heir]
+            self._held.add(heir)
+            heir.granted()
+
+
+def grants_for(memory_bytes: int) -> int:
+    """How many streams each direction may have, of a process with so much memory."""
+    return max(LEAST_GRANTS, int(memory_bytes * GRANT_PART / 2 / GRANT))
+
+
+class Stream:
+    """One body. The source calls `feed`, `end` and `cut`; the sink `open`, `full`, `flow` and `drop`."""
+
+    def __init__(self, source: Source, grants: Grants) -> None:
+        self._source: Source | None = source
+        self._sink: Sink | None = None
+        self._grants = grants
+        self._held: deque[bytes] = deque()
+        self.size = 0  # bytes held
+        self.most = 0  # bytes that were ever held at once
+        self.passed = 0  # bytes given to the sink
+        self.opened = False  # a sink took it, so that its first bytes may be gone
+        self.over = False  # one way or the other
+        self.whole = False  # all of it was given to the sink
+        self._ended = self._full = self._paused = False
+        self._granted = grants.ask(self)
+        self._press()
+
+    # The source
+
+    def feed(self, data: bytes) -> None:
+        if self.over or self._ended or not data:
+            return
+        self._held.append(data)
+        self.size += len(data)
+        self.most = max(self.most, self.size)
+        self._push()
+        self._press()
+
+    def end(self) -> None:
+        """All of it came; the source is free for other uses."""
+        if self.over or self._ended:
+            return
+        self._ended = True
+        source, self._source = self._source, None
+        if source is not None and self._paused:
+            self._paused = False
+            source.resume()
+        self._push()
+
+    def cut(self) -> None:
+        """The source gives nothing more, and what it gave is not whole."""
+        if self.over:
+            return
+        self._finish()
+        if sink := self._sink:
+            self._sink = None
+            sink.broken()
+
+    # The sink
+
+    def open(self, sink: Sink) -> None:
+        self._sink, self.opened = sink, True
+        self._push()
+        self._press()
+
+    def full(self) -> None:
+        self._full = True
+        self._press()
+
+    def flow(self) -> None:
+        self._full = False
+        self._push()
+        self._press()
+
+    def drop(self) -> None:
+        """The sink takes nothing more."""
+        if self.over:
+            return
+        source = self._source
+        self._sink = None
+        self._finish()
+        if source is not None:
+            source.dropped()
+
+    # Between
+
+    def granted(self) -> None:
+        self._granted = True
+        self._push()
+        self._press()
+
+    def _push(self) -> None:
+        while self._held and self._sink is not None and self._granted and not self._full and not self.over:
+            data = self._held.popleft()
+            self.size -= len(data)
+            self.passed += len(data)
+            self._sink.take(data)
+        if self._ended and not self._held and self._sink is not None and not self.over:
+            sink, self._sink = self._sink, None
+            self.whole = True
+            self._finish()
+            sink.done()
+
+    def _press(self) -> None:
+        """Pressure goes back to the source: it is read only while there is room for what it gives."""
+        if self.over or self._source is None:
+            return
+        pause = not self._granted or self.size >= WINDOW or (self._full and self.size > 0)
+        if pause != self._paused:
+            self._paused = pause
+            if pause:
+                self._source.pause()
+            else:
+                self._source.resume()
+
+    @property
+    def paused(self) -> bool:
+        """Whether the source is not read because the sink, or the lack of a grant, holds it up."""
+        return self._paused
+
+    def _finish(self) -> None:
+        self.over = True
+        self._held.clear()
+        self.size = 0
+        self._source = None
+        self._grants.release(self)
--- /dev/null
+++ b/tests/test_net_relay.py
@@ -0,0 +1,446 @@
+"""Long bodies: the stream by itself over any cutting, both directions through a proxy, slow and broken."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mothstall import interface as io
+from mothstall.net import backend as peer
+from mothstall.net import frontend
+from mothstall.net.relay import READ_MOST, WINDOW, Grants, Stream, grants_for
+from tests.peers import Client, Seen, StandIn, answer, request_bytes, rig, serves
+from tests.test_net_process import started
+
+MB = 1 << 20
+
+
+class Ends:
+    """A source and a sink that write down what is said to them."""
+
+    def __init__(self) -> None:
+        self.paused = self.was_dropped = self.is_done = self.is_broken = False
+        self.got = b""
+
+    def pause(self) -> None:
+        self.paused = True
+
+    def resume(self) -> None:
+        self.paused = False
+
+    def dropped(self) -> None:
+        self.was_dropped = True
+
+    def take(self, data: bytes) -> None:
+        self.got += data
+
+    def done(self) -> None:
+        self.is_done = True
+
+    def broken(self) -> None:
+        self.is_broken = True
+
+
+@given(st.lists(st.integers(1, READ_MOST), max_size=30), st.integers(0, 2**32))
+@settings(max_examples=80, deadline=None)
+def test_any_cutting_gives_the_same_bytes_and_no_more_than_a_window_is_held(
+    cuts: list[int], seed: int
+) -> None:
+    rng = random.Random(seed)
+    source, sink = Ends(), Ends()
+    stream = Stream(source, Grants(1))
+    whole = b"".join(bytes([i % 251]) * size for i, size in enumerate(cuts))
+    at = 0
+    waiting = list(cuts)
+    while waiting or not stream.over:
+        step = rng.randrange(4)
+        if step == 0 and waiting and not source.paused:
+            size = waiting.pop(0)
+            stream.feed(whole[at : at + size])
+            at += size
+        elif step == 0 and not waiting and not stream._ended:
+            stream.end()
+        elif step == 1 and not stream.opened:
+            stream.open(sink)
+        elif step == 2 and stream.opened:
+            stream.full()
+        elif step == 3 and stream.opened:
+            stream.flow()
+    assert sink.got == whole and sink.is_done and not sink.is_broken and not source.was_dropped
+    assert stream.most <= WINDOW + READ_MOST and stream.whole
+
+
+def test_a_cut_and_a_drop_are_told_to_the_other_side_once() -> None:
+    grants = Grants(1)
+    source, sink = Ends(), Ends()
+    stream = Stream(source, grants)
+    stream.open(sink)
+    stream.feed(b"abc")
+    stream.cut()
+    stream.drop()
+    assert sink.is_broken and not sink.is_done and not source.was_dropped
+    source, sink = Ends(), Ends()
+    stream = Stream(source, grants)
+    stream.open(sink)
+    stream.drop()
+    stream.feed(b"late")
+    stream.cut()
+    assert source.was_dropped and not sink.is_broken and sink.got == b""
+
+
+def test_a_stream_without_a_grant_waits_unread_in_turn() -> None:
+    grants = Grants(2)
+    sources = [Ends() for _ in range(4)]
+    streams = [Stream(source, grants) for source in sources]
+    assert [s.paused for s in sources] == [False, False, True, True]
+    streams[2].drop()  # gives up its place in the line
+    streams[0].cut()
+    assert [s.paused for s in sources[1:]] == [False, True, False]
+    assert grants_for(80 * MB) * 2 * (WINDOW + READ_MOST) * 2 <= 20 * MB and grants_for(1) >= 1
+
+
+async def read_long(client: Client, pause_s: float = 0.0) -> tuple[bytes, bytes]:
+    """Head and body of an answer by its own framing; IncompleteReadError if it was cut."""
+    head = await client.reader.readuntil(b"\r\n\r\n")
+    body = bytearray()
+    if b"chunked" in head:
+        while size := int(await client.reader.readline(), 16):
+            body += await client.reader.readexactly(size)
+            await client.reader.readexactly(2)
+            await asyncio.sleep(pause_s)
+        await client.reader.readexactly(2)
+        return head, bytes(body)
+    left = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+    while left:
+        data = await client.reader.read(min(left, 200_000))
+        if not data:
+            raise asyncio.IncompleteReadError(bytes(body), left)
+        body += data
+        left -= len(data)
+        await asyncio.sleep(pause_s)
+    return head, bytes(body)
+
+
+BODY = random.Random(4).randbytes(3 * MB)
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+def long_answer(how: str) -> bytes:
+    if how == "length":
+        return answer(BODY)
+    if how == "close":
+        return HEAD + b"Connection: close\r\n\r\n" + BODY
+    rows = [HEAD, b"Transfer-Encoding: chunked\r\nTrailer: x-sum\r\n\r\n"]
+    at, sizes = 0, random.Random(5)
+    while at < len(BODY):
+        part = BODY[at : at + sizes.choice((1, 700, 5_000, 90_000))]
+        rows.append(b"%x;note=1\r\n%b\r\n" % (len(part), part))
+        at += len(part)
+    return b"".join([*rows, b"0\r\nx-sum: 1\r\n\r\n"])
+
+
+@pytest.mark.parametrize("how", ["length", "chunked", "close"])
+@pytest.mark.parametrize("piece", [1_300, 400_000])
+def test_a_long_answer_goes_on_unchanged_in_any_form_and_pieces(how: str, piece: int) -> None:
+    async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        raw = b"HTTP/1.1 103 Early\r\n\r\n" + long_answer(how)
+        for at in range(0, len(raw), piece):
+            writer.write(raw[at : at + piece])
+            await writer.drain()
+        if how == "close":
+            writer.close()
+
+    async def run() -> None:
+        async with rig(behave, operators="127.0.0.1:0") as r:
+            client = await r.client()
+            for _ in range(2):  # the connection stays good
+                client.writer.write(request_bytes("search"))
+                _, body = await asyncio.wait_for(read_long(client), 10)
+                assert body == BODY
+            told = await r.figures()
+            assert (told["fulfilled.search"], told["open_requests"]) == (2, 0)
+            if how == "length":
+                assert r.backends[0].opened == 1  # the backend's connection is used again
+
+    asyncio.run(run())
+
+
+def resident_kib(pid: int) -> int:
+    """The most that a process ever held in memory."""
+    rows = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(row.split()[1]) for row in rows if row.startswith("VmHWM:"))
+
+
+def test_slow_readers_of_more_than_memory_holds_get_all_of_it_in_bounded_memory(tmp_path: Path) -> None:
+    size, readers = 32 * MB, 10
+
+    async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % size)
+        for _ in range(size // 65536):
+            writer.write(b"y" * 65536)
+            await writer.drain()
+
+    async def run() -> None:
+        stand_in = StandIn(behave)
+        await stand_in.start()
+        async with started(tmp_path, stand_in) as proxy:
+            before = resident_kib(proxy.process.pid)
+
+            async def reads() -> None:
+                client = await proxy.client()
+                status = b"503"
+                while status == b"503":  # refused for want of room: asked again
+                    client.writer.write(request_bytes("search"))
+                    head = await client.reader.readuntil(b"\r\n\r\n")
+                    status = head.split()[1]
+                    if status == b"503":
+                        await client.reader.readexactly(len(b"refused\n"))
+                        await asyncio.sleep(0.05)
+                left = size
+                while left:
+                    data = await client.reader.read(min(left, 400_000))
+                    assert data, "the answer was cut"
+                    left -= len(data)
+                    await asyncio.sleep(0.01)
+                client.close()
+
+            await asyncio.gather(*(reads() for _ in range(readers)))
+            assert resident_kib(proxy.process.pid) - before < 16 * 1024  # of 320 MB
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("how", ["length", "chunked"])
+def test_an_answer_cut_at_the_backend_is_seen_as_cut_and_counted(how: str) -> None:
+    async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        raw = long_answer(how)
+        writer.write(raw[: len(raw) // 2])
+        await writer.drain()
+        writer.transport.abort()
+
+    async def run() -> None:
+        async with rig(behave, operators="127.0.0.1:0") as r:
+            client = await r.client()
+            client.writer.write(request_bytes("search"))
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError, ValueError)):
+                await asyncio.wait_for(read_long(client), 5)
+            await r.until(lambda: r.count("answers_failed") == 1)
+            told = await r.figures()
+            assert (told["faulted.search"], told["fulfilled.search"], told["open_requests"]) == (1, 0, 0)
+            assert r.count("answers_cut") == 1
+
+    asyncio.run(run())
+
+
+def test_a_client_that_leaves_in_mid_answer_ends_it_at_the_backend() -> None:
+    async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % (30 * MB))
+        while not writer.is_closing():
+            writer.write(b"z" * 65536)
+            await writer.drain()
+
+    async def run() -> None:
+        async with rig(behave, operators="127.0.0.1:0") as r:
+            client = await r.client()
+            client.writer.write(request_bytes("search"))
+            await client.reader.readexactly(100_000)
+            client.writer.transport.abort()
+            await r.until(lambda: r.backends[0].ended == 1)
+            await r.until(lambda: r.count("requests_left") == 1)
+            assert (await r.figures())["open_requests"] == 0 and r.count("answers_cut") == 0
+            assert len(r.proxy._pool.grants._held) == 0
+
+    asyncio.run(run())
+
+
+def test_a_client_that_takes_nothing_more_is_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontend, "STALL_S", 0.4)
+
+    async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % (30 * MB))
+        while not writer.is_closing():
+            writer.write(b"z" * 65536)
+            await writer.drain()
+
+    async def run() -> None:
+        async with rig(behave) as r:
+            client = await r.client()
+            client.writer.write(request_bytes("search"))
+            await r.until(lambda: r.count("connections_overdue") == 1, 5.0)
+            await r.until(lambda: r.backends[0].ended == 1)
+
+    asyncio.run(run())
+
+
+class Swallows(StandIn):
+    """Reads long requests by their own framing and keeps a digest of each."""
+
+    def __init__(self) -> None:
+        super().__init__(serves)
+        self.digests: list[tuple[int, str]] = []
+        self.stuck = False
+        self.framings: list[bytes] = []
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.framings.append(head)
+                while self.stuck:
+                    await asyncio.sleep(0.05)
+                size, digest = 0, hashlib.sha256()
+                if b"chunked" in head:
+                    while part := int(await reader.readline(), 16):
+                        data = await reader.readexactly(part)
+                        digest.update(data)
+                        size += part
+                        await reader.readexactly(2)
+                    await reader.readexactly(2)
+                else:
+                    length = head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0]
+                    data = await reader.readexactly(int(length))
+                    digest.update(data)
+                    size = len(data)
+                self.digests.append((size, digest.hexdigest()))
+                writer.write(answer(b"swallowed"))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.ended += 1
+            self.writers.discard(writer)
+            writer.close()
+
+
+async def swallowing(r: object) -> Swallows:
+    taker = Swallows()
+    await taker.start()
+    return taker
+
+
+@pytest.mark.parametrize("how", ["length", "chunked"])
+def test_a_long_request_goes_on_unchanged_and_its_time_counts_from_its_end(how: str) -> None:
+    async def run() -> None:
+        async with rig(listed=False, operators="127.0.0.1:0") as r:
+            taker = await swallowing(r)
+            r.directory.tell(taker.row())
+            await r.until(lambda: r.proxy._decider.listed_count() == 1)
+            client = await r.client()
+            if how == "length":
+                head = request_bytes(
+                    "order", remaining="400m", drop=("Content-Length",), Content_length=str(len(BODY))
+                )
+            else:
+                head = request_bytes(
+                    "order", remaining="400m", drop=("Content-Length",), Transfer_Encoding="chunked"
+                )
+            client.writer.write(head)
+            for at in range(0, len(BODY), 300_000):  # for longer than the client waits after its end
+                part = BODY[at : at + 300_000]
+                client.writer.write(part if how == "length" else b"%x\r\n%b\r\n" % (len(part), part))
+                await client.writer.drain()
+                await asyncio.sleep(0.06)
+            if how == "chunked":
+                client.writer.write(b"0\r\n\r\n")
+            reply = await client.read()
+            assert (reply.status, reply.body) == (200, b"swallowed")
+            assert taker.digests == [(len(BODY), hashlib.sha256(BODY).hexdigest())]
+            told = await r.figures()
+            assert (told["relayed"], told["fulfilled.order"], told["open_requests"]) == (1, 1, 0)
+            assert (await client.ask("order", body=b"short")).status == 200
+            await taker.stop()
+
+    asyncio.run(run())
+
+
+def test_a_backend_that_stops_reading_a_long_request_never_ran_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(peer, "STALL_S", 0.4)
+
+    async def run() -> None:
+        async with rig(listed=False, operators="127.0.0.1:0") as r:
+            taker = await swallowing(r)
+            taker.stuck = True
+            r.directory.tell(taker.row())
+            await r.until(lambda: r.proxy._decider.listed_count() == 1)
+            client = await r.client()
+            size = 32 * MB
+            client.writer.write(request_bytes("order", drop=("Content-Length",), Content_length=str(size)))
+
+            async def sends() -> None:
+                for _ in range(size // 65536):
+                    client.writer.write(b"u" * 65536)
+                    await client.writer.drain()
+
+            sending = asyncio.create_task(sends())
+            reply = await client.read()
+            assert reply.status == 503  # harmless to ask again: nothing of it ran
+            await asyncio.wait_for(sending, 5)  # what came behind was read and thrown away
+            told = await r.figures()
+            assert (told["relayed"], told["throttled.order"], told["open_requests"]) == (0, 1, 0)
+            taker.stuck = False
+            await taker.stop()
+
+    asyncio.run(run())
+
+
+def test_a_client_that_leaves_in_mid_request_sends_none_of_it_twice() -> None:
+    async def run() -> None:
+        async with rig(listed=False) as r:
+            taker = await swallowing(r)
+            r.directory.tell(taker.row())
+            await r.until(lambda: r.proxy._decider.listed_count() == 1)
+            client = await r.client()
+            client.writer.write(
+                request_bytes("pay", drop=("Content-Length",), Content_length=str(MB)) + b"u" * 300_000
+            )
+            await r.until(lambda: len(taker.framings) == 1)
+            client.writer.transport.abort()
+            await r.until(lambda: taker.ended == 1)
+            assert not taker.digests and len(taker.framings) == 1
+            assert not r.proxy._decider._pending
+            await taker.stop()
+
+    asyncio.run(run())
+
+
+def test_a_body_of_64_kib_in_chunks_of_one_byte_is_taken() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            client = await r.client()
+            client.writer.write(request_bytes("pay", drop=("Content-Length",), Transfer_Encoding="chunked"))
+            client.writer.write(b"1\r\nx\r\n" * 65536 + b"0\r\n\r\n")
+            assert (await client.read()).status == 200
+            assert r.backends[0].seen[0].body == b"x" * 65536
+
+    asyncio.run(run())
+
+
+def test_an_attempt_whose_body_is_on_its_way_is_not_in_flight() -> None:
+    async def run() -> None:
+        async with rig(listed=False) as r:
+            taker = await swallowing(r)
+            r.directory.tell(taker.row())
+            await r.until(lambda: r.proxy._decider.listed_count() == 1)
+            module = r.proxy._decider._balancer
+            client = await r.client()
+            client.writer.write(
+                request_bytes("pay", drop=("Content-Length",), Content_length=str(MB)) + b"u" * 300_000
+            )
+            await r.until(lambda: len(taker.framings) == 1)
+            await r.until(lambda: module.in_flight == 0 and len(module.requests) == 1)
+            client.writer.write(b"u" * (MB - 300_000))
+            assert (await client.read()).status == 200
+            assert module.in_flight == 0 and not module.requests
+            assert all(b.in_flight == 0 and b.fails == 0 for b in module.backends.values())
+            module.handle(module.now, [io.AnswerCut(b.id) for b in module.backends.values()])
+            assert all(b.fails == 1.0 for b in module.backends.values())
+            await taker.stop()
+
+    asyncio.run(run())
