An upgrade hands client connections and what is known from the old process to the new

Need: the two processes of an upgrade are one proxy; kept connections were closed on as they fell idle.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -182,7 +182,7 @@
         self.slots: deque[int] = deque()
         self.heap: list[tuple[int, int, Callable[[], object]]] = []
         self.slot_at = self.seq = self.timer_at = self.nudge_at = self.sent = 0
-        self.watching = False
+        self.watching = self.made_way = False
         self.asked_at, self.asks_failed, self.herd = -1, 0, 0
         self.mildest = min(c.effect for c in settings.classes)
 
@@ -210,6 +210,10 @@
                 self._on_held(ev)
             elif isinstance(ev, io.AttemptWritten):
                 self._on_written(ev)
+            elif isinstance(ev, io.Predecessor):
+                self._on_predecessor(ev)
+            elif isinstance(ev, io.Successor):
+                self.made_way, self.budget = ev.on, 0.0
             elif isinstance(ev, io.AnswerCut) and (b := self.backends.get(ev.backend)):
                 self._note_failure(b, 1.0)
         while self.heap and self.heap[0][0] <= self.now:
@@ -225,6 +229,24 @@
         """How many listed backends are ejected, or on trial after it; changes nothing."""
         return sum(b.out_until > 0 for b in self.backends.values())
 
+    def memory(self) -> io.Predecessor:
+        """What another process of this proxy can go on with; changes nothing."""
+        rows = self.backends.values()
+        known = [io.Known(b.id, b.started, b.limit, b.fails, b.out_until, b.backoff) for b in rows]
+        calm = [list(row) for row in self.calm]
+        return io.Predecessor(self.usual, self.room, self.warm_rate, self.budget, calm, known)
+
+    def _on_predecessor(self, ev: io.Predecessor) -> None:
+        """Guards against two processes that count as two proxies: one goes on where the other stood."""
+        self.usual, self.warm_rate, self.opening = ev.usual_ns, ev.warm_rate, False
+        self.room, self.budget = max(self.room, ev.room), min(self.budget_cap, ev.budget)
+        if len(ev.calm) == len(self.calm):
+            self.calm = [list(row) for row in ev.calm]
+        for k in ev.known:
+            if (b := self.backends.get(k.backend)) and b.started == k.started_ns:
+                self.sick += (k.fails > 0) - (b.fails > 0)
+                b.limit, b.fails, b.out_until, b.backoff = k.limit, k.fails, k.out_until_ns, k.backoff_ns
+
     def _begin(self, now: int) -> None:
         self.now = self.slot_at = now
         self._at(now + T_NS // 10, self._close_slot)
@@ -533,7 +555,8 @@
 
     def _cold_turn(self, b: Backend, warmth: float) -> bool:
         """Guards against pushing a cold backend over: its turns are dealt out evenly over time."""
-        rate = COLD_PART * self.cfg.fall_multiple * self.warm_rate * warmth
+        # Guards against two processes of one proxy that each spend the whole budget.
+        rate = 0.0 if self.made_way else COLD_PART * self.cfg.fall_multiple * self.warm_rate * warmth
         b.tokens = min(1.0, b.tokens + (self.now - b.tokens_at) * rate / NS)
         b.tokens_at = self.now
         return b.tokens >= 1.0
--- a/mothstall/config.py
+++ b/mothstall/config.py
@@ -56,6 +56,7 @@
     discovery: Address
     admin: Address | None  # where operators call; none: no door
     listen_fd: int | None  # the clients' socket, where the process inherits it
+    handover_dir: str | None  # where two processes of this proxy meet: `TMPDIR`, with an inherited socket
     seed: int
     descriptors: int  # limits.sockets
     memory_bytes: int  # limits.memory_mb
@@ -93,7 +94,8 @@
             tree[key] = env[f"LB_{key.upper()}"]
     if env.get("LB_ADMIN_ADDR"):
         tree["admin_addr"] = env["LB_ADMIN_ADDR"]
-    return from_tree(tree, None if again else inherited(env.get("LB_LISTEN_FD")))
+    fd = None if again else inherited(env.get("LB_LISTEN_FD"))
+    return from_tree(tree, fd, env.get("TMPDIR") or None if fd is not None else None)
 
 
 def inherited(text: str | None) -> int | None:
@@ -116,7 +118,9 @@
     return number
 
 
-def from_tree(tree: Mapping[str, Any], listen_fd: int | None = None) -> Config:
+def from_tree(
+    tree: Mapping[str, Any], listen_fd: int | None = None, handover_dir: str | None = None
+) -> Config:
     raw = _of(tree, "settings", dict)
     try:
         parsed = settings.from_json(raw)
@@ -151,6 +155,7 @@
         discovery=_address(tree, "discovery"),
         admin=admin,
         listen_fd=listen_fd,
+        handover_dir=handover_dir,
         seed=number,
         descriptors=descriptors,
         memory_bytes=memory_mb << 20,
--- a/mothstall/interface.py
+++ b/mothstall/interface.py
@@ -182,6 +182,37 @@
     backend: int
 
 
+@dataclass(slots=True)
+class Known:
+    """What a process knew of one backend in one life of it."""
+
+    backend: int
+    started_ns: int
+    limit: float
+    fails: float
+    out_until_ns: int
+    backoff_ns: int
+
+
+@dataclass(slots=True)
+class Predecessor:
+    """What another process of this proxy knew, from which this one takes over all clients."""
+
+    usual_ns: float
+    room: float
+    warm_rate: float
+    budget: float
+    calm: list[list[float]]
+    known: list[Known]
+
+
+@dataclass(slots=True)
+class Successor:
+    """Another process of this proxy takes over: what is left here ends as it does. `on` False: it is gone."""
+
+    on: bool
+
+
 @dataclass(slots=True)
 class ClientLeft:
     request: int
@@ -202,7 +233,7 @@
 
 Event = (
     BackendList | RequestArrived | ResponseStarted | AttemptEnded | AttemptHeld | AttemptWritten | AnswerCut
-    | ClientLeft | TimerFired | ProbeEnded
+    | Predecessor | Successor | ClientLeft | TimerFired | ProbeEnded
 )  # fmt: skip
 
 
--- a/mothstall/net/backend.py
+++ b/mothstall/net/backend.py
@@ -161,6 +161,10 @@
                 return
             link.drop()
 
+    def close_idle(self) -> None:
+        for link in list(self._idle):
+            link.drop()
+
     def close(self) -> None:
         if self._sweeper:
             self._sweeper.cancel()
--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -82,8 +82,15 @@
     attempt: int
 
 
+@dataclass(slots=True)
+class Partner:
+    """What another process of this proxy means for the decisions."""
+
+    event: io.Predecessor | io.Successor
+
+
 Message = (
-    Arrived | Left | Due | Overdue | Passed | Held | Told
+    Arrived | Left | Due | Overdue | Passed | Held | Told | Partner
     | peer.Ended | peer.Written | peer.Broke | peer.Probed
 )  # fmt: skip
 
@@ -126,6 +133,9 @@
     def attach(self, discovery: Discovery) -> None:
         self._discovery = discovery
 
+    def memory(self) -> io.Predecessor:
+        return self._balancer.memory()
+
     def listed_count(self) -> int:
         return len(self._entries)
 
@@ -164,6 +174,8 @@
             return None
         if isinstance(message, Held):
             return io.AttemptHeld(message.request, message.attempt)
+        if isinstance(message, Partner):
+            return message.event
         if isinstance(message, peer.Written):
             return self._written(message, now)
         if isinstance(message, peer.Broke):
--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -83,8 +83,9 @@
     """One client: its requests one after the other, each answered before the next is taken up."""
 
     __slots__ = (
-        *("_bad", "_came_ns", "_chunks", "_front", "_got", "_held_up", "_inbound", "_mark", "_modern"),
-        *("_number", "_parts", "_payload", "_relay", "_spill", "_stays", "_upload", "since", "state"),
+        *("_ahead", "_bad", "_came_ns", "_chunks", "_front", "_got", "_held_up", "_inbound", "_mark"),
+        *("_modern", "_number", "_parts", "_payload", "_relay", "_spill", "_stays", "_upload"),
+        *("since", "state"),
     )
 
     def __init__(self, front: Frontend, server: web.Server) -> None:
@@ -100,6 +101,7 @@
         self.state, self.since = State.SILENT, 0.0
         self._came_ns = 0
         self._inbound: protocol.Inbound | None = None
+        self._ahead = False  # what came last came behind an open request: the parser may hold some of it
         self._payload: StreamReader | None = None
         self._parts: list[bytes] = []  # of a body that is held whole
         self._got = 0
@@ -176,6 +178,17 @@
             self.transport.close()
             self.transport = None
 
+    def has_more(self) -> bool:
+        """Whether something behind the last request may have been read already."""
+        return self._ahead or bool(self._messages) or self._bad is not None
+
+    def let_go(self) -> None:
+        """Another process holds the connection now: only our copy of its descriptor is closed."""
+        self._front.leave(self)
+        if self.transport is not None:
+            self.transport.abort()
+            self.transport = None
+
     def _enter(self, state: State) -> None:
         self._front.leave(self)
         self.state, self.since = state, self._front.loop.time()
@@ -185,6 +198,7 @@
 
     def data_received(self, data: bytes) -> None:
         state = self.state
+        self._ahead = state not in (State.IDLE, State.SILENT)
         if state >= State.LINGER or state == State.ENDING or self._bad is not None:
             self._spill += len(data)
             if self._spill > LINGER_BYTES:
@@ -451,6 +465,8 @@
             transport.close()  # after what is written
             return
         self._enter(State.IDLE)
+        if self._front.phases.made_way and self._front.hand_over(self):
+            return
         if self._bad is not None:
             self._refuse(*self._bad)
         elif self._messages:
@@ -464,7 +480,7 @@
         """
         self._front.counters.add("requests_bad")
         whole = self._payload is None or self._payload.is_eof()
-        if not whole or not self._stays or not self._front.phases.taking or self.transport is None:
+        if not whole or not self._stays or self._front.phases.closing or self.transport is None:
             self._refuse(status, why)
             return
         self._inbound = self._payload = None
@@ -585,10 +601,12 @@
         grants: Grants,
         most_body: int,
         listen_fd: int | None = None,
+        give: Callable[[int, bool, float], bool] = lambda fd, silent, age_s: False,
     ) -> None:
         """`grants` and `most_body`: of long bodies, together and each; `listen_fd`: the descriptor of the
-        clients' socket, where others hold it too.
+        clients' socket, where others hold it too; `give`: hands a descriptor to the process that took over.
         """
+        self._give = give
         self._address, self.names, self._most = address, names, most
         self.loop, self.counters, self.clock = loop, counters, clock
         self._decide, self._ready, self.phases, self._inherited = decide, ready, phases, listen_fd
@@ -635,9 +653,12 @@
                 return
             self.counters.add("connections")
             sock.setblocking(False)
-            task = self.loop.create_task(self._take(sock))
-            self._taking.add(task)
-            task.add_done_callback(self._taking.discard)
+            self._start_taking(sock)
+
+    def _start_taking(self, sock: socket.socket, idle: bool = False, age_s: float = 0.0) -> None:
+        task = self.loop.create_task(self._take(sock, idle, age_s))
+        self._taking.add(task)
+        task.add_done_callback(self._taking.discard)
 
     def _pause(self) -> None:
         if self._listener:
@@ -645,14 +666,56 @@
             self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
 
     def _resume(self) -> None:
-        if self._listener:
+        if self._listener and not self.phases.made_way:
             self.loop.add_reader(self._listener, self._accept)
 
-    async def _take(self, sock: socket.socket) -> None:
+    async def _take(self, sock: socket.socket, idle: bool = False, age_s: float = 0.0) -> None:
         try:
-            await self.loop.connect_accepted_socket(self._server, sock)
+            _, connection = await self.loop.connect_accepted_socket(self._server, sock)
         except OSError:
             sock.close()
+            return
+        if connection.state == State.SILENT and connection.transport is not None:
+            if idle:
+                connection._enter(State.IDLE)
+            connection.since -= age_s
+
+    # Between two processes of one proxy
+
+    def pause_taking(self) -> None:
+        """Leaves the clients' socket to the other process."""
+        if self._listener:
+            self.loop.remove_reader(self._listener)
+
+    def resume_taking(self) -> None:
+        if self._listener:
+            self.loop.add_reader(self._listener, self._accept)
+
+    def adopt(self, sock: socket.socket, silent: bool, age_s: float) -> None:
+        """A client's connection from the process before."""
+        self.counters.add("connections")
+        sock.setblocking(False)
+        self._start_taking(sock, not silent, age_s)
+
+    def hand_over(self, connection: Connection) -> bool:
+        """Gives a connection on which nothing is open to the process that took over."""
+        transport = connection.transport
+        if transport is None or transport.get_write_buffer_size() or connection.has_more():
+            return False
+        sock = transport.get_extra_info("socket")
+        transport.pause_reading()  # what comes from now on waits in the kernel
+        silent = connection.state == State.SILENT
+        if not self._give(sock.fileno(), silent, self.loop.time() - connection.since):
+            transport.resume_reading()
+            return False
+        self.counters.add("clients_handed_over")
+        connection.let_go()
+        return True
+
+    def hand_over_idle(self) -> None:
+        for state in (State.IDLE, State.SILENT):
+            for connection in list(self._states[state]):
+                self.hand_over(connection)
 
     def _room(self) -> bool:
         """Guards against running out of descriptors: others make way, or newcomers wait."""
@@ -687,7 +750,7 @@
         Guards against clients that ask once and hold their connection: they run out of connections themselves
         long before the proxy does.
         """
-        return not self.phases.taking or len(self._table) >= EDGE_PART * self._most
+        return self.phases.closing or len(self._table) >= EDGE_PART * self._most
 
     # Connections
 
@@ -702,6 +765,8 @@
 
     def _sweep(self) -> None:
         now = self.loop.time()
+        if self.phases.made_way:
+            self.hand_over_idle()
         drained = self.phases.tick(now) is Phase.DRAINED
         overdue = drained and now >= (self.phases.latest(now) or now)
         for connection in list(self._table):
@@ -747,6 +812,11 @@
         self.answered(inbound)
         self._decide(Left(number))
 
+    @property
+    def count(self) -> int:
+        """Client connections that are open."""
+        return len(self._table)
+
     # Stopping
 
     def takes_clients(self) -> bool:
@@ -755,7 +825,7 @@
     async def close(self) -> None:
         """Takes in what already knocked, then stops listening."""
         if self._listener:
-            self.loop.remove_reader(self._listener)
+            self.pause_taking()
             if self._inherited is None:
                 self._accept(at_the_end=True)
             self._listener.close()
--- a/mothstall/net/phases.py
+++ b/mothstall/net/phases.py
@@ -22,6 +22,7 @@
 class Phases:
     def __init__(self) -> None:
         self.phase = Phase.SERVING
+        self.made_way = False  # idle client connections are handed over, not closed
         self._since = 0.0
 
     def evacuate(self, now: float) -> bool:
@@ -47,9 +48,22 @@
             self.phase = Phase.DRAINED
         return self.phase
 
+    def make_way(self) -> None:
+        """Another process of this proxy takes the clients over."""
+        self.made_way = True
+
+    def resume(self) -> None:
+        """That process is gone."""
+        self.made_way = False
+
     @property
     def taking(self) -> bool:
-        return self.phase is Phase.SERVING
+        return self.phase is Phase.SERVING and not self.made_way
+
+    @property
+    def closing(self) -> bool:
+        """Whether each answer ends its connection."""
+        return self.phase is not Phase.SERVING and not self.made_way
 
     def latest(self, now: float) -> float | None:
         """By when a request that comes now has to be answered, however long its client would wait.
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import logging
 import resource
@@ -12,26 +13,29 @@
 from typing import TYPE_CHECKING, Any
 
 from mothstall.config import Address, Config, ConfigError, needs_start
-from mothstall.interface import NS, Scope
+from mothstall.interface import NS, Scope, Successor
 from mothstall.net import protocol
 from mothstall.net.backend import IDLE_PART, Backend, Pool
 from mothstall.net.clock import Clock, Poll
 from mothstall.net.counters import Counters
-from mothstall.net.decider import Decider
+from mothstall.net.decider import Decider, Partner
 from mothstall.net.discovery import Discovery, Move, Told
 from mothstall.net.figures import Figures
 from mothstall.net.frontend import Frontend
-from mothstall.net.phases import Phases
+from mothstall.net.phases import Phase, Phases
 from mothstall.net.relay import Grants, grants_for
 
 if TYPE_CHECKING:
     from mothstall.net.admin import Door
+    from mothstall.net.handover import Handover
+    from mothstall.net.partner import Yours
 
 log = logging.getLogger("mothstall.proxy")
 
 RESERVE = 32  # descriptors for the listener, discovery, logs and the event loop
 BACKEND_PART = 0.3  # of the other descriptors
 TIDY_S = 2.0  # between two collections of garbage
+LISTED_S = 4.0  # how long a new process waits for a list before it takes clients over
 DRAIN_S = 0.5  # how long new connections are still taken in after the word to stop
 
 
@@ -43,7 +47,7 @@
         self.loop = asyncio.get_running_loop()
         self._clock = Clock(poll)
         free = min(config.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVE
-        backends = int(free * BACKEND_PART)
+        backends = self._backend_links = int(free * BACKEND_PART)
         most_streams = grants_for(config.memory_bytes)
         self._pool = Pool(
             IDLE_PART * config.idle_ns / NS,
@@ -89,7 +93,9 @@
             grants=Grants(most_streams),
             most_body=config.most_body,
             listen_fd=config.listen_fd,
+            give=self._hand_over,
         )
+        self._handover: Handover | None = None
         self._door: Door | None = None
 
     @property
@@ -133,7 +139,11 @@
             if self.config.admin is not None:
                 await self._open_door(self.config.admin)
             self._discovery.start()
+            if self.config.handover_dir is not None:
+                await self._take_over(self.config.handover_dir)
             await self._frontend.start()
+            if self._handover:
+                self._handover.listen()
         except OSError:
             if self._door:
                 self._door.stop()
@@ -147,6 +157,55 @@
         self._door = Door(address, loop=self.loop, counters=self.counters, answer=self.called)
         await self._door.start()
 
+    # Two processes as one proxy
+
+    async def _take_over(self, directory: str) -> None:
+        """Takes the clients over from a process before this one, once there is a list to serve them by."""
+        from mothstall.net.handover import Handover
+
+        self._handover = Handover(
+            directory,
+            self.config.name,
+            loop=self.loop,
+            counters=self.counters,
+            make_way=self._make_way,
+            resume=self._resume,
+            adopt=lambda sock, client: self._frontend.adopt(sock, client.silent, client.age_s),
+            alone=self._alone,
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LISTED_S):
+                await self._decider.listed.wait()
+        yours = await self._handover.take_over()
+        if yours is not None:
+            self._decider.tell(Partner(yours.memory))
+            # Until that process is gone, what it holds counts against this one's part.
+            self._pool.most = max(self._pool.most // 2, self._pool.most - yours.backends)
+
+    def _make_way(self) -> Yours:
+        from mothstall.net.partner import Yours
+
+        self._phases.make_way()
+        self._frontend.pause_taking()
+        memory = self._decider.memory()
+        self._decider.tell(Partner(Successor(True)))
+        self._pool.close_idle()
+        self.loop.call_soon(self._frontend.hand_over_idle)
+        return Yours(self._frontend.count, self._pool.open, memory)
+
+    def _resume(self) -> None:
+        """The process that took over is gone: this one takes clients again, unless it is to end."""
+        self._phases.resume()
+        self._decider.tell(Partner(Successor(False)))
+        if self._phases.phase is not Phase.STOPPING:
+            self._frontend.resume_taking()
+
+    def _alone(self) -> None:
+        self._pool.most = self._backend_links
+
+    def _hand_over(self, fd: int, silent: bool, age_s: float) -> bool:
+        return self._handover is not None and self._handover.hand_over(fd, silent, age_s)
+
     @property
     def admin_port(self) -> int:
         return self._door.port if self._door else 0
@@ -187,6 +246,8 @@
         await self._frontend.stop()
         if self._door:
             self._door.stop()
+        if self._handover:
+            self._handover.close()
         await self._discovery.stop()
         self._pool.close()
 
--- /dev/null
+++ b/tests/test_net_handover.py
@@ -0,0 +1,277 @@
+"""Two processes as one proxy: what they say, connections handed over, and partners that are of no use."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import signal
+import socket
+from collections.abc import AsyncIterator, Iterator
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mothstall import interface as io
+from mothstall.choice import Balancer
+from mothstall.interface import NS, Health, Known, Predecessor, Scope
+from mothstall.net import handover
+from mothstall.net.counters import Counters
+from mothstall.net.partner import MOST_MESSAGE, Client, NoPartner, Take, Yours, decode, encode
+from tests.helpers import settings
+from tests.peers import Directory, Seen, StandIn, answer, call, request_bytes, serves
+from tests.test_net_operators import Platform
+
+MEMORY = Predecessor(2e6, 31.5, 4.25, 3.0, [[1.0, 2.0, 3.0]], [Known(7, 0, 9.5, 2.0, 5 * NS, NS)])
+
+
+def test_what_is_said_is_read_back() -> None:
+    for message in (Take("n3"), Client(True, 0.25), Yours(12, 3, MEMORY)):
+        assert decode(encode(message)) == message
+    many = replace(MEMORY, known=MEMORY.known * 5000)
+    assert len(encode(Yours(1, 1, many))) < MOST_MESSAGE
+
+
+@given(st.binary(max_size=60) | st.sampled_from([encode(Take("n")), encode(Yours(1, 2, MEMORY))]), st.data())
+def test_noise_is_no_partner_and_raises_nothing_else(raw: bytes, data: st.DataObject) -> None:
+    at = data.draw(st.integers(0, len(raw)))
+    spoilt = raw[:at] + data.draw(st.binary(max_size=4)) + raw[at + 1 :]
+    with contextlib.suppress(NoPartner):
+        decode(spoilt)
+
+
+@pytest.mark.parametrize(
+    "tree",
+    [
+        {"v": 2, "say": "take", "name": "n"},
+        {"v": 1, "say": "give"},
+        {"v": 1, "say": "yours", "held": [1, 1], "sums": [1, 2, float("nan"), 1], "calm": [], "known": []},
+        {"v": 1, "say": "yours", "held": [1, -1], "sums": [1, 2, 3, 1], "calm": [], "known": []},
+        {"v": 1, "say": "yours", "held": [1, 1], "sums": [1, 2, 3, 1], "calm": [], "known": [[1, 2]]},
+        [],
+    ],
+)
+def test_words_of_another_version_or_form_are_no_partners(tree: object) -> None:
+    with pytest.raises(NoPartner):
+        decode(json.dumps(tree).encode())
+
+
+def fleet(count: int, cold: int = 0, now: int = 0) -> list[io.Entry]:
+    return [io.Entry(i, 0, 0, 0, Health.READY, 1.0, now if i < cold else 0) for i in range(1, count + 1)]
+
+
+def test_the_module_goes_on_where_the_other_stood_and_what_made_way_spends_no_more_on_cold_backends() -> None:
+    now = 100 * NS
+    old, new = Balancer(settings(), 1), Balancer(settings(), 2)
+    for module in (old, new):
+        module.handle(now, [io.BackendList(Scope.FULL, 1, fleet(4, cold=2, now=now))])
+    old.usual, old.room, old.warm_rate = 5e6, 40.0, 50.0
+    old._note_failure(old.backends[4], 2.0)
+    told = old.memory()
+    new.handle(now, [told])
+    old.handle(now, [io.Successor(True)])
+    assert (new.usual, new.room, new.warm_rate) == (5e6, 40.0, 50.0)
+    assert new.out_of_rotation() == 1 and new.backends[4].out_until == old.backends[4].out_until
+    cold = min(b.id for b in old.backends.values() if b.started)
+    turns = {}
+    for module in (old, new):
+        module.warm_rate = 50.0
+        b = module.backends[cold]
+        b.tokens, b.tokens_at, module.now = 0.0, now, now + NS
+        turns[module] = module._cold_turn(b, 1.0)
+    assert turns == {old: False, new: True}
+    old.handle(now + NS, [io.Successor(False)])
+    b = old.backends[cold]
+    b.tokens_at, old.warm_rate = now, 50.0
+    assert old._cold_turn(b, 1.0)  # the other one is gone
+
+
+@contextlib.asynccontextmanager
+async def platform(tmp_path: Path, stand_in: StandIn) -> AsyncIterator[Platform]:
+    await stand_in.start()
+    directory = Directory([stand_in.row()])
+    await directory.start()
+    found = Platform(tmp_path, stand_in, directory)
+    try:
+        yield found
+    finally:
+        await found.end()
+        await directory.stop()
+        await stand_in.stop()
+
+
+async def slowly(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(0.3)
+    writer.write(answer(b"late"))
+
+
+def test_kept_connections_live_through_an_upgrade_with_no_request_crossed(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with platform(tmp_path, StandIn(serves)) as p:
+            old, _ = await p.start()
+            kept = [await p.client() for _ in range(8)]
+            silent = await p.client()
+            for client in kept:
+                assert (await client.ask("order")).status == 200
+            p.stand_in.behave = slowly
+            kept[0].writer.write(request_bytes("order", remaining="990m"))  # open all through it
+            while not any(b"order" in s.line and s.connection for s in p.stand_in.seen[8:]):
+                await asyncio.sleep(0.01)
+            p.stand_in.behave = serves
+            over = asyncio.Event()
+
+            async def ask_along(client: object) -> int:
+                asked = 0
+                while not over.is_set():
+                    reply = await client.ask("order")  # type: ignore[attr-defined]
+                    assert reply.status in (200, 503) and "connection" not in reply.headers
+                    asked += reply.status == 200  # the others were refused for want of room
+                    await asyncio.sleep(0.003)
+                return asked
+
+            asking = [asyncio.create_task(ask_along(client)) for client in kept[1:]]
+            new, door = await p.start()
+            old.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(old.wait(), 5) == 0
+            reply = await kept[0].read()
+            assert reply.body == b"late" and "connection" not in reply.headers
+            await asyncio.sleep(0.2)
+            over.set()
+            asked = sum(await asyncio.gather(*asking))
+            assert (await kept[0].ask("order")).status == 200
+            assert (await silent.ask("order")).status == 200  # not even its first request has come before
+            assert len(p.stand_in.seen) == 8 + 1 + 1 + 1 + asked  # none lost, none twice
+            told = await p.counters()
+            assert told["handovers"] == 1 and told["clients_adopted"] >= 8
+            assert (await call(door, "/api/ready")).status == 200 and new.returncode is None
+
+    asyncio.run(run())
+
+
+def test_the_old_process_takes_clients_again_if_the_new_one_dies(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with platform(tmp_path, StandIn(serves)) as p:
+            _, door = await p.start()
+            new, _ = await p.start()
+            assert (await call(door, "/api/ready")).status == 503
+            new.kill()
+            await new.wait()
+            async with asyncio.timeout(3):
+                while (await call(door, "/api/ready")).status != 200:
+                    await asyncio.sleep(0.02)
+            client = await p.client()
+            assert (await client.ask()).status == 200
+
+    asyncio.run(run())
+
+
+def test_an_old_process_that_hangs_or_was_killed_holds_nobody_up(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with platform(tmp_path, StandIn(serves)) as p:
+            hung, _ = await p.start()
+            hung.send_signal(signal.SIGSTOP)
+            second, _ = await asyncio.wait_for(p.start(), 5)
+            hung.kill()
+            assert (await p.counters())["handovers_failed"] == 1
+            second.kill()  # leaves its socket's name behind
+            await second.wait()
+            third, _ = await asyncio.wait_for(p.start(), 5)
+            assert (await (await p.client()).ask()).status == 200
+            third.terminate()
+            await third.wait()
+            assert not list(tmp_path.glob("mothstall-*"))  # what is left there is cleared up
+
+    asyncio.run(run())
+
+
+@contextlib.contextmanager
+def pretender(path: Path) -> Iterator[socket.socket]:
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
+        sock.bind(str(path))
+        sock.listen(2)
+        yield sock
+
+
+@pytest.mark.parametrize(
+    "said", [b"", b"noise", b'{"v":9,"say":"yours"}', encode(Client(True, 0.0)), encode(Take("n0"))]
+)
+def test_a_partner_that_speaks_noise_or_nothing_is_none(tmp_path: Path, said: bytes) -> None:
+    async def run() -> None:
+        loop, counters = asyncio.get_running_loop(), Counters()
+        alone: list[None] = []
+        new = handover.Handover(
+            str(tmp_path),
+            "n0",
+            loop=loop,
+            counters=counters,
+            make_way=lambda: Yours(0, 0, MEMORY),
+            resume=lambda: None,
+            adopt=lambda sock, client: sock.close(),
+            alone=lambda: alone.append(None),
+        )
+        with pretender(tmp_path / new._file) as sock:
+            taking = asyncio.create_task(new.take_over())
+            await asyncio.sleep(0.05)
+            other, _ = sock.accept()
+            assert decode(other.recv(1000)) == Take("n0")
+            if said:
+                other.send(said)
+            assert await asyncio.wait_for(taking, 2) is None
+            assert counters.values["handovers_failed"] == 1
+            other.close()
+        new.close()
+
+    asyncio.run(run())
+
+
+def test_a_caller_that_speaks_noise_moves_nothing_and_only_one_may_take_over(tmp_path: Path) -> None:
+    async def run() -> None:
+        loop, ways = asyncio.get_running_loop(), []
+
+        def make_way() -> Yours:
+            ways.append("away")
+            return Yours(0, 0, MEMORY)
+
+        deep = tmp_path / ("d" * 120)  # longer than a Unix socket's address may be
+        deep.mkdir()
+        old = handover.Handover(
+            str(deep),
+            "n0",
+            loop=loop,
+            counters=Counters(),
+            make_way=make_way,
+            resume=lambda: ways.append("back"),
+            adopt=lambda sock, client: sock.close(),
+            alone=lambda: None,
+        )
+        old.listen()
+
+        def connect() -> socket.socket:
+            sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            with old._address(old._file) as address:
+                sock.connect(address)
+            return sock
+
+        links = [connect() for _ in range(3)]
+        links[0].send(b"\x00noise")
+        links[1].send(encode(Take("another")))
+        await asyncio.sleep(0.05)
+        assert ways == [] and not old.linked
+        links[2].send(encode(Take("n0")))
+        await asyncio.sleep(0.05)
+        late = connect()
+        late.send(encode(Take("n0")))
+        await asyncio.sleep(0.05)
+        assert ways == ["away"] and old.linked
+        links[2].close()
+        await asyncio.sleep(0.05)
+        assert ways == ["away", "back"] and not old.linked
+        old.close()
+        for sock in (*links, late):
+            sock.close()
+        assert not list(deep.iterdir())
+
+    asyncio.run(run())
--- a/tests/test_net_operators.py
+++ b/tests/test_net_operators.py
@@ -278,6 +278,14 @@
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
 
+    async def counters(self) -> dict[str, int]:
+        """Of whichever process takes clients now."""
+        client = await self.client()
+        client.writer.write(b"GET /counters HTTP/1.1\r\nHost: x\r\n\r\n")
+        rows = (row.split() for row in (await client.read()).body.decode().splitlines())
+        client.close()
+        return {name: int(value) for name, value in rows}
+
     async def end(self) -> None:
         for process in self.processes:
             if process.returncode is None:
