An end counts three seconds of the longest deadline at most, as the kill does

Cause, seen by a probe in the log: classes with deadlines past 3 s made the end wait longest + 0.3 s, while the kill comes 3.7 s after SIGTERM at most; two of four old processes died so, with requests open. In a plain restart the 0.5 s of further accepting came on top. Change: what is open and what still comes has its answer by then (Decider.stop_by); what is left open at the end is logged by state.

--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -129,7 +129,7 @@
         self._version = 0
         self._discovery: Discovery | None = None
         self.listed = asyncio.Event()
-        self.latest_ns: int | None = None  # by when all has to be answered, once the process is to end
+        self._latest_ns: int | None = None  # by when all has to be answered, once the process is to end
 
     def attach(self, discovery: Discovery) -> None:
         self._discovery = discovery
@@ -137,6 +137,17 @@
     def memory(self) -> io.Predecessor:
         return self._balancer.memory()
 
+    def stop_by(self, latest_ns: int) -> None:
+        """All that is open, and all that still comes, has its answer by then.
+
+        Guards against a process that is killed while a request with a longer deadline is open.
+        """
+        self._latest_ns = latest_ns
+        for request, entry in self._pending.items():
+            if not entry.answered and entry.backstop is not None and entry.deadline_ns > latest_ns:
+                entry.backstop.cancel()
+                entry.deadline_ns, entry.backstop = latest_ns, self._backstop(request, latest_ns)
+
     def listed_count(self) -> int:
         return len(self._entries)
 
@@ -205,8 +216,8 @@
         if entry is None or entry.answered:
             return None
         left = entry.arrived.inbound.left_ns
-        if self.latest_ns is not None:
-            left = max(1, min(left, self.latest_ns - now))
+        if self._latest_ns is not None:
+            left = max(1, min(left, self._latest_ns - now))
         entry.deadline_ns = now + left
         entry.backstop = self._backstop(message.request, entry.deadline_ns)
         return io.AttemptWritten(message.request, message.attempt, left)
--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -898,6 +898,10 @@
         """Client connections that are open."""
         return len(self._table)
 
+    def left_open(self) -> dict[str, int]:
+        """How many connections are in each state, where there are any."""
+        return {state.name.lower(): len(self._states[state]) for state in State if self._states[state]}
+
     # Stopping
 
     def takes_clients(self) -> bool:
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -38,7 +38,8 @@
 BACKEND_PART = 0.3  # of the other descriptors
 TIDY_S = 2.0  # between two collections of garbage
 LISTED_S = 4.0  # how long a new process waits for a list before it takes clients over
-END_S = 0.3  # after the longest deadline: the process may be killed 0.7 s after it
+LONGEST_MOST_S = 3.0  # a process may be killed 0.7 s after the longest deadline, which counts as this at most
+END_S = 0.3  # after that deadline all is over
 DRAIN_S = 0.5  # how long new connections are still taken in after the word to stop
 
 
@@ -269,20 +270,23 @@
 
     async def stop(self, drain_s: float = DRAIN_S) -> None:
         """Ends in order: takes in what still comes, answers all that it has, then lets go."""
-        longest = max(c.deadline_ns for c in self.config.settings.classes) / NS
-        self._phases.stop(self.loop.time(), longest)
-        latest = self._phases.latest(self.loop.time())
-        if latest is not None:
-            self._decider.latest_ns = self._clock.unix_ns(latest)
+        began = self.loop.time()
+        # Guards against a kill that comes sooner than a class's deadline, or than a client would wait.
+        longest = min(LONGEST_MOST_S, max(c.deadline_ns for c in self.config.settings.classes) / NS)
+        self._phases.stop(began, longest)
+        self._decider.stop_by(self._clock.unix_ns(self._phases.latest(began) or began))
         # Others hold an inherited socket: who knocks from now on is theirs to take in.
         await asyncio.sleep(0.0 if self.config.listen_fd is not None else drain_s)
         await self._frontend.close()
-        end = self.loop.time() + longest + END_S
+        end = began + longest + END_S
         while (self._frontend.close_idle() or self._passages) and self.loop.time() < end:
             if self._phases.made_way:
                 for passage in list(self._passages):
                     passage.hand_over(self._hand_over_answer)
             await asyncio.sleep(0.01)
+        if self.loop.time() >= end:
+            left = {"passages": len(self._passages), **self._frontend.left_open()}
+            log.warning("time is over", extra={"kv": left})
         await self._frontend.stop()
         if self._door:
             self._door.stop()
--- a/tests/test_net_operators.py
+++ b/tests/test_net_operators.py
@@ -12,7 +12,7 @@
 import pytest
 
 from mothstall import config
-from mothstall.net import phases
+from mothstall.net import phases, proxy
 from mothstall.net.admin import MOST_CALLERS, BadCall, read_call
 from mothstall.net.counters import Counters
 from mothstall.net.figures import Figures, Outcome
@@ -209,6 +209,26 @@
     asyncio.run(run())
 
 
+def test_an_end_does_not_wait_for_a_deadline_past_the_kill(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(proxy, "LONGEST_MOST_S", 0.3)
+
+    async def run() -> None:
+        async with rig(silent) as r:
+            loop = asyncio.get_running_loop()
+            client, slow = await r.client(), await r.client()
+            client.writer.write(request_bytes("order", remaining="3900m"))
+            slow.writer.write(request_bytes("order", body=b"x" * 50)[:-10])
+            await r.until(lambda: len(r.backends[0].seen) == 1)
+            began = loop.time()
+            ending = asyncio.create_task(r.proxy.stop(0.0))
+            assert (await client.read()).status in (502, 504)
+            assert (await slow.read()).status == 503  # half a request is refused while there is time
+            await ending
+            assert loop.time() - began < 1.5  # and not 3.9
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(
     ("env", "said"),
     [
