What came of a long answer that breaks off reaches its reader before the break

Cause: a backend's close cut the relay at once, so bytes that had come and were granted were thrown away and the reader saw a reset. Change: Stream.break_off passes them on first; a told length or open chunks show the break, else a reset does. Chunks of one byte no longer cost a send each in a passage; a long request brings 48 KiB in 2.5 s. Tests: breaks at three places of an answer for a slow reader, pipelined requests in a drain, the operators' door under load.

--- a/mothstall/net/backend.py
+++ b/mothstall/net/backend.py
@@ -256,7 +256,7 @@
         stream, self._stream = self._stream, None
         if stream is not None and not stream.over:
             self.owner.broke()
-            stream.cut()
+            stream.break_off()
 
     def drop(self) -> None:
         """Closes it at once; what was not handed on never goes."""
--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -42,7 +42,7 @@
 quiet.setLevel(logging.CRITICAL)
 
 BACKLOG = 1024
-UPLOAD_S, UPLOAD_LEAST = 2.5, 16 * 1024  # a long body has to bring so many bytes in such a time
+UPLOAD_S, UPLOAD_LEAST = 2.5, 48 * 1024  # a long body has to bring so many bytes in such a time
 STALL_S = 10.0  # without a byte taken of a long answer
 SEND_BUFFER = 128 * 1024  # in the kernel, of a long answer
 UNREAD_S = 5.0  # for an answer that the client does not read
@@ -91,7 +91,7 @@
 
     __slots__ = (
         *("_ahead", "_bad", "_came_ns", "_chunks", "_front", "_got", "_held_up", "_inbound", "_mark"),
-        *("_modern", "_number", "_parts", "_payload", "_relay", "_spill", "_stays", "_upload"),
+        *("_modern", "_number", "_parts", "_payload", "_relay", "_sized", "_spill", "_stays", "_upload"),
         *("since", "state"),
     )
 
@@ -117,6 +117,7 @@
         self._relay: Stream | None = None
         self._modern = True  # the open request is of HTTP/1.1
         self._chunks = False  # the long answer goes on in chunks
+        self._sized = False  # its length was told
         self._mark = 0  # how far it had come when its client last made progress
         self._number = 0
         self._stays = True  # after the answer to the open request
@@ -421,7 +422,8 @@
             upload.cut()
         modern = self._modern
         self._stays = self._stays and modern and not self._front.at_the_edge()
-        self._chunks, self._relay, self._mark = modern and reply.length is None, stream, 0
+        self._sized = reply.length is not None
+        self._chunks, self._relay, self._mark = modern and not self._sized, stream, 0
         self._enter(State.RELAY)
         self.transport.set_write_buffer_limits(high=0)
         sock = self.transport.get_extra_info("socket")
@@ -450,9 +452,13 @@
             self._after_answer(transport)
 
     def broken(self) -> None:
-        """Guards against half an answer that passes for a whole one: the connection is reset."""
+        """Guards against half an answer that passes for a whole one: a reset tells if nothing else does."""
         self._passed(Outcome.FAULTED)
-        self._reset()
+        if (self._chunks or self._sized) and self.transport is not None:
+            self._enter(State.ENDING)
+            self.transport.close()  # after what is written
+        else:
+            self._reset()
 
     def _passed(self, outcome: Outcome) -> None:
         self._relay = None
@@ -588,6 +594,8 @@
         if relay is None:
             self._hand_over_tail(transport, give)
             return
+        if relay.short:
+            return  # it ends here, as cut
         relay.freeze()
         raw = unsent(transport)
         if raw is None:
--- a/mothstall/net/handover.py
+++ b/mothstall/net/handover.py
@@ -263,6 +263,7 @@
                 # A later process has put its own socket in this place.
                 if (self._directory / self._file).stat().st_ino == self._ours:
                     (self._directory / self._file).unlink()
+        self._successor = None  # not gone: it is this process that ends
         for link in [*self._asking, self._predecessor]:
             if link is not None:
                 link.close()
--- a/mothstall/net/passage.py
+++ b/mothstall/net/passage.py
@@ -19,8 +19,8 @@
 STALL_S = 10.0  # without progress on either side
 
 
-class _ToClient(asyncio.Protocol):
-    """The sink; its connection ends with the answer."""
+class _Side(asyncio.Protocol):
+    """One of the two connections."""
 
     def __init__(self, passage: Passage) -> None:
         self._passage = passage
@@ -29,8 +29,17 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        transport.set_write_buffer_limits(high=0)
-        transport.pause_reading()
+        transport.max_size = READ_MOST  # type: ignore[attr-defined]
+
+
+class _ToClient(_Side):
+    """The sink; its connection ends with the answer."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        assert self.transport is not None
+        self.transport.set_write_buffer_limits(high=0)
+        self.transport.pause_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._passage.over()
@@ -53,25 +62,24 @@
             self.transport.close()
 
     def broken(self) -> None:
-        """Guards against half an answer that passes for a whole one: the connection is reset."""
+        """Guards against half an answer that passes for a whole one: a reset tells if nothing else does."""
+        if self.transport is None:
+            return
+        if self._passage.onward.chunks or self._passage.onward.left is not None:
+            self.transport.close()
+        else:
+            self.abort()
+
+    def abort(self) -> None:
         if self.transport is not None:
             sock = self.transport.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             self.transport.abort()
 
 
-class _FromBackend(asyncio.Protocol):
+class _FromBackend(_Side):
     """The source."""
 
-    def __init__(self, passage: Passage) -> None:
-        self._passage = passage
-        self.transport: asyncio.Transport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-        transport.max_size = READ_MOST  # type: ignore[attr-defined]
-
     def data_received(self, data: bytes) -> None:
         self._passage.came(data)
 
@@ -136,11 +144,10 @@
                 parts = self._chunks.feed(data)
             except BadChunk as why:
                 log.info("unreadable", extra={"kv": {"why": why}})
-                self.stream.cut()
+                self.stream.break_off()
                 self._source.dropped()
                 return
-            for part in parts:
-                self.stream.feed(part)
+            self.stream.feed(b"".join(parts))  # chunks of one byte would each cost a send
             if self._chunks.ended:
                 self._whole()
         elif self._left is not None:
@@ -161,7 +168,7 @@
         if orderly and self._left is None and self._chunks is None:
             self.stream.end()
         elif not self.stream.ended:
-            self.stream.cut()
+            self.stream.break_off()
 
     def flow(self) -> None:
         self.stream.flow()
@@ -175,6 +182,9 @@
         raw = unsent(client)
         if raw is None:
             return
+        if self.stream.short:
+            self.stream.thaw()
+            return
         whole = self.stream.over  # all of it is coded already
         ended = whole or self.stream.ended or backend is None
         coding = self._chunks and (self._chunks.phase, self._chunks.left, self._chunks.line)
@@ -207,7 +217,7 @@
         """Guards against a peer that takes or gives nothing more."""
         mark = self.stream.passed
         if mark == self._mark:
-            self._sink.broken()
+            self._sink.abort()
             return
         self._mark = mark
         self._watch = self._loop.call_later(STALL_S, self._look)
--- a/mothstall/net/relay.py
+++ b/mothstall/net/relay.py
@@ -30,7 +30,7 @@
         """All of it was given to `take`."""
 
     def broken(self) -> None:
-        """The rest never comes: whoever reads has to see that it was cut."""
+        """What was given to `take` is all that ever comes: whoever reads has to see that it was cut."""
 
 
 class Grants:
@@ -80,7 +80,7 @@
         self.opened = False  # a sink took it, so that its first bytes may be gone
         self.over = False  # one way or the other
         self.whole = False  # all of it was given to the sink
-        self._ended = self._full = self._paused = self._frozen = False
+        self._ended = self._short = self._full = self._paused = self._frozen = False
         self._granted = grants.ask(self)
         self._press()
 
@@ -108,7 +108,7 @@
         self._push()
 
     def cut(self) -> None:
-        """The source gives nothing more, and what it gave is not whole."""
+        """What the source gave is of no use to anyone: the sink hears of it at once."""
         if self.over:
             return
         self._finish()
@@ -116,6 +116,17 @@
             self._sink = None
             sink.broken()
 
+    def break_off(self) -> None:
+        """The source gives nothing more, and what it gave is not whole.
+
+        Guards against taking from the reader what did come: the sink hears of the break behind it.
+        """
+        if self.over or self._ended:
+            return
+        self._ended = self._short = True
+        self._source = None
+        self._push()
+
     # The sink
 
     def open(self, sink: Sink) -> None:
@@ -164,9 +175,14 @@
 
     @property
     def ended(self) -> bool:
-        """All of it came from the source."""
+        """The source gives nothing more."""
         return self._ended
 
+    @property
+    def short(self) -> bool:
+        """What it gave is not whole."""
+        return self._short
+
     def give_up(self) -> None:
         """Another process goes on; neither side is told of an end."""
         self._sink = None
@@ -190,9 +206,12 @@
             self._sink.take(data)
         if self._ended and not self._held and self._sink is not None and not self.over and not self._frozen:
             sink, self._sink = self._sink, None
-            self.whole = True
+            self.whole = not self._short
             self._finish()
-            sink.done()
+            if self.whole:
+                sink.done()
+            else:
+                sink.broken()
 
     def _flows(self) -> bool:
         return self._granted and not self._full and not self._frozen
--- a/tests/test_net_operators.py
+++ b/tests/test_net_operators.py
@@ -20,6 +20,7 @@
 from tests.peers import (
     Client,
     Directory,
+    Seen,
     StandIn,
     answer,
     call,
@@ -192,6 +193,52 @@
     asyncio.run(run())
 
 
+def test_pipelined_requests_in_a_drain_are_served_once_or_not_at_all(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(phases, "IDLE_S", 0.4)
+
+    async def run() -> None:
+        async with rig(slowly, operators=DOOR) as r:
+            client = await r.client()
+            client.writer.write(request_bytes("order") + request_bytes("order") + request_bytes("order"))
+            await r.until(lambda: len(r.backends[0].seen) == 1)
+            await r.call("/api/evacuate")
+            reply = await client.read()
+            assert (reply.status, reply.headers["connection"]) == (200, "close")
+            assert await client.closed()  # what stood behind it never ran: its client may ask elsewhere
+            await asyncio.sleep(0.3)
+            assert len(r.backends[0].seen) == 1
+            await r.call("/api/rejoin")
+            assert (await r.ask("order")).status == 200
+
+    asyncio.run(run())
+
+
+def test_operators_are_answered_in_time_while_clients_ask_without_end() -> None:
+    async def run() -> None:
+        async with rig(serves, serves, operators=DOOR) as r:
+            over = asyncio.Event()
+
+            async def ask_along() -> None:
+                client = await r.client()
+                while not over.is_set():
+                    await client.ask()
+
+            asking = [asyncio.create_task(ask_along()) for _ in range(60)]
+            held = [await asyncio.open_connection("127.0.0.1", r.proxy.admin_port) for _ in range(50)]
+            worst, loop = 0.0, asyncio.get_running_loop()
+            for path in ("/api/ready", "/api/telemetry") * 10:
+                began = loop.time()
+                assert (await r.call(path)).status == 200
+                worst = max(worst, loop.time() - began)
+            over.set()
+            await asyncio.gather(*asking)
+            for _, writer in held:
+                writer.close()
+            assert worst < 1.0 and r.count("requests") > 100
+
+    asyncio.run(run())
+
+
 def test_a_request_that_comes_late_in_a_drain_is_answered_in_time(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -260,6 +307,11 @@
     assert done.returncode == 1 and "mothstall: admin_addr" in done.stderr and "Unclosed" not in done.stderr
 
 
+async def slowly(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(0.2)
+    await serves(seen, writer)
+
+
 class Platform:
     """Holds the clients' socket, and starts processes that inherit it as descriptor 3."""
 
--- a/tests/test_net_relay.py
+++ b/tests/test_net_relay.py
@@ -5,6 +5,9 @@
 import asyncio
 import hashlib
 import random
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import pytest
@@ -15,7 +18,7 @@
 from mothstall.net import backend as peer
 from mothstall.net import frontend
 from mothstall.net.relay import READ_MOST, WINDOW, Grants, Stream, grants_for
-from tests.peers import Client, Seen, StandIn, answer, request_bytes, rig, serves
+from tests.peers import Client, Rig, Seen, StandIn, answer, request_bytes, rig, serves
 from tests.test_net_process import started
 
 MB = 1 << 20
@@ -239,6 +242,33 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("given", [200_000, 330_000, 700_000])
+def test_all_that_the_backend_gave_of_an_answer_that_breaks_off_reaches_its_reader(given: int) -> None:
+    async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(BODY)[:given])
+        await writer.drain()
+        writer.close()
+
+    async def run() -> None:
+        async with rig(behave) as r:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(("127.0.0.1", r.proxy.port))
+            sock.setblocking(False)
+            client = Client(*await asyncio.open_connection(sock=sock, limit=2048))
+            client.writer.write(request_bytes("search"))
+            await asyncio.sleep(0.3)  # the break is known to the proxy, or waits behind what its reader owes
+            head = await client.reader.readuntil(b"\r\n\r\n")
+            got = b""
+            while data := await client.reader.read(20_000):
+                got += data
+                await asyncio.sleep(0.001)
+            body = answer(BODY)[:given].partition(b"\r\n\r\n")[2]
+            assert got == body and b"Content-Length: %d" % len(BODY) in head
+
+    asyncio.run(run())
+
+
 def test_a_client_that_leaves_in_mid_answer_ends_it_at_the_backend() -> None:
     async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
         writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % (30 * MB))
@@ -319,19 +349,23 @@
             writer.close()
 
 
-async def swallowing(r: object) -> Swallows:
-    taker = Swallows()
-    await taker.start()
-    return taker
+@asynccontextmanager
+async def swallowing() -> AsyncIterator[tuple[Rig, Swallows]]:
+    async with rig(listed=False, operators="127.0.0.1:0") as r:
+        taker = Swallows()
+        await taker.start()
+        r.directory.tell(taker.row())
+        await r.until(lambda: r.proxy._decider.listed_count() == 1)
+        try:
+            yield r, taker
+        finally:
+            await taker.stop()
 
 
 @pytest.mark.parametrize("how", ["length", "chunked"])
 def test_a_long_request_goes_on_unchanged_and_its_time_counts_from_its_end(how: str) -> None:
     async def run() -> None:
-        async with rig(listed=False, operators="127.0.0.1:0") as r:
-            taker = await swallowing(r)
-            r.directory.tell(taker.row())
-            await r.until(lambda: r.proxy._decider.listed_count() == 1)
+        async with swallowing() as (r, taker):
             client = await r.client()
             if how == "length":
                 head = request_bytes(
@@ -355,7 +389,6 @@
             told = await r.figures()
             assert (told["relayed"], told["fulfilled.order"], told["open_requests"]) == (1, 1, 0)
             assert (await client.ask("order", body=b"short")).status == 200
-            await taker.stop()
 
     asyncio.run(run())
 
@@ -364,11 +397,8 @@
     monkeypatch.setattr(peer, "STALL_S", 0.4)
 
     async def run() -> None:
-        async with rig(listed=False, operators="127.0.0.1:0") as r:
-            taker = await swallowing(r)
+        async with swallowing() as (r, taker):
             taker.stuck = True
-            r.directory.tell(taker.row())
-            await r.until(lambda: r.proxy._decider.listed_count() == 1)
             client = await r.client()
             size = 32 * MB
             client.writer.write(request_bytes("order", drop=("Content-Length",), Content_length=str(size)))
@@ -385,17 +415,13 @@
             told = await r.figures()
             assert (told["relayed"], told["throttled.order"], told["open_requests"]) == (0, 1, 0)
             taker.stuck = False
-            await taker.stop()
 
     asyncio.run(run())
 
 
 def test_a_client_that_leaves_in_mid_request_sends_none_of_it_twice() -> None:
     async def run() -> None:
-        async with rig(listed=False) as r:
-            taker = await swallowing(r)
-            r.directory.tell(taker.row())
-            await r.until(lambda: r.proxy._decider.listed_count() == 1)
+        async with swallowing() as (r, taker):
             client = await r.client()
             client.writer.write(
                 request_bytes("pay", drop=("Content-Length",), Content_length=str(MB)) + b"u" * 300_000
@@ -405,7 +431,6 @@
             await r.until(lambda: taker.ended == 1)
             assert not taker.digests and len(taker.framings) == 1
             assert not r.proxy._decider._pending
-            await taker.stop()
 
     asyncio.run(run())
 
@@ -424,10 +449,7 @@
 
 def test_an_attempt_whose_body_is_on_its_way_is_not_in_flight() -> None:
     async def run() -> None:
-        async with rig(listed=False) as r:
-            taker = await swallowing(r)
-            r.directory.tell(taker.row())
-            await r.until(lambda: r.proxy._decider.listed_count() == 1)
+        async with swallowing() as (r, taker):
             module = r.proxy._decider._balancer
             client = await r.client()
             client.writer.write(
@@ -441,6 +463,5 @@
             assert all(b.in_flight == 0 and b.fails == 0 for b in module.backends.values())
             module.handle(module.now, [io.AnswerCut(b.id) for b in module.backends.values()])
             assert all(b.fails == 1.0 for b in module.backends.values())
-            await taker.stop()
 
     asyncio.run(run())
