Spare room opens with the first quick answers where proxies are many

Cause: requests taken for beyond a share, which thin traffic often is by chance, may use spare room alone, and with tenants that grew by 0.1 an answer from the start (choice.py, _learn_fleet). Now it opens as the room does, until the first late answer.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -971,7 +971,7 @@
         # One attempt for each backend, over all proxies, is no crowd: less would leave backends idle.
         least, grain = len(self.backends) / self.cfg.proxies, math.sqrt(self.grain)
         # What is beyond a tenant's share is worth next to nothing and gives way early.
-        yields, quick = (late, False) if self.cfg.tenants else (crowded, self.opening)
+        yields, quick = (late, self.opening and self.thin) if self.cfg.tenants else (crowded, self.opening)
         gain = -SPARE_LOSS * min(1.0, weight) if yields else 1.0 if quick else SPARE_GAIN
         self.spare = max(least / 2, min(self.spare, self.room) + gain * grain)
         if crowded:
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -185,3 +185,13 @@
     # Under the fall multiple of a warm one's rate at the warmth of the third second.
     warm = 150 / 3 / len(new.balancer.members)
     assert max((cold.count(b) for b in cold), default=0) <= 3 * 3.0 * warm * 0.25 + 1
+
+
+def test_spare_room_opens_with_the_first_quick_answers_where_proxies_are_many() -> None:
+    # Found on a quiet day: requests taken for beyond a share were refused for ten seconds on an idle fleet.
+    drive = Drive(12, classes=PURE, proxies=12, tenants=(io.Tenant(1.0, 100.0),))
+    drive.serve()
+    before = drive.balancer.spare
+    for _ in range(4):
+        drive.serve()
+    assert drive.balancer.spare > before + 2
