--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -27,7 +27,7 @@
 CALM_COUNT = 50.0  # answers in that mean
 CALM_RISE = 0.002  # what the calmest mean forgets in a second
 LATE, CUT = 0.45, 0.8  # an answer later than LATE x aim cuts the backend's room to CUT of it
-COST_GAIN = 0.02  # weight of one answer in how latency follows cost
+COST_GAIN = 0.02  # weight of one answer in how latency follows cost and kind of machine
 PROBE_POINTS = 0.015  # what probes may cost in all
 PROBE_NS, TOLD_NS = NS // 20, 2 * NS  # a backend is probed no sooner again; what it told has faded
 QUEUE_MEAN, QUEUE_FREE, QUEUE_MOST = 0.7, 0.5, 1e6  # a turn is missed above mean x MEAN + FREE; no report
@@ -45,6 +45,7 @@
 EJECT_NS, EJECT_MAX_NS = NS // 2, 8 * NS
 RETRY_RATIO, RETRY_CAP = 0.2, 30.0  # retry budget: earned per answer, and kept at most
 HOLD = 0.25  # share of the aim for which a request may wait for room
+NEAR_FEE = 0.05  # the fee for crossing zones from which on members of our own zone always take turns first
 LEAST_MEMBERS, MEMBER_CONNS = 3, 6.0  # members at least, and connections a backend from all proxies together
 MEMBER_RATE = 6.0  # requests a second from this proxy for which one more member is worth measuring
 GOLDEN = 0.6180339887498949  # its multiples spread any run of positions evenly over a ring
@@ -52,7 +53,7 @@
 FEW = 2.0  # chance bursts over a small mean: so many of its square roots
 HERD_NS = NS // 10  # between two proxies' first calls to discovery
 SLOW_GAIN, SLOW_NS = 0.3, 8 * NS  # weight of one answer in how slow a member is, and how soon that fades
-SLOW_MOST, SLOW_FREE, SLOW_POWER = 4.0, 1.2, -6  # the turns it keeps: that power of what is over SLOW_FREE
+SLOW_MOST, SLOW_POWER = 4.0, -6  # the turns it keeps: that power of what is over the usual noise of answers
 FINE, FULL, ILL, SLOW = range(4)
 
 
@@ -60,7 +61,7 @@
     """What this proxy has seen of one backend since it last started."""
 
     def __init__(self, entry: io.Entry, now: int, token: float) -> None:
-        self.id, self.zone, self.cell = entry.backend, entry.zone, entry.cell
+        self.id, self.zone, self.cell, self.kind = entry.backend, entry.zone, entry.cell, entry.kind
         self.weight, self.credit = usable(entry.weight), 1.0  # credit: what is gathered for its next turn
         self.started = entry.started_ns
         self.priority = self.member = False
@@ -184,14 +185,16 @@
         self.part = 1.0 / settings.proxies  # this proxy's part of all traffic, as its typical tenant shows
         self.opening = True  # until the first late answer room grows fast
         self.room = 0.0  # how many attempts this proxy may have out in all
-        self.virtual = self.warm_rate = self.b_low = self.seen_ns = 0.0
+        self.virtual = self.warm_rate = self.b_low = self.near_due = self.seen_ns = 0.0
         self.usual, self.crowd = 0.0, 1.0  # usual latency of a served attempt, ns; part that comes crowded
+        self.noise = 0.25  # how far single answers lie off the usual of their kind of machine
         self.budget = self.budget_cap = RETRY_CAP
         self.grain = 1.0  # backends for each proxy, one at most: how coarse one attempt is here
         self.thin = False  # too many proxies for each to see of a backend what it needs to know
         self.heaviest = 1.0  # the greatest listed weight
         self.probes = self.queue = 0.0  # probes that may go now; the mean queue that they told of
         self.work = [0.0 for _ in settings.classes]  # a class's mean cost, as told
+        self.kinds: dict[int, float] = {}  # latency of each kind of machine over the calmest mean
         self.spread, self.follows = 0.0, 0.0  # of costs about that, and how far latency follows them
         self.e = T_NS / (T_NS // 10)
         self.slots: deque[int] = deque()
@@ -441,11 +444,8 @@
 
     def _next_e(self, high: float, low: float) -> float:
         """(4), within bounds: the number of slots in T, from which (3) gives the next slot's length."""
-        if high != 0:
-            e = self.e + (low if high - self.b_low > 0 else high) * self.e
-        else:
-            e = self.e / max(1, len(self.slots))
-        return min(max(e, T_NS / SLOT_MAX_NS), T_NS / SLOT_MIN_NS)
+        by = 1.0 + (low if high > self.b_low else high) if high else 1.0 / max(1, len(self.slots))
+        return min(max(self.e * by, T_NS / SLOT_MAX_NS), T_NS / SLOT_MIN_NS)
 
     def _measure(self, b: Backend, span: int) -> None:
         """(2) and (5) to (8) for one backend."""
@@ -532,12 +532,11 @@
         mean = self.in_flight / max(1, len(self.members))
         if b.in_flight > SPREAD * mean * warmth + SPREAD_FREE:
             return FULL
-        # Guards against crowding by others, as far as probes tell of it.
+        # Guards against crowding by others, as far as probes tell of it, or answers where our own are few.
         fresh = max(0.0, 1.0 - (now - b.told_at) / TOLD_NS)
         if b.told_at >= 0 and b.queue * fresh > QUEUE_MEAN * self.queue + QUEUE_FREE:
             return SLOW
-        # Guards against crowding by others, which shows only in answers where our own are few in flight.
-        slow = b.slow / SLOW_FREE if self.thin else 0.0
+        slow = b.slow / (1.0 + self.noise) if self.thin else 0.0
         return SLOW if slow > 1 and self.rng.random() > slow**SLOW_POWER else FINE
 
     def _probe(self, group: list[Backend], at: int) -> None:
@@ -566,8 +565,7 @@
 
     def _take(self, side: int, at: int) -> Backend:
         """This backend's turn; turns follow the listed weights."""
-        group = self.groups[side]
-        b = group[at]
+        group, b = self.groups[side], self.groups[side][at]
         b.credit = min(1.0, b.credit) - 1.0
         self.turn[side] = (at + 1) % len(group)
         self._probe(group, at)
@@ -586,8 +584,7 @@
         """Guards against pushing a cold backend over: its turns are dealt out evenly over time."""
         # Guards against two processes of one proxy that each spend the whole budget.
         rate = 0.0 if self.made_way else COLD_PART * self.cfg.fall_multiple * self.warm_rate * warmth
-        b.tokens = min(1.0, b.tokens + (self.now - b.tokens_at) * rate / NS)
-        b.tokens_at = self.now
+        b.tokens, b.tokens_at = min(1.0, b.tokens + (self.now - b.tokens_at) * rate / NS), self.now
         return b.tokens >= 1.0
 
     def _may_go(self, req: Request, b: Backend) -> bool:
@@ -597,9 +594,8 @@
             return True
         if req.cls.effect == Effect.UNSAFE or self.now >= req.ran_at + req.cls.window_ns:
             return False
-        if req.cls.group == Group.ZONE:
-            return b.zone == ran.zone
-        return req.cls.group != Group.CELL or b.cell == ran.cell
+        same = b.zone == ran.zone if req.cls.group == Group.ZONE else b.cell == ran.cell
+        return req.cls.group == Group.ALL or same
 
     def _pick(self, req: Request) -> Backend | None:
         """Round robin in the request's group; a group left empty by skips borrows the other."""
@@ -612,13 +608,16 @@
         ill: list[Backend] = []
         slow: tuple[int, int] | None = None
         full, own = False, int(req.priority)
-        for side in (own, 1 - own):
+        # Guards against hot zones: few members of many proxies cannot keep to a zone and cover all evenly.
+        self.near_due = self.near_due % 1.0 + min(1.0, self.cfg.cross_zone_fee / NEAR_FEE) * (not self.thin)
+        passes = (True, False) if self.near_due >= 1.0 else (False,)
+        for side, narrow in [(side, narrow) for side in (own, 1 - own) for narrow in passes]:
             group, start = self.groups[side], self.turn[side]
             early = -1
             for step in range(len(group)):
                 at = (start + step) % len(group)
                 b = group[at]
-                if b in tried or not self._may_go(req, b):
+                if b in tried or (narrow and b.zone != self.cfg.zone) or not self._may_go(req, b):
                     continue
                 why = self._skip(b, req)
                 if why == FINE:
@@ -628,7 +627,7 @@
                     early = at if early < 0 or b.credit > group[early].credit else early
                 full = full or why == FULL
                 slow = slow or ((side, at) if why == SLOW else None)
-                if why == ILL:
+                if why == ILL and b not in ill:
                     ill.append(b)
             if early >= 0:  # none of the group is due yet: the one that is nearest to it
                 return self._take(side, early)
@@ -670,9 +669,8 @@
         if not self.cfg.tenants:
             return flow.quota < self.most_worth
         rate = max(SHARE_SLACK * self.part, 1.0 / self.cfg.proxies) * flow.quota
-        most = max(1.0 + FEW * self.thin, rate)
-        flow.tokens = min(most, flow.tokens + (self.now - flow.tokens_at) * rate / NS)
-        flow.tokens_at = self.now
+        gathered = flow.tokens + (self.now - flow.tokens_at) * rate / NS
+        flow.tokens, flow.tokens_at = min(max(1.0 + FEW * self.thin, rate), gathered), self.now
         if flow.tokens < 1.0:
             return True
         flow.tokens -= 1.0
@@ -746,8 +744,7 @@
     def _second_copy(self, req: Request) -> None:
         """A second copy, only away from silence: for merely late answers, copies make all of them late."""
         spent = req.done or req.started or req.out != 1 or len(req.attempts) >= self.cfg.max_attempts
-        spent = spent or req.attempts[-1].held
-        if spent or self.waiting or req.deadline - self.now < self.usual / 2:
+        if spent or req.attempts[-1].held or self.waiting or req.deadline - self.now < self.usual / 2:
             return
         a, b = req.attempts[-1], req.attempts[-1].backend
         # One silent attempt may just be heavy: a copy wants a second one silent there, or earlier failures.
@@ -801,10 +798,8 @@
             req.waiting = False
             req.flow.queue.remove(req)
             self.waiting -= 1
-        if req.out and self.cfg.may_cancel:
-            for i, a in enumerate(req.attempts):
-                if a.out:
-                    self.acts.append(io.CancelAttempt(req.id, i))
+        outs = [i for i, a in enumerate(req.attempts) if a.out and self.cfg.may_cancel]
+        self.acts += [io.CancelAttempt(req.id, i) for i in outs]
         if not req.out:
             self.requests.pop(req.id, None)
 
@@ -883,7 +878,12 @@
             self.usual += USUAL_GAIN * (ev.latency_ns - self.usual) if self.usual else ev.latency_ns
             level = self._level(req, ev.latency_ns)
             if calm := self._calmest(req, level):
-                b.slow += SLOW_GAIN * (min(SLOW_MOST, level / calm) - b.slow)
+                # Guards against slowness of a kind of machine by itself: its turns follow its weight.
+                kind = max(0.1, self.kinds.get(b.kind, 1.0))
+                self.kinds[b.kind] = kind + COST_GAIN * (min(SLOW_MOST, level / calm) - kind)
+                ratio = min(SLOW_MOST, level / calm / kind)
+                b.slow += SLOW_GAIN * (ratio - b.slow)
+                self.noise += COST_GAIN * (min(1.0, abs(ratio - 1.0)) - self.noise)
             late = min(LATE * req.aim, CALM_MOST * calm or math.inf)
             crowded = level > max(late, CALM * calm)
             self.crowd += USUAL_GAIN * (crowded - self.crowd)
--- a/mothstall/interface.py
+++ b/mothstall/interface.py
@@ -100,7 +100,7 @@
     max_retry_after_ns: int
     connect_timeout_ns: int
     tick_ns: int
-    cross_zone_fee: float  # read by earlier revisions of the module alone
+    cross_zone_fee: float
     probe_fee: float  # points for one probe a request
     warm_keys: bool
     load_names: tuple[str, ...]
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -299,6 +299,16 @@
     assert served[0] > served[1]
 
 
+def test_own_zone_takes_its_part_of_turns_by_the_fee() -> None:
+    rows = [entry(i, zone=i % 2) for i in range(1, 9)]
+    near = {}
+    for fee in (0.0, 0.02, 0.1):
+        drive = Drive(entries=rows, classes=PURE, cross_zone_fee=fee)
+        near[fee] = sum(drive.serve() % 2 == 0 for _ in range(200)) / 200
+    assert near[0.0] < near[0.02] < near[0.1]
+    assert near[0.1] > 0.95
+
+
 def test_discovery_is_asked_at_once_and_again_after_a_failure() -> None:
     drive = Drive(discovery_push=False)
     assert [a for _, a in drive.log if isinstance(a, io.Subscribe)] == [io.Subscribe(True)]
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -195,3 +195,16 @@
     drive.now += 20 * MS
     drive.end(rid, backend)
     assert drive.balancer.spare == 2.0
+
+
+def test_a_kind_of_machine_that_is_slower_by_itself_keeps_its_turns() -> None:
+    # Found in the unevenness of turns: where machines are unlike, the older ones were taken for slow.
+    drive = Drive(entries=[io.Entry(i, 0, i % 2, 0, io.Health.READY, 1.0, 0) for i in range(1, 9)], proxies=8)
+    for _ in range(300):
+        rid, backend = drive.send()
+        latency = (20, 40)[backend % 2] * MS
+        drive.now += latency
+        drive.end(rid, backend, latency=latency)
+    kinds = drive.balancer.kinds
+    assert kinds[1] > 1.3 * kinds[0]
+    assert all(b.slow < 1.15 for b in drive.balancer.members)
