--- a/mothstall/net/handover.py
+++ b/mothstall/net/handover.py
@@ -185,7 +185,11 @@
 
     def listen(self) -> None:
         """From now on a later process may ask; without such a place, none can."""
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        try:
+            sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        except OSError as why:  # a platform that knows no such sockets must not end the start
+            log.warning("no place for a later process to ask", extra={"kv": {"why": why}})
+            return
         name = f"{self._file}.{os.getpid()}"
         try:
             sock.setblocking(False)
--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -321,6 +321,34 @@
     asyncio.run(run())
 
 
+def test_a_platform_without_unix_sockets_only_has_nobody_to_hand_over_to(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def refused(*kind: object) -> socket.socket:
+        raise OSError(97, "Address family not supported by protocol")
+
+    async def run() -> None:
+        new = handover.Handover(
+            str(tmp_path),
+            "n0",
+            loop=asyncio.get_running_loop(),
+            counters=Counters(),
+            make_way=lambda: Yours(0, 0, MEMORY),
+            resume=lambda: None,
+            adopt=lambda sock, client: sock.close(),
+            go_on=lambda client, backend, onward: None,
+            alone=lambda: None,
+        )
+        monkeypatch.setattr(socket, "socket", refused)
+        assert await new.take_over() is None
+        new.listen()
+        monkeypatch.undo()
+        new.close()
+        assert not list(tmp_path.iterdir())
+
+    asyncio.run(run())
+
+
 def test_a_caller_that_speaks_noise_moves_nothing_and_only_one_may_take_over(tmp_path: Path) -> None:
     async def run() -> None:
         loop, ways = asyncio.get_running_loop(), []
