--- a/tests/lab/test_mutations.py
+++ b/tests/lab/test_mutations.py
@@ -22,7 +22,7 @@
         20,
         "repeat",
     ),
-    ("return b.zone == ran.zone", "return True", "keyed-in-zones", 20, "repeat"),
+    ("same = b.zone == ran.zone if", "same = True if", "keyed-in-zones", 20, "repeat"),
     ("if warmth < 1 and not self._cold_turn(b, warmth):", "if False:", "fragile-cold", 14, "tipped"),
     (
         "if harmless or (req.cls.effect == Effect.KEYED",
