A changed cost_label is named by itself on a reload, without a special case

Need: needs_start told settings and label apart by hand, and no test held it. Change: the label takes no part in comparing names (config.py), and stands in the table of keys. Test: the label is named alone, settings as before, nothing when equal.

--- a/mothstall/config.py
+++ b/mothstall/config.py
@@ -13,7 +13,7 @@
 import re
 import socket
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -40,7 +40,8 @@
     # What a request of a class must agree with.
     effects: tuple[Effect, ...] = ()
     deadlines_ns: tuple[int, ...] = ()
-    cost_label: str = ""  # of `X-Labels`: a request's expected work in nanoseconds; empty: none is read
+    # The name in `X-Labels` of a request's expected work in ns; empty: none is read. No part of the settings.
+    cost_label: str = field(default="", compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +72,10 @@
     answer_slack_ns: int
     log_level: str
 
+    @property
+    def cost_label(self) -> str:
+        return self.names.cost_label
+
 
 def parse_address(text: str) -> Address:
     host, sep, port = text.rpartition(":")
@@ -193,6 +198,7 @@
     "most_body": "limits.body_mb",
     "settings": "settings",
     "names": "settings",
+    "cost_label": "cost_label",
     "idle_ns": "settings.limits.keepalive-ns",
     "answer_slack_ns": "settings.contract.answer-slack-ns",
 }
@@ -200,10 +206,7 @@
 
 def needs_start(old: Config, new: Config) -> list[str]:
     """The keys that differ and cannot be applied to a proxy that runs."""
-    names, label = replace(new.names, cost_label=old.names.cost_label), old.names.cost_label
-    told = replace(new, names=names)
-    found = [key for at, key in _AT_START.items() if getattr(old, at) != getattr(told, at)]
-    return list(dict.fromkeys([*found, *(["cost_label"] if label != new.names.cost_label else [])]))
+    return list(dict.fromkeys(key for at, key in _AT_START.items() if getattr(old, at) != getattr(new, at)))
 
 
 def _of(tree: Mapping[str, Any], key: str, kind: type, default: Any = None, at: str = "") -> Any:
--- a/tests/test_net_move.py
+++ b/tests/test_net_move.py
@@ -5,7 +5,8 @@
 import asyncio
 from typing import Any
 
-from tests.peers import MS, Seen, answer, rig, serves
+from mothstall import config
+from tests.peers import MS, Directory, Seen, answer, rig, serves, tree_of
 
 
 async def tells(seen: Seen, writer: asyncio.StreamWriter) -> None:
@@ -48,3 +49,12 @@
                 assert r.proxy._decider._balancer.work[0] == work
 
     asyncio.run(run())
+
+
+def test_a_changed_cost_label_waits_for_a_new_start_and_is_named_alone() -> None:
+    def read(**changes: Any) -> config.Config:
+        return config.from_tree(tree_of(Directory([]), [], **changes))
+
+    assert config.needs_start(read(), read(cost_label="work")) == ["cost_label"]
+    assert config.needs_start(read(), read(replicas_of_me=9)) == ["settings"]
+    assert config.needs_start(read(cost_label="work"), read(cost_label="work")) == []
