A process that takes over no longer starves cold backends

Cause: choice.py, _on_before took the warm rate told, but the next slot read it anew off the new process's own estimates, which stood at the nothing it had served (_note_rates). Change: the estimates begin at the warm rate told; with none told, at nothing measured. Now 7 to 10 a second, and without the guard on what made way the same test fails with 12 of 8 allowed.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -253,12 +253,12 @@
         """Guards against two processes that count as two proxies: one goes on where the other stood."""
         self.usual, self.warm_rate, self.opening = ev.usual_ns, ev.warm_rate, False
         self.room, self.budget = max(self.room, ev.room), min(self.budget_cap, ev.budget)
-        if len(ev.calm) == len(self.calm):
-            self.calm = [list(row) for row in ev.calm]
+        self.calm = [list(row) for row in ev.calm] if len(ev.calm) == len(self.calm) else self.calm
         for k in ev.known:
             if (b := self.backends.get(k.backend)) and b.started == k.started_ns:
                 self.sick += (k.fails > 0) - (b.fails > 0)
                 b.limit, b.fails, b.out_until, b.backoff = k.limit, k.fails, k.out_until_ns, k.backoff_ns
+                b.est1 = b.est2 = ev.warm_rate or -1.0  # what was served here before is not of all clients
 
     def _begin(self, now: int) -> None:
         self.now = self.slot_at = now
--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -16,8 +16,8 @@
 from hypothesis import strategies as st
 
 from mothstall import interface as io
-from mothstall.choice import Balancer
-from mothstall.interface import NS, Health, Known, Predecessor, Scope
+from mothstall.choice import COLD_PART, Balancer
+from mothstall.interface import NS, Health, Known, Predecessor, Result, Scope
 from mothstall.net import handover
 from mothstall.net.chunks import BadChunk, Chunks
 from mothstall.net.counters import Counters
@@ -95,6 +95,34 @@
     assert old._cold_turn(b, 1.0)  # the other one is gone
 
 
+def test_two_processes_send_a_cold_backend_no_more_than_one_may() -> None:
+    """One proxy's requests, to the old module, to both while it makes way, then to the new one."""
+    cfg = settings(cold_ns=20 * NS, cold_from=0.1)
+    began = now = 100 * NS
+    sent: dict[int, list[int]] = {}
+    old, new = Balancer(cfg, 3), Balancer(cfg, 4)
+    for module in (old, new):
+        module.handle(now, [io.BackendList(Scope.FULL, 1, fleet(6, cold=2, now=now))])
+    for number in range(1, 1001):
+        now += NS // 100
+        if number == 400:
+            new.handle(now, [old.memory()])
+            old.handle(now, [io.Successor(True)])
+        module = old if number < 400 or (number < 800 and number % 2) else new
+        for act in module.handle(now, [io.RequestArrived(number, 0, 0, 0, NS // 2, 0, False)]):
+            if isinstance(act, io.SendAttempt):
+                sent.setdefault(act.backend, []).append(now)
+                end = io.AttemptEnded(act.request, 0, act.backend, Result.OK, NS // 200, True, ())
+                module.handle(now + NS // 200, [end])
+    warm = sum(len(at) for b, at in sent.items() if b != 1) / 5 / 10  # of a warm backend, in a second
+    for second in range(10):
+        here = sum(second * NS < at - began <= (second + 1) * NS for at in sent[1])
+        warmth = cfg.cold_from + (1 - cfg.cold_from) * (second + 1) * NS / cfg.cold_ns
+        assert here <= COLD_PART * cfg.fall_multiple * warm * warmth + 1, (second, here)
+    # Found by this test: the new process took its idle seconds for what a warm one does, and sent 6 in all.
+    assert sum(at > began + 5 * NS for at in sent[1]) >= 25
+
+
 @contextlib.asynccontextmanager
 async def platform(tmp_path: Path, stand_in: StandIn) -> AsyncIterator[Platform]:
     await stand_in.start()
