A hint of the box's prober reaches the decisions, and weighs half of an ejection at most

Change: one event, `Hinted`, sent only where an operator file is given and the settings allow probes, by the word of a prober whose lease still has the token that it wrote with. It brings a run of failures up to half of what ejects: hints alone never eject, one own failure then does; an unknown backend is left unknown.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -164,7 +164,6 @@
         self.point = settings.position * GOLDEN % 1.0  # where on a ring they begin
         self.size, self.rate, self.sick = 0, 0.0, 0
         self.groups: tuple[list[Backend], list[Backend]] = ([], [])  # B, P
-        self.turn = [0, 0]
         self.requests: dict[int, Request] = {}
         # Guards against starting sums that all proxies spend at once: they are drawn at random.
         first = self.rng.random()
@@ -173,7 +172,7 @@
         ]
         self.priority = max(range(len(self.flows)), key=lambda i: (self._claim(i), -i))
         self.latency = (Latency(), Latency())
-        self.ratio, self.version = [0.0, 0.0], -1
+        self.turn, self.ratio, self.version = [0, 0], [0.0, 0.0], -1
         self.in_flight = self.waiting = 0
         self.calm = [[0.0, 0.0, 0.0] for _ in settings.classes]  # a class's mean latency, the calmest, count
         self.most_worth = max(c.worth for c in settings.classes)
@@ -183,15 +182,12 @@
         self.shared = [1.0 for _ in settings.classes]  # the part of a class's lateness that every class shows
         self.spare = math.inf  # the part of the room that requests beyond a share may use
         self.part = 1.0 / settings.proxies  # this proxy's part of all traffic, as its typical tenant shows
-        self.opening = True  # until the first late answer room grows fast
-        self.room = 0.0  # how many attempts this proxy may have out in all
+        self.opening, self.room = True, 0.0  # until the first late answer room grows fast; attempts out
         self.virtual = self.warm_rate = self.b_low = self.near_due = self.seen_ns = 0.0
         self.usual, self.crowd = 0.0, 1.0  # usual latency of a served attempt, ns; part that comes crowded
         self.noise = 0.25  # how far single answers lie off the usual of their kind of machine
         self.budget = self.budget_cap = RETRY_CAP
-        self.grain = 1.0  # backends for each proxy, one at most: how coarse one attempt is here
-        self.thin = False  # too many proxies for each to see of a backend what it needs to know
-        self.heaviest = 1.0  # the greatest listed weight
+        self.grain = self.heaviest = 1.0  # backends for each proxy, one at most; the greatest listed weight
         self.probes = self.queue = 0.0  # probes that may go now; the mean queue that they told of
         self.work = [0.0 for _ in settings.classes]  # a class's mean cost, as told
         self.kinds: dict[int, float] = {}  # latency of each kind of machine over the calmest mean
@@ -200,7 +196,7 @@
         self.slots: deque[int] = deque()
         self.heap: list[tuple[int, int, Callable[[], object]]] = []
         self.slot_at = self.seq = self.timer_at = self.nudge_at = self.sent = 0
-        self.watching = self.made_way = False
+        self.thin = self.watching = self.made_way = False  # thin: each proxy sees too little of a backend
         self.asked_at, self.asks_failed, self.herd = -1, 0, 0
         self.mildest = min(c.effect for c in settings.classes)
         self.on: dict[type, Callable[[Any], None]] = {
@@ -208,7 +204,7 @@
             io.ClientLeft: self._on_left, io.BackendList: self._on_list, io.ProbeEnded: self._on_probed,
             io.TimerFired: self._on_timer, io.Predecessor: self._on_before, io.Successor: self._on_after,
             io.ResponseStarted: self._on_started, io.AttemptHeld: self._on_held, io.AnswerCut: self._on_cut,
-            io.AttemptWritten: self._on_written,
+            io.AttemptWritten: self._on_written, io.Hinted: self._on_hinted,
         }  # fmt: skip
 
     # Events
@@ -239,6 +235,11 @@
         if b := self.backends.get(ev.backend):
             self._note_failure(b, 1.0)
 
+    def _on_hinted(self, ev: io.Hinted) -> None:
+        """Half of an ejection at most, so that a failure of our own decides, whatever others say."""
+        if (b := self.backends.get(ev.backend)) and b.fails < EJECT_AT / 2:
+            self._note_failure(b, EJECT_AT / 2 - b.fails)
+
     def out_of_rotation(self) -> int:
         """How many listed backends are ejected, or on trial after it; changes nothing."""
         return sum(b.out_until > 0 for b in self.backends.values())
--- a/mothstall/fleet/agent.py
+++ b/mothstall/fleet/agent.py
@@ -63,8 +63,9 @@
         *,
         loop: asyncio.AbstractEventLoop,
         changed: Callable[[], None],
+        probes: bool = True,
     ) -> None:
-        """OSError or ValueError, of one line, if what it kept cannot be read."""
+        """`probes`: whether they are allowed. OSError or ValueError if what it kept is unreadable."""
         self.operator, self.name, self.loop = operator, name, loop
         # Two processes of one name are two owners: the second waits until the first one's term is over.
         self.owner = f"{name}#{secrets.token_hex(3)}"
@@ -80,6 +81,8 @@
         self.fence = Fence(highest=dict(memory.tokens))
         self.counts = dict.fromkeys(COUNTS, 0)
         self._handed: dict[str, int] = {}  # in the store from this version on
+        self._probing = probes and operator.probing.on
+        self._hints: dict[str, int] = {}  # tokens of the hints that were passed on
         self._changed = changed
         self._store: Store | None = None
         self._heard_at = 0  # when a keeper that hears a leader last spoke, ns; 0: never
@@ -114,6 +117,21 @@
             **{f"fleet_{key}": value for key, value in self.counts.items()},
         }
 
+    def hinted(self) -> list[str]:
+        """Boxes that their prober calls ill, each told once, while it still is their prober."""
+        found, live = [], {}
+        for key, row in self.view.entries.items():
+            lease = self.view.leases.get(row.lease)
+            if not key.startswith(duties.HINT) or lease is None or lease.token != row.token:
+                continue
+            hint = duties.read_hint(row.value)
+            if hint is not None and hint.ill:
+                live[key] = row.token
+                if self._hints.get(key) != row.token:
+                    found.append(key[len(duties.HINT) :])
+        self._hints = live
+        return found
+
     async def start(self) -> None:
         """OSError if the place for operators is not to be had."""
         if self.operator.agent.listen:
@@ -126,7 +144,7 @@
             version=lambda: self.view.version,
         )  # fmt: skip
         self._spawn(self._live(self._store))
-        if self.operator.probing.on:
+        if self._probing:
             self._spawn(self._probe_all())
         if self.here:
             self._changed()
@@ -203,7 +221,7 @@
         own = self.holder.token(self.member, time.monotonic_ns())
         if not own and not await self._take(store, self.member):
             return
-        if self.operator.probing.on:
+        if self._probing:
             await self._share(store)
 
     async def _hand_in(self, store: Store, key: str, change: st.PutDrain, wait_s: float) -> str:
--- a/mothstall/interface.py
+++ b/mothstall/interface.py
@@ -215,6 +215,13 @@
     on: bool
 
 
+@dataclass(slots=True)
+class Hinted:
+    """Advice of the proxy that probes a backend for all: it fails. It weighs less than what we see."""
+
+    backend: int
+
+
 @dataclass(slots=True)
 class ClientLeft:
     request: int
@@ -235,7 +242,7 @@
 
 Event = (
     BackendList | RequestArrived | ResponseStarted | AttemptEnded | AttemptHeld | AttemptWritten | AnswerCut
-    | Predecessor | Successor | ClientLeft | TimerFired | ProbeEnded
+    | Predecessor | Successor | Hinted | ClientLeft | TimerFired | ProbeEnded
 )  # fmt: skip
 
 
--- a/mothstall/lab/fleetplay.py
+++ b/mothstall/lab/fleetplay.py
@@ -166,7 +166,7 @@
                 "fall-multiple": 2.5, "fall-ns": 2_000_000_000,
             },
             "limits": {
-                "max-attempts": 4, "parallel-tries": True, "cancelling": True, "probes": False,
+                "max-attempts": 4, "parallel-tries": True, "cancelling": True, "probes": True,
                 "retry-after": True, "max-retry-after-ns": 1_200_000_000,
             },
             "discovery": "ask", "zones": ["z1"], "zone": 0, "kinds": ["box"],
--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -84,9 +84,9 @@
 
 @dataclass(slots=True)
 class Partner:
-    """What another process of this proxy means for the decisions."""
+    """What another process of this proxy, or the fleet, means for the decisions."""
 
-    event: io.Predecessor | io.Successor
+    event: io.Predecessor | io.Successor | io.Hinted
 
 
 Message = (
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -120,8 +120,8 @@
 
         try:
             self._together = Together(
-                operator, self.config.name, self.config.names, loop=self.loop, counters=self.counters,
-                report=self._decider.tell,
+                operator, self.config.name, self.config.names, probes=self.config.settings.may_probe,
+                loop=self.loop, counters=self.counters, report=self._decider.tell,
             )  # fmt: skip
         except ValueError as why:
             raise ConfigError(f"operator file: $.agent.data: {why}") from why
--- a/mothstall/net/together.py
+++ b/mothstall/net/together.py
@@ -13,14 +13,18 @@
 from mothstall.config import Names
 from mothstall.fleet.agent import Agent, BoxAt
 from mothstall.fleet.operator import Operator
-from mothstall.interface import Health, Scope
+from mothstall.interface import Health, Hinted, Scope
 from mothstall.net import protocol
 from mothstall.net.counters import Counters
+from mothstall.net.decider import Partner
 from mothstall.net.discovery import Told
 
 
 class Together:
-    """`report` is where the list's words go on to. OSError or ValueError if the agent cannot be made."""
+    """`report` is where the list's words go on to; `probes`: the settings allow them.
+
+    OSError or ValueError if the agent cannot be made.
+    """
 
     def __init__(
         self,
@@ -28,15 +32,16 @@
         name: str,
         names: Names,
         *,
+        probes: bool,
         loop: asyncio.AbstractEventLoop,
         counters: Counters,
-        report: Callable[[Told], None],
+        report: Callable[[Told | Partner], None],
     ) -> None:
         self._names, self._report = names, report
         self._members: dict[str, protocol.Member] = {}
         self._told: dict[str, Health] = {}
         self._version = 0
-        self.agent = Agent(operator, name, loop=loop, changed=self._changed)
+        self.agent = Agent(operator, name, loop=loop, changed=self._changed, probes=probes)
         counters.more = self.agent.figures
 
     def _zone(self, member: protocol.Member) -> str:
@@ -74,3 +79,6 @@
                 rows.append(self._merged(member))
         if rows:
             self._report(Told(Scope.DELTA, protocol.ListWord(self._version, False, rows)))
+        for box in self.agent.hinted():
+            if box in self._members:  # one that is known by a hint alone is nobody's
+                self._report(Partner(Hinted(self._members[box].entry.backend)))
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -52,6 +52,17 @@
     assert skip(drive, quiet, 0) != ILL
 
 
+def test_a_hint_weighs_less_than_a_failure_of_ones_own() -> None:
+    drive = warmed()
+    for _ in range(20):
+        drive.feed(io.Hinted(1))
+    assert not drive.balancer.backends[1].out_until, "hints alone never eject"
+    drive.balancer._note_failure(drive.balancer.backends[1], 1.0)
+    assert drive.balancer.backends[1].out_until, "with a hint one failure decides"
+    drive.feed(io.Hinted(99))
+    assert 99 not in drive.balancer.backends and drive.balancer.sick == 1
+
+
 def fail(drive: Drive, number: int, result: Result = Result.CONNECT_FAILED) -> None:
     b = drive.balancer.backends[number]
     drive.balancer._note_failure(b, EJECT_AT)
