--- a/mothstall/cli.py
+++ b/mothstall/cli.py
@@ -73,6 +73,8 @@
         return 2
     if args.command == "check-config":
         print(f"mothstall: {config.name}: {len(config.settings.classes)} classes, listens on {config.listen}")
+        if operator:
+            print(f"mothstall: takes part in {operator.cluster}, kept by {len(operator.keepers)} keepers")
         return 0
 
     def reread() -> Config:
--- a/mothstall/fleet/agent.py
+++ b/mothstall/fleet/agent.py
@@ -42,6 +42,7 @@
 COUNTS = (
     "probes", "probes_failed", "orders", "orders_refused", "leases_lost", "hints_written", "snapshots",
 )  # fmt: skip
+LEADERLESS_NS = 1_500_000_000  # that a keeper may hear no leader, until another one is turned to
 MS = 1_000_000
 
 
@@ -86,6 +87,7 @@
         self._changed = changed
         self._store: Store | None = None
         self._heard_at = 0  # when a keeper that hears a leader last spoke, ns; 0: never
+        self._unled_at = 0  # when a keeper that hears one, or another keeper, was turned to
         self._renewed_at = 0
         self._probed_at: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -178,7 +180,10 @@
 
     def _pushed(self, push: calls.Push) -> None:
         if push.led:
-            self._heard_at = time.monotonic_ns()
+            self._heard_at = self._unled_at = time.monotonic_ns()
+        elif self._store and time.monotonic_ns() - self._unled_at > LEADERLESS_NS:
+            self._unled_at = time.monotonic_ns()
+            self._store.leave("it hears no leader")
         fresh = self.view.after(push.delta)
         if fresh is None:
             if self._store:
--- a/mothstall/fleet/client.py
+++ b/mothstall/fleet/client.py
@@ -192,9 +192,10 @@
             if not refused.startswith(LATER):
                 return word
             self._heard[self.keeper] = refused
-            if not patient:
+            if refused.startswith("no quorum"):
+                # Guards against a keeper that was removed, or stands on the small side of a cut.
                 self.leave(refused)
-                if len(self._heard) >= len(self._order):
+                if not patient and len(self._heard) >= len(self._order):
                     break
             await asyncio.sleep(0.03 + 0.05 * self._rng.random())
         raise NoContact(self.missing())
--- a/mothstall/fleet/operator.py
+++ b/mothstall/fleet/operator.py
@@ -49,6 +49,10 @@
     election: Span = span("300ms")  # without word of a leader; drawn between once and twice this
 
 
+class Store(_Part, kw_only=True, frozen=True):
+    snapshot_every: int = 2000  # changes; what is before a snapshot need not be kept
+
+
 class Leases(_Part, kw_only=True, frozen=True):
     term: Span = span("2s")
     margin: Span = span("150ms")  # an owner stops this much before its term is over
@@ -73,6 +77,7 @@
     key_file: str | None = None
     zone: str = ""
     timing: Timing = Timing()
+    store: Store = Store()
     leases: Leases = Leases()
     agent: AgentPart = AgentPart()
     probing: Probing = Probing()
@@ -136,6 +141,8 @@
         raise OperatorError(
             "operator file: $.timing: tick is 1ms or more, heartbeat a tick, election three heartbeats"
         )
+    if not 10 <= it.store.snapshot_every <= 100_000:
+        raise OperatorError("operator file: $.store.snapshot_every must be 10 to 100000")
     if not 0.0 <= leases.drift <= 0.2:
         raise OperatorError(f"operator file: $.leases.drift must be 0 to 0.2, not {leases.drift}")
     usable = leases.term * (1.0 - leases.drift) - leases.margin
--- a/mothstall/keeper/process.py
+++ b/mothstall/keeper/process.py
@@ -139,6 +139,7 @@
             loaded.hard,
             loaded.snapshot,
             loaded.entries,
+            compact_every=operator.store.snapshot_every,
         )
 
     async def start(self) -> None:
--- a/mothstall/keeper/replica.py
+++ b/mothstall/keeper/replica.py
@@ -130,7 +130,8 @@
             done.reads += self._reading.pop(context, ())
         if self.state.applied - self._shot >= self._every:
             self._shot = self.state.applied
-            self._compacted = self.raft.compact(self._shot, self.state.image(), KEEP)
+            keep = min(KEEP, self._every // 2)
+            self._compacted = self.raft.compact(self._shot, self.state.image(), keep)
         return done
 
     def _apply(self, entry: Entry, now: int, done: Applied) -> None:
--- a/mothstall/lab/fleetjudge.py
+++ b/mothstall/lab/fleetjudge.py
@@ -61,6 +61,7 @@
     owner_ends: list[tuple[str, float]] = field(
         default_factory=list
     )  # leases whose owner was stopped or killed
+    ill: list[str] = field(default_factory=list)  # boxes that failed for a while
     unmet: list[str] = field(default_factory=list)  # operators' calls that went otherwise than they had to
 
 
@@ -73,6 +74,7 @@
 def judge(s: Fleet, seen: Seen, told: Told) -> Verdict:
     breaches = [
         *_tokens(seen), *_drains(seen, told), *_writes(told), *_served(s, seen, told), *_probes(s, seen),
+        *_put_out(s, seen, told),
         *(Breach("operators", 0.0, what) for what in told.unmet), *_expected(s, seen, told),
     ]  # fmt: skip
     good = [row for row in seen.asked if row.status == 200]
@@ -184,6 +186,31 @@
     return found
 
 
+def _put_out(s: Fleet, seen: Seen, told: Told) -> list[Breach]:
+    """Boxes that neither failed nor were drained get requests of each proxy all the time.
+
+    One may stand idle: the mechanism keeps a group for its priority flow, which may need a box and use none.
+    """
+    spared = {d.box for d in told.drains} | set(told.ill)
+    boxes = {f"b{i + 1}" for i in range(s.boxes)} - spared
+    got: dict[tuple[str, int], set[str]] = defaultdict(set)
+    count: dict[tuple[str, int], int] = defaultdict(int)
+    for row in seen.served:
+        key = (row.proxy, int(row.at // 3))
+        got[key].add(row.box)
+        count[key] += 1
+    found = []
+    for (proxy, window), names in sorted(got.items()):
+        since, until = 3.0 * window, 3.0 * window + 3.0
+        if until > s.seconds or count[(proxy, window)] < 12 * s.boxes or _away(told, proxy, since, until):
+            continue
+        missing = boxes - names
+        if len(missing) > 1:
+            what = f"{proxy} sent nothing to {', '.join(sorted(missing))} from {since:g} to {until:g} s"
+            found.append(Breach("box put out", since, what))
+    return found
+
+
 def _replaced(seen: Seen, told: Told) -> list[float]:
     """Seconds from an owner's end to the first effect taken of another sender under its lease."""
     gaps = []
@@ -211,6 +238,12 @@
     acked = sum(w.acked > 0 for w in told.writes)
     if acked < s.expects.writes:
         found.append(f"{acked} writes were acknowledged, {s.expects.writes} expected")
+    if s.expects.quiet:
+        since, until = (at / 1e9 for at in s.expects.quiet)
+        acts = [e for e in seen.effects if since < e.at < until and not e.refused]
+        if acts:
+            e = acts[0]
+            found.append(f"{e.sender} acted on {e.receiver} with {e.lease} token {e.token} at {e.at:.3f} s")
     gaps, within = _replaced(seen, told), s.expects.replaced_within / 1e9
     if within and (not gaps or max(gaps) > within):
         longest = f"{max(gaps):.3f} s" if gaps else "for ever"
