lease list shows the lease's name, not its owner's

Symptom: three leases of one proxy were all listed as p1. Cause: what an owner says of itself held a key 'name' that went over the lease's. Change: it stands in a column of its own, and no longer repeats the owner's name.

--- a/mothstall/fleet/agent.py
+++ b/mothstall/fleet/agent.py
@@ -253,7 +253,7 @@
         if held and held.owner != self.owner:
             return False
         sent = time.monotonic_ns()
-        info = {"zone": self.operator.zone, "name": self.name}
+        info = {"zone": self.operator.zone}
         term = self.operator.leases.term // MS
         result = await store.change(st.Take(name, self.owner, term, info), CHANGE_S)
         if result.refused:
--- a/mothstall/operate.py
+++ b/mothstall/operate.py
@@ -188,7 +188,7 @@
     delta = await _state(operator, args)
     rows = [row for row in delta.leases.values() if row]
     return [
-        {"name": row.name, "owner": row.owner, "token": row.token, "term_ms": row.term_ms, **row.info}
+        {"name": row.name, "owner": row.owner, "token": row.token, "term_ms": row.term_ms, "info": row.info}
         for row in sorted(rows, key=lambda row: row.name)
     ]
 
