A replica that forgot catches up under the same leader; tangled histories are not judged for ever

Cause: a leader kept the place that a replica had acknowledged before it lost its disk, so refusals answered each other for ever (raft.py, _on_append_answer).

--- a/mothstall/lab/replicas.py
+++ b/mothstall/lab/replicas.py
@@ -314,6 +314,7 @@
         self.fence = Fence(keeps=plan.guards.fence)
         self.accepted: dict[str, int] = {}
         self.effects = self.refused = self.elections = self.acknowledged = 0
+        self.undecided = 0  # histories too tangled to judge
         self.looked = 0  # the newest index whose state was looked at
         self.wrote: dict[str, int] = {}
         self.calls: dict[int, Call] = {}
@@ -619,7 +620,9 @@
             self.breach("nothing was written")
         for key, rows in self.history.items():
             ops = [linear.Op(b, e, bool(w), v) for b, e, w, v in rows if w != 2]
-            if not linear.linear(ops):
+            decided = linear.linear(ops)
+            self.undecided += decided is None
+            if decided is False:
                 self.breach(f"the history of {key} is not linear")
 
 
--- a/mothstall/store/raft.py
+++ b/mothstall/store/raft.py
@@ -474,8 +474,12 @@
             self._advance()
         elif answer.prev_index == row.next - 1 or (row.streaming and answer.prev_index > row.match):
             row.streaming = False
-            row.next = max(row.match + 1, min(answer.match + 1, answer.prev_index))
-            self._send(answer.sender, heartbeat=True)
+            if answer.standing != Standing.SOUND:
+                row.match = min(row.match, answer.match)  # what it had acknowledged is gone with its disk
+            before, row.next = row.next, max(row.match + 1, min(answer.match + 1, answer.prev_index))
+            if row.next < before:
+                # Guards against words that answer each other for ever: else the next beat will do.
+                self._send(answer.sender, heartbeat=True)
         if self.is_leader and row.streaming and row.next <= self.log.last:
             self._send(answer.sender, heartbeat=False)
         self._release()
