--- a/mothstall/fleet/agent.py
+++ b/mothstall/fleet/agent.py
@@ -89,7 +89,7 @@
         self._heard_at = 0  # when a keeper that hears a leader last spoke, ns; 0: never
         self._unled_at = 0  # when a keeper that hears one, or another keeper, was turned to
         self._renewed_at = 0
-        self._probed_at: dict[str, int] = {}
+        self._pace = duties.Pace(int(operator.probing.every))
         self._tasks: set[asyncio.Task[None]] = set()
         self._probes = 0
         self._server: asyncio.Server | None = None
@@ -191,6 +191,11 @@
             return
         if fresh is self.view:
             return
+        # Up to now others held these; a look at leases may wait for a slow keeper, this does not.
+        now = time.monotonic_ns()
+        for name, row in self.view.leases.items():
+            if row.owner != self.owner and name.startswith(duties.PROBE):
+                self._pace.others[name] = now
         drains = self.view.drains != fresh.drains or self.view.entries != fresh.entries
         self.view = fresh
         self.counts["snapshots"] += 1
@@ -286,17 +291,16 @@
     # Probing
 
     async def _probe_all(self) -> None:
-        every = int(self.operator.probing.every)
         while True:
             now = time.monotonic_ns()
             held = [name for name in self.holder.held if name.startswith(duties.PROBE)]
             self.prober.keep(name[len(duties.PROBE) :] for name in held)
-            self._probed_at = {name: at for name, at in self._probed_at.items() if name in held}
+            self._pace.keep(f"{duties.PROBE}{box}" for box in self.boxes)
             for name in held:
                 box = self.boxes.get(name[len(duties.PROBE) :])
-                due = now - self._probed_at.get(name, now - every) >= every
-                if box and due and self._probes < MOST_PROBES and self.holder.token(name, now):
-                    self._probed_at[name] = now
+                may = self._probes < MOST_PROBES and self.holder.token(name, now)
+                if box and may and self._pace.due(name, now):
+                    self._pace.probed[name] = now
                     self._spawn(self._probe(name, box))
             await self._tell_hints()
             await asyncio.sleep(0.05)
--- a/tests/fleet/test_decisions.py
+++ b/tests/fleet/test_decisions.py
@@ -73,6 +73,26 @@
     assert duties.prober("b", []) == ""
 
 
+def test_a_box_that_changes_hands_again_and_again_is_probed_twice_as_often_at_most() -> None:
+    paces = [duties.Pace(S), duties.Pace(S), duties.Pace(S)]
+    probes = []
+    for turn in range(200):  # the lease moves every 100 ms; each proxy sees who holds it
+        now, holder = turn * 100 * MS, paces[turn % 3]
+        for pace in paces:
+            if pace is not holder:
+                pace.others["b1"] = now
+        if holder.due("b1", now):
+            holder.probed["b1"] = now
+            probes.append(now)
+    assert all(sum(at <= p < at + S for p in probes) <= 2 for at in probes)
+    alone = duties.Pace(S)
+    assert alone.due("b1", 5 * S)
+    alone.probed["b1"] = 5 * S
+    assert not alone.due("b1", 5 * S + 900 * MS) and alone.due("b1", 6 * S)
+    alone.keep([])
+    assert not alone.probed
+
+
 def test_a_prober_that_sees_nobody_blames_itself() -> None:
     prober = duties.Prober()
     for turn in range(5):
