A slow disk silences no leader: words that wait for no write are said while one is out

Checked: logs, the terms on disk; loops on time (6 ms late). Cause: raft.py let all words of a step wait for its write, and a new leader's first heartbeat for that of its first entry: three writes in a row before followers heard anything. Change: `urgent`, what follows from the disk as it is, for two elections' time at most; lost elections wait longer. A first form stripped queued entries: followers' refusals and heartbeats fed one another without end (memory), so a beat now starts where the follower surely agrees.

--- a/mothstall/keeper/process.py
+++ b/mothstall/keeper/process.py
@@ -114,7 +114,7 @@
         self.counts = dict.fromkeys(
             (
                 "calls", "changes", "refused", "pushes", "writes", "writes_failed", "frames_unreadable",
-                "reports", "reports_left_out",
+                "reports", "reports_left_out", "slowest_write_ms",
             ), 0,
         )
         self.disk_says = ""
@@ -232,13 +232,17 @@
         self._pump_soon()
 
     def _pump_soon(self) -> None:
-        if not self._due and not self._writing and not self._ended:
+        if not self._due and not self._ended:
             self._due = True
             self.loop.call_soon(self._pump)
 
     def _pump(self) -> None:
         self._due = False
-        if self._writing or self._ended:
+        if self._ended:
+            return
+        if (self._writing or self.replica.raft.unsaved) and not self.disk_says.startswith("cannot write"):
+            self._say(self.replica.raft.urgent())
+        if self._writing:
             return
         ready = self.replica.ready()
         if not ready.writes:
@@ -251,6 +255,7 @@
 
     async def _write(self, ready: Ready) -> None:
         """Until it is on disk, nothing that follows from it is said: a full disk acknowledges nothing."""
+        began = self.loop.time()
         while not self._ended:
             try:
                 await self.loop.run_in_executor(self._thread, self._disk.write, ready)
@@ -269,13 +274,20 @@
                 await asyncio.sleep(RETRY_S)
         if self._ended:
             return
+        took_ms = round((self.loop.time() - began) * 1000)
+        self.counts["slowest_write_ms"] = max(self.counts["slowest_write_ms"], took_ms)
+        if took_ms >= self.operator.timing.election // 1_000_000:
+            log.warning("slow disk", extra={"kv": {"name": self.name, "write_ms": took_ms}})
         self._writing = False
         self._written(ready)
 
-    def _written(self, ready: Ready) -> None:
-        for message in ready.messages:
+    def _say(self, messages: list[Message]) -> None:
+        for message in messages:
             if peer := self._peers.get(message.to):
                 peer.send(msgspec.msgpack.encode(message))
+
+    def _written(self, ready: Ready) -> None:
+        self._say(ready.messages)
         done = self.replica.written(ready, time.monotonic_ns())
         self.counts["changes"] += done.entries
         for caller, result in done.answers:
--- a/mothstall/keeper/run.py
+++ b/mothstall/keeper/run.py
@@ -16,8 +16,11 @@
 log = logging.getLogger("mothstall.keeper")
 
 
+SLOW_S = 0.15  # what a commit of a slow disk takes
+
+
 def disk_seam(switch: Path) -> Callable[[], None]:
-    """For the lab: a file whose word, `stall` or `full`, holds at each commit while it stands there."""
+    """For the lab: a file whose word, `stall`, `full` or `slow`, holds at commits while it stands there."""
 
     def seam() -> None:
         while True:
@@ -27,6 +30,8 @@
                 return
             if word == "full":
                 raise OSError(errno.ENOSPC, "database or disk is full")
+            if word == "slow":
+                time.sleep(SLOW_S)
             if word != "stall":
                 return
             time.sleep(0.02)
--- a/mothstall/lab/fleet.py
+++ b/mothstall/lab/fleet.py
@@ -85,10 +85,10 @@
 
 
 class Disk(_Fault, tag="disk", kw_only=True, frozen=True):
-    """Commits of keepers stall, or find the disk full."""
+    """Commits of keepers stall, are slow, or find the disk full."""
 
     who: str
-    word: str  # stall or full
+    word: str  # stall, slow or full
     lasts: Span
 
 
@@ -254,8 +254,8 @@
             yield f"{at}.way", "must be there, back or both"
         if isinstance(fault, Slow) and not 0 < fault.part <= 1:
             yield f"{at}.part", "must be above 0 and 1 at most"
-        if isinstance(fault, Disk) and fault.word not in ("stall", "full"):
-            yield f"{at}.word", "must be stall or full"
+        if isinstance(fault, Disk) and fault.word not in ("stall", "slow", "full"):
+            yield f"{at}.word", "must be stall, slow or full"
         if isinstance(fault, Say) and fault.word not in WORDS:
             yield f"{at}.word", f"must be one of {', '.join(WORDS)}"
         known.add(fault.name)
--- a/mothstall/lab/fleetplay.py
+++ b/mothstall/lab/fleetplay.py
@@ -30,6 +30,7 @@
 from mothstall.store import state as st
 
 SETTLE_S = 12.0  # for keepers to elect and proxies to take their first leases
+LONG_AGO_S = 1000.0
 BACK_S = 5.0  # after which a proxy that stood still, or was cut off, serves as before
 LATE_S = 0.1  # the driver's own lateness from which a run proves nothing against the proxies
 LAB_KEY, LAB_LEASE = "lab/value", "lab/writer"
@@ -83,7 +84,8 @@
         self.clients: dict[str, ClientStandIn] = {}
         self.named: dict[str, list[str]] = {}  # what earlier faults had drawn
         self.store: Store | None = None
-        self.began = 0.0
+        # Until the run begins: what happens before it counts as long ago, on a clock that goes on.
+        self.began = self.loop.time() + LONG_AGO_S
         self.late_s = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         # Keepers that an operator took out, or has not added yet.
@@ -93,7 +95,7 @@
         return fleet.zone(self.s, name)
 
     def now(self) -> float:
-        return self.loop.time() - self.began if self.began else 0.0
+        return self.loop.time() - self.began
 
     # Starting
 
--- a/mothstall/lab/replicas.py
+++ b/mothstall/lab/replicas.py
@@ -46,6 +46,7 @@
     token_on_apply: bool = True
     fence: bool = True
     from_sending: bool = True  # owners count from before they sent
+    hurried: bool = True  # what waits for no write is said while one is out
     asks_first: bool = True  # a replica that started asks what the others have seen of it
 
 
@@ -59,6 +60,7 @@
     doubled: float = 0.04
     faults_every: float = 0.35  # mean seconds between two
     crash_odds: float = 0.004  # of a crash at each write
+    write_ms: float = 2.0  # mean of what a write takes
     kinds: tuple[str, ...] = FAULTS
     guards: Guards = field(default_factory=Guards)
 
@@ -151,7 +153,11 @@
 
     def pump(self) -> None:
         """Writes, then speaks and applies; a write takes a while, and the replica may crash in it."""
-        if self.writing or self.replica is None:
+        if self.replica is None:
+            return
+        if (self.writing or self.replica.raft.unsaved) and self.world.guards.hurried:
+            self.world.send(self.replica.raft.urgent())
+        if self.writing:
             return
         ready = self.replica.ready()
         world = self.world
@@ -167,7 +173,8 @@
             world.restart_later(self)
             return
         self.writing = True
-        world.after(int(world.rng.expovariate(1 / (2 * MS))), self._wrote, ready, self.life)
+        takes = world.rng.expovariate(1 / (world.plan.write_ms * MS))
+        world.after(int(takes), self._wrote, ready, self.life)
 
     def _wrote(self, ready: Ready, life: int) -> None:
         if life != self.life:
--- a/mothstall/store/raft.py
+++ b/mothstall/store/raft.py
@@ -4,7 +4,8 @@
 Ongaro's thesis (2014): pre-vote (9.6), check-quorum and leases of votes (4.2.3), membership by single steps
 (4.1, with the correction that a leader first commits an entry of its own term), read index (6.4), hand-over
 (3.10). The shell calls `ready`, writes what it holds, then calls `written`, sends the messages and applies
-what is committed: nothing is said before what it follows from is on disk.
+what is committed: nothing is said before what it follows from is on disk. While a write is out it sends what
+`urgent` gives: words that follow from what is on disk already.
 """
 
 from __future__ import annotations
@@ -25,6 +26,8 @@
 WINDOW = 1024  # entries that may be on their way to one follower
 MOST_SNAPSHOT = 256 * 1024 * 1024
 ASK_ALL = 5  # elections' time for which a start waits for all others to say what they have seen of it
+MOST_TRIES = 3  # elections lost in a row after which a replica waits no longer before the next
+HURRY = 2  # elections' time for which a replica whose disk is writing says what waits for nothing
 
 
 class Role(Enum):
@@ -94,7 +97,10 @@
         self.role, self.leader = Role.FOLLOWER, ""
         self.commit = self.applied = snapshot.index
         self.stable = self._unsaved = self.log.last  # up to which the log is on disk, and in a `ready`
-        self._hard = hard
+        self._hard = self._kept = hard  # as told to be written, and as known to be on disk
+        self._writes = -1  # ticks since a write began; below 0: none is out
+        self._hurried = 0  # messages that `urgent` has looked at
+        self._images = False  # whether a snapshot is among what is being written
         self._fresh: Snapshot | None = None  # a snapshot taken from the leader, to be written
         self._out: list[Message] = []
         self._answers: list[tuple[int, int]] = []
@@ -102,7 +108,7 @@
         self._votes: dict[str, bool] = {}
         self._reads: list[_Read] = []
         self._round = 0
-        self._elapsed = self._beat = self._limit = 0
+        self._elapsed = self._beat = self._limit = self._tries = 0
         self._to = ""  # whom the leader hands over to
         self._to_left = 0
         self._pieces = bytearray()
@@ -137,6 +143,7 @@
 
     def tick(self) -> None:
         self._elapsed += 1
+        self._writes += self._writes >= 0
         if self.is_leader:
             self._tick_leader()
             return
@@ -217,6 +224,51 @@
         self.log.compact(snapshot, keep)
         return snapshot
 
+    @property
+    def unsaved(self) -> bool:
+        """Whether the next `ready` holds something to write."""
+        hard = Hard(self.term, self.vote, self.standing == Standing.RECOVERING)
+        return hard != self._hard or self._fresh is not None or self._unsaved < self.log.last
+
+    def urgent(self) -> list[Message]:
+        """What may be said before the write that is out, or due, is done; what is left follows later.
+
+        Guards against a slow disk that silences a leader, or hides a follower from it, so that none lasts;
+        for a disk that stands still, no longer than it takes to elect another.
+        """
+        if self._writes > HURRY * self.timing.election:
+            return []
+        found: dict[object, Message] = {}
+        left = self._out[: self._hurried]
+        for i, message in enumerate(self._out[self._hurried :]):
+            safe = self._safe(message)
+            if safe is not None:
+                found[message.to if isinstance(message, m.Append) else i] = safe
+            if safe != message:
+                left.append(message)
+        self._out, self._hurried = left, len(left)
+        return list(found.values())
+
+    def _safe(self, message: Message) -> Message | None:
+        """What of a message follows from the disk as it is; None: nothing."""
+        if isinstance(message, m.VoteAsk | m.VoteAnswer):
+            return message if message.trial else None
+        hard = Hard(self.term, self.vote, self.standing == Standing.RECOVERING)
+        if hard != self._kept or message.term != self.term or self._images or self._fresh:
+            return None
+        if isinstance(message, m.Append) and self.is_leader:
+            # From where the follower surely agrees, so that it never has to say no to what only keeps time.
+            prev = min(self._progress[message.to].match, self.stable)
+            if self.log.term(prev) < 0:
+                return None
+            return msgspec.structs.replace(
+                message, entries=(), prev_index=prev, prev_term=self.log.term(prev),
+                commit=min(message.commit, prev),
+            )  # fmt: skip
+        if isinstance(message, m.AppendAnswer) and message.ok:
+            return msgspec.structs.replace(message, match=min(message.match, self.stable))
+        return None
+
     def ready(self) -> Ready:
         if self._due and self.is_leader:
             self._send_all()
@@ -225,8 +277,10 @@
         found = Ready(hard=hard if hard != self._hard else None, snapshot=self._fresh)
         if self._unsaved < self.log.last:
             found.entries = list(self.log.since(self._unsaved + 1, 1 << 30))
+        self._writes = 0 if found.writes else -1
+        self._images = found.snapshot is not None
         self._hard, self._fresh, self._unsaved = hard, None, self.log.last
-        found.messages, self._out = self._out, []
+        found.messages, self._out, self._hurried = self._out, [], 0
         found.reads, self._answers = self._answers, []
         if self.applied < self.commit:
             found.committed = [e for e in self.log.since(self.applied + 1, 1 << 30) if e.index <= self.commit]
@@ -235,6 +289,7 @@
 
     def written(self, ready: Ready) -> None:
         """What a `ready` held is on disk."""
+        self._writes, self._images, self._kept = -1, False, ready.hard or self._kept
         if ready.snapshot:
             self.stable = max(self.stable, ready.snapshot.index)
         if ready.entries and self.log.term(ready.entries[-1].index) == ready.entries[-1].term:
@@ -283,8 +338,10 @@
         return self.name in self.members.voters and self.standing == Standing.SOUND
 
     def _draw(self) -> None:
+        """Guards against disks so slow that no election ends before the next begins: each takes longer."""
         self._elapsed = 0
-        self._limit = self.timing.election + self._rng.randrange(self.timing.election)
+        longer = 1 << min(self._tries, MOST_TRIES)
+        self._limit = longer * (self.timing.election + self._rng.randrange(self.timing.election))
 
     def _term_allows(self, message: Message) -> bool:
         if isinstance(message, m.VoteAnswer) and message.trial:
@@ -316,6 +373,7 @@
             self.role = Role.TRIAL
         else:
             self.role, self.term, self.vote = Role.CANDIDATE, self.term + 1, self.name
+            self._tries += 1
             self._draw()
         if self._counted():
             return
@@ -369,7 +427,7 @@
         self.role, self.leader, self._to = Role.LEADER, self.name, ""
         self._progress = {name: Progress(next=self.log.last + 1, active=True) for name in self.members.all}
         self._progress[self.name].match = self.stable
-        self._reads, self._elapsed, self._beat = [], 0, 0
+        self._reads, self._elapsed, self._beat, self._tries = [], 0, 0, 0
         self._append(EntryKind.EMPTY, b"")
         self._send_all(heartbeat=True)  # its place is known to nobody yet: not only with the next tick
         self._due = False
@@ -589,7 +647,7 @@
         self._out.append(self._append_answer(message.sender, True, prev, match, message.round))
 
     def _heed(self, leader: str) -> None:
-        self.role, self.leader, self._elapsed = Role.FOLLOWER, leader, 0
+        self.role, self.leader, self._elapsed, self._tries = Role.FOLLOWER, leader, 0, 0
 
     def _settle(self) -> None:
         """A replica that lost promises stands again once it is a learner by a committed word."""
--- a/tests/store/test_raft.py
+++ b/tests/store/test_raft.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Iterable
+from dataclasses import replace
 
 import pytest
 
@@ -41,7 +43,7 @@
     (Guards(token_on_apply=False), {"kinds": ("owner", "crash", "pause")}, 60, "a write with token"),
     (Guards(fence=False), {}, 4, "effect of"),
     (Guards(from_sending=False), {}, 60, "both act"),
-    (Guards(asks_first=False), {"kinds": ("old disk", "both ways")}, (77, 103, 105), "leader completeness"),
+    (Guards(asks_first=False), {"kinds": ("old disk", "both ways")}, (1, 37, 43), "leader completeness"),
 ]
 
 
@@ -58,6 +60,44 @@
     pytest.fail(f"no seed of {seeds} shows it")
 
 
+def test_a_slow_disk_silences_no_leader() -> None:
+    """Found by rounds of processes beside a busy disk: seven elections in as many seconds, and no leader."""
+
+    def elections(seed: int, hurried: bool) -> int:
+        guards = Guards(hurried=hurried)
+        plan = Plan(seed, seconds=10.0, loss=0.0, doubled=0.0, crash_odds=0.0, guards=guards)
+        world = replicas.World(replace(plan, faults_every=1e9, write_ms=50.0))
+        with contextlib.suppress(Breach):  # without a leader at the end
+            world.play()
+        return world.elections
+
+    assert [elections(seed, True) for seed in (1, 2, 3)] == [1, 1, 1]
+    assert sum(elections(seed, False) for seed in (1, 2, 3)) >= 6
+
+
+def test_what_is_said_during_a_write_follows_from_the_disk_alone() -> None:
+    lead = _one("k1", Hard(3))
+    _elected(lead)
+    lead.urgent()
+    ready = lead.ready()  # its first entry is being written
+    assert ready.writes and not lead.urgent()
+    for _ in range(lead.timing.heartbeat):
+        lead.tick()
+    beats = [x for x in lead.urgent() if isinstance(x, m.Append)]
+    assert {x.to for x in beats} == {"k2", "k3"} and all(x.entries == () and x.commit == 0 for x in beats)
+    for _ in range(2 * lead.timing.election + 1):
+        lead._writes += 1
+    lead._out.append(beats[0])
+    assert lead.urgent() == [], "a disk that stands still ends its lead"
+    voter = _one("k2", Hard(3))
+    voter.step(m.VoteAsk(sender="k1", to="k2", term=4, last_index=9, last_term=3, trial=False))
+    assert voter.unsaved and voter.urgent() == [], "a vote waits for its write"
+    assert [type(x) for x in _settle(voter)] == [m.VoteAnswer]
+    voter.step(_append(4, (0, 0), (Entry(1, 4, EntryKind.PLAIN, b"a"),), 0))
+    said = voter.urgent()
+    assert [x.match for x in said if isinstance(x, m.AppendAnswer)] == [0], "what is not on disk is not held"
+
+
 def _one(name: str, hard: Hard, entries: Iterable[Entry] = ()) -> Raft:
     made = Raft(name, Timing(10, 2), 1, hard, Snapshot(0, 0, Members(VOTERS), b""), list(entries))
     made.standing = Standing.SOUND
