--- a/mothstall/cli.py
+++ b/mothstall/cli.py
@@ -27,6 +27,7 @@
     "undrain": ("mothstall.operate", "requirements-fleet.txt"),
     "drains": ("mothstall.operate", "requirements-fleet.txt"),
     "members": ("mothstall.operate", "requirements-fleet.txt"),
+    "zones": ("mothstall.operate", "requirements-fleet.txt"),
 }
 
 
@@ -49,6 +50,7 @@
         ("undrain", "take a drain back"),
         ("drains", "what is drained, by whom, since when, why"),
         ("members", "the proxies that live"),
+        ("zones", "where traffic may go between zones, why, and operators' word on it"),
     ):
         commands.add_parser(name, help=what, add_help=False)
     return parser
--- a/mothstall/fleet/failover.py
+++ b/mothstall/fleet/failover.py
@@ -153,11 +153,11 @@
     pairs, why = _pairs(seen, last, usual, terms, zones, passed_ms)
     why += [f"{zone}: {part:.0%} away, told by {orders.who}" for zone, part in sorted(orders.away.items())]
     why += [f"{zone} is cut off" for zone in sorted(seen.cut_off)]
-    room = {zone: _room(zone, seen, bears, terms) for zone in zones}
-    made = _place(seen, usual, pairs, room, terms, orders, zones)
+    bear = {zone: room(zone, seen, bears, terms) for zone in zones}
+    made = _place(seen, usual, pairs, bear, terms, orders, zones)
     plan = Plan(
         last.number + 1, made.parts, made.stays, pairs, usual, bears, made.load,
-        {zone: round(x, 1) for zone, x in room.items() if math.isfinite(x)}, tuple(why[:20]),
+        {zone: round(x, 1) for zone, x in bear.items() if math.isfinite(x)}, tuple(why[:20]),
         orders=orders.number,
     )  # fmt: skip
     refused = unsound(plan) or _refused(plan, last, seen, zones)
@@ -184,7 +184,7 @@
     return found
 
 
-def _room(zone: str, seen: Evidence, bears: Mapping[str, float], terms: Terms) -> float:
+def room(zone: str, seen: Evidence, bears: Mapping[str, float], terms: Terms) -> float:
     """Requests a second that a zone bears; 0 where nothing is warm."""
     warm = seen.warm.get(zone, 0.0)
     if not terms.sized:
@@ -306,7 +306,7 @@
             # What fits nowhere stays on a zone that still serves most of it, else it is refused.
             for zone, part in usual[origin].items():
                 share = part * (1.0 - allowed(origin, zone)) * asked
-                if share > 0 and seen.quality(origin, zone) >= KEEP_WORTH and not orders.away.get(zone):
+                if share > 0 and seen.quality(origin, zone) >= KEEP_WORTH:
                     back = min(left[origin], share, max(0.0, room[zone] - found.load.get(zone, 0.0)))
                     kept[origin][zone] = kept[origin].get(zone, 0.0) + back
                     left[origin] -= back
--- /dev/null
+++ b/mothstall/fleet/zones.py
@@ -0,0 +1,196 @@
+"""What operators ask and say of zones: where traffic may go, what proxies report now, their word on it.
+
+The evidence shown is weighed here, from reports as they come in, by the code that the plan's maker uses; so
+`--dry-run` tells what an order would do before anybody is told.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import re
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from mothstall.fleet import failover
+from mothstall.fleet.client import Store
+from mothstall.fleet.evidence import Board, Evidence, read_report, weigh
+from mothstall.fleet.failover import Orders, Plan
+from mothstall.fleet.operator import Operator, OperatorError
+from mothstall.fleet.pilot import terms
+from mothstall.spans import span
+from mothstall.store import state as st
+
+WORD = "zones/operator"  # the lease under which an operator's word is written: one at a time
+WORD_MS = 5000
+MS = 1_000_000
+_PART = re.compile(r"(\d{1,3})%")
+
+
+class Refused(Exception):
+    """An operator's word was not taken; the message is the reason."""
+
+
+@dataclass(slots=True, frozen=True)
+class Word:
+    """What an operator says: show, shift, evacuate, hold or resume (a zone, or the end of a hold)."""
+
+    verb: str = "show"
+    zone: str = ""  # to evacuate, or to resume
+    of: str = ""  # to shift from
+    part: str = ""
+    lasts: str = "10m"  # to hold
+    dry_run: bool = False
+    who: str = ""
+    why: str = ""
+    wait: float = 5.0
+
+
+def _wanted(args: Word, old: Orders) -> Orders:
+    """The orders after this word; OperatorError where it cannot be."""
+    away, hold_ms = dict(old.away), old.hold_ms
+    if args.verb == "shift":
+        part = _PART.fullmatch(args.part)
+        if not args.of or not part or int(part[1]) > 100:
+            raise OperatorError("zones shift wants --from ZONE and --part 0% to 100%")
+        away[args.of] = int(part[1]) / 100
+    elif args.verb == "evacuate":
+        if not args.zone:
+            raise OperatorError("zones evacuate wants a zone")
+        away[args.zone] = 1.0
+    elif args.verb == "hold":
+        try:
+            hold_ms = span(args.lasts) // MS
+        except ValueError as why:
+            raise OperatorError(f"--for {why}") from why
+        if not 0 < hold_ms <= 24 * 3_600_000:
+            raise OperatorError("--for is above 0 and a day at most")
+    elif args.zone:
+        away.pop(args.zone, None)
+    else:
+        hold_ms = 0
+    away = {zone: part for zone, part in away.items() if part > 0}
+    return Orders(away, hold_ms, old.number + 1, args.who, args.why)
+
+
+def _read(delta: st.Delta) -> tuple[Plan, Orders]:
+    plan, orders = delta.entries.get(failover.PLAN), delta.entries.get(failover.ORDERS)
+    return (
+        (failover.read_plan(plan.value) if plan else None) or Plan(),
+        (failover.read_orders(orders.value) if orders else None) or Orders(),
+    )
+
+
+async def _look(operator: Operator, store: Store, board: Board, plan: Plan) -> Evidence:
+    """Listens for as long as every proxy takes to report once, and half as long again."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(1.5 * operator.failover.every / 1e9)
+    return weigh(board.reports(int(loop.time() * 1000)), plan.number)
+
+
+async def run(operator: Operator, args: Word) -> Any:
+    """OperatorError for what cannot be meant, Refused, NoContact where nobody answers."""
+    loop = asyncio.get_running_loop()
+    board = Board(operator.failover.stale // MS)
+
+    def heard(rows: tuple[bytes, ...]) -> None:
+        for data in rows:
+            if report := read_report(data):
+                board.take(report, int(loop.time() * 1000))
+
+    store = Store(operator, f"zones-{args.who}", "tool", loop=loop, heard=heard)
+    store.listen(True)
+    try:
+        delta = await store.read(args.wait, patient=False)
+        plan, orders = _read(delta)
+        if args.verb != "show":
+            orders = _wanted(args, orders)
+        seen = await _look(operator, store, board, plan)
+        known = {*seen.zones, *plan.usual}
+        for zone in (args.of, args.zone):
+            if zone and zone not in known:
+                raise OperatorError(f"no proxy reports of {zone}; of {', '.join(sorted(known)) or 'none'}")
+        if args.verb == "show":
+            return _shown(operator, seen, plan, orders, delta)
+        free = msgspec.structs.replace(plan, held_ms=0, orders=orders.number)
+        made = failover.decide(
+            seen, free, terms(operator), msgspec.structs.replace(orders, hold_ms=0), 0
+        )  # fmt: skip
+        tree = _effect(seen, plan, made)
+        if args.dry_run:
+            return {"said": "nothing", **tree}
+        await _write(store, args, orders)
+        return {"said": _told(orders), **tree}
+    finally:
+        await store.close()
+
+
+async def _write(store: Store, args: Word, orders: Orders) -> None:
+    owner = f"{args.who}#{store.name}"
+    taken = await store.change(st.Take(WORD, owner, WORD_MS), args.wait, patient=False)
+    if taken.refused:
+        raise Refused(f"another operator speaks just now: {taken.refused}")
+    data = msgspec.msgpack.encode(orders)
+    row = st.Write(WORD, taken.token, failover.ORDERS, data)
+    done = await store.change(row, args.wait, patient=False)
+    await store.change(st.Drop(WORD, taken.token), args.wait, patient=False)
+    if done.refused:
+        raise Refused(done.refused)
+
+
+def _told(orders: Orders) -> str:
+    rows = [f"{part:.0%} away from {zone}" for zone, part in sorted(orders.away.items())]
+    rows += [f"hold for {orders.hold_ms / 1000:g} s"] if orders.hold_ms else []
+    return "; ".join(rows) or "nothing is asked for any more"
+
+
+def _loads(seen: Evidence, plan: Plan) -> dict[str, float]:
+    """Requests a second at each zone, by the plan, or as they go by themselves."""
+    found: dict[str, float] = {}
+    for origin, asked in seen.asked.items():
+        for zone, part in (plan.parts.get(origin) or plan.usual.get(origin, {origin: 1.0})).items():
+            found[zone] = found.get(zone, 0.0) + asked * part
+    return found
+
+
+def _effect(seen: Evidence, plan: Plan, made: failover.Next) -> dict[str, Any]:
+    now, then = _loads(seen, plan), _loads(seen, made.plan)
+    refused = sum(seen.asked.get(origin, 0.0) * part for origin, part in made.plan.stays.items())
+    return {
+        "zones": [
+            {
+                "zone": zone, "load_now": round(now.get(zone, 0.0), 1),
+                "load_then": round(then.get(zone, 0.0), 1),
+                "bears": made.plan.room.get(zone, plan.room.get(zone, "-")),
+            }
+            for zone in sorted({*now, *then})
+        ],
+        "turned_away_per_s": round(refused, 1), "refused": made.refused,
+    }  # fmt: skip
+
+
+def _shown(
+    operator: Operator, seen: Evidence, plan: Plan, orders: Orders, delta: st.Delta
+) -> dict[str, Any]:
+    owner = delta.leases.get(failover.OWNER)
+    room = {zone: failover.room(zone, seen, plan.bears, terms(operator)) for zone in seen.zones}
+    return {
+        "plan": plan.number, "decided_by": owner.owner.partition("#")[0] if owner else "nobody",
+        "token": owner.token if owner else 0, "orders": _told(orders),
+        "held_s": plan.held_ms / 1000, "reports": sum(seen.proxies.values()), "why": list(plan.why),
+        "zones": [
+            {
+                "zone": zone, "proxies": seen.proxies.get(zone, 0),
+                "asked_per_s": round(seen.asked.get(zone, 0.0), 1),
+                "warm": round(seen.warm.get(zone, 0.0), 2),
+                "bears": round(room[zone], 1) if math.isfinite(room[zone]) else "-",
+                "ill": {o: round(rows[zone].ill, 2) for o, rows in seen.opinions.items() if zone in rows},
+                "goes_to": {z: round(x, 3) for z, x in plan.parts.get(zone, {}).items()} or "free",
+                "stays": round(plan.stays.get(zone, 0.0), 3),
+                "on_plan": round(seen.settled.get(zone, 0.0), 2),
+            }
+            for zone in seen.zones
+        ],
+    }  # fmt: skip
--- a/mothstall/lab/fleet.py
+++ b/mothstall/lab/fleet.py
@@ -124,16 +124,18 @@
 
 
 class Say(_Fault, tag="say", kw_only=True, frozen=True):
-    """An operator's call: drain, undrain (a box; with `to`, at that proxy), seize, transfer, remove, add."""
+    """An operator's call: drain, undrain (a box; with `to`, at that proxy), seize, transfer, remove, add;
+    evacuate or resume (a zone), hold (the plan, for a minute)."""
 
     word: str
-    name_of: str = ""  # the box, the lease or the keeper
+    name_of: str = ""  # the box, the lease, the keeper or the zone
     to: str = ""
     fails: bool = False  # whether it has to be refused, or find nobody
 
 
 Fault = Stop | Kill | Cut | Delay | Throttle | Reset | Disk | OldDisk | Flip | Ill | Slow | Say
-WORDS = ("drain", "undrain", "seize", "transfer", "remove", "add")
+ZONE_WORDS = ("evacuate", "resume", "hold")
+WORDS = ("drain", "undrain", "seize", "transfer", "remove", "add", *ZONE_WORDS)
 
 
 class Expects(_Part, frozen=True):
@@ -151,8 +153,9 @@
     # stays as near as before; 0: any.
     shifted_within: Span = span("0s")
     back_within: Span = span("0s")
-    plans: int = 0  # that were put out, by the store
-    refused_part: float = 1.0  # of clients' requests that may be refused or fail over the whole run
+    plans: int = 0  # that were put out, by the store, at least
+    most_plans: int = 100  # and at most: 0, where no zone is to blame
+    crossing: float = 0.0  # part that has to cross zones while the trouble lasts
 
 
 class Fleet(_Part, kw_only=True, frozen=True):
--- a/mothstall/lab/zonejudge.py
+++ b/mothstall/lab/zonejudge.py
@@ -81,6 +81,8 @@
         found.append(("zone pushed", began, what))
     if plan < s.expects.plans:
         found.append(("shown", s.seconds, f"{plan} plans were put out, {s.expects.plans} expected"))
+    if plan > s.expects.most_plans:
+        found.append(("shown", s.seconds, f"{plan} plans were put out, {s.expects.most_plans} at most"))
     if trouble is None:
         figures["crossing"] = round(_crossing(s, seen, 0.0, s.seconds), 4)
         return found, figures
@@ -102,6 +104,9 @@
     figures["crossing_before"] = round(crossed, 4)
     figures["crossing_in"] = round(_crossing(s, seen, since, until), 4)
     figures["crossing_after"] = round(_crossing(s, seen, max(until, s.seconds - 3.0), s.seconds), 4)
+    if figures["crossing_in"] < s.expects.crossing:
+        what = f"{figures['crossing_in']:.2f} crossed in trouble, {s.expects.crossing:g} expected"
+        found.append(("shown", since, what))
     good = [row for row in seen.asked if since <= row.at < until]
     figures["served_in"] = round(
         sum(r.status == 200 and r.took_s <= GOOD_S for r in good) / max(1, len(good)), 4
--- a/mothstall/operate.py
+++ b/mothstall/operate.py
@@ -22,6 +22,8 @@
 from mothstall.fleet import duties
 from mothstall.fleet.client import NoContact, Store, say
 from mothstall.fleet.operator import Operator, OperatorError, read
+from mothstall.fleet.zones import Refused, Word
+from mothstall.fleet.zones import run as zones_run
 from mothstall.store import calls, log
 from mothstall.store import state as st
 from mothstall.store.messages import Hard, Members, Snapshot
@@ -32,10 +34,6 @@
 WAIT_S = 5.0
 
 
-class Refused(Exception):
-    """The store said no; the message is its reason."""
-
-
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="mothstall", epilog=EPILOG)
     groups = parser.add_subparsers(dest="group", required=True)
@@ -76,6 +74,18 @@
         _blame(row, needs_why=name == "drain")
     add(groups, "drains", "what is drained, by whom, since when and why")
     add(groups, "members", "the proxies that live, by their leases")
+    zones = add(groups, "zones", "where traffic may go between zones, why, and operators' word on it")
+    zones.add_argument(
+        "verb", nargs="?", choices=("show", "shift", "evacuate", "hold", "resume"), default="show",
+        help="show (default); shift a part away; evacuate all; hold the plan as it is; resume: end a hold, "
+        "or what was said of a zone",
+    )  # fmt: skip
+    zones.add_argument("zone", nargs="?", default="", help="to evacuate, or to resume")
+    zones.add_argument("--from", dest="of", default="", metavar="ZONE", help="to shift from")
+    zones.add_argument("--part", default="", metavar="N%", help="how much to shift, 0%% to 100%%")
+    zones.add_argument("--for", dest="lasts", default="10m", metavar="SPAN", help="to hold; default: 10m")
+    zones.add_argument("--dry-run", action="store_true", help="show what the plan would do, say nothing")
+    _blame(zones, needs_why=False)
 
     keepers = groups.add_parser("keepers", help="the store's replicas", epilog=EPILOG)
     verbs = keepers.add_subparsers(dest="verb", required=True)
@@ -110,7 +120,7 @@
         operator.key()
         if args.group == "keeper":
             return _keeper(operator, args)
-        verb = f"{args.group} {args.verb}" if "verb" in args else args.group
+        verb = f"{args.group} {args.verb}" if "verb" in args and args.group != "zones" else args.group
         found = _COMMANDS[verb](operator, args)
         tree = asyncio.run(found) if asyncio.iscoroutine(found) else found
     except (OperatorError, ValueError) as why:
@@ -142,7 +152,9 @@
 def _text(tree: Any) -> str:
     """Rows as aligned columns, a mapping as lines, all else as it is."""
     if isinstance(tree, dict):
-        return "\n".join(f"{key}: {_cell(value)}" for key, value in tree.items())
+        tables = {k: v for k, v in tree.items() if isinstance(v, list) and v and isinstance(v[0], dict)}
+        lines = [f"{key}: {_cell(value)}" for key, value in tree.items() if key not in tables]
+        return "\n".join([*lines, *(_text(rows) for rows in tables.values())])
     if not isinstance(tree, list):
         return str(tree)
     if not tree:
@@ -254,6 +266,10 @@
     ]  # fmt: skip
 
 
+async def _zones(operator: Operator, args: argparse.Namespace) -> Any:
+    return await zones_run(operator, Word(**{key: getattr(args, key) for key in Word.__slots__}))
+
+
 # Words about the keepers
 
 
@@ -361,7 +377,8 @@
 
 _COMMANDS: dict[str, Callable[[Operator, argparse.Namespace], Any]] = {
     "lease list": _lease_list, "lease take": _lease_take, "lease drop": _lease_drop, "drain": _drain,
-    "undrain": _undrain, "drains": _drains, "members": _members, "keepers status": _status,
+    "undrain": _undrain, "drains": _drains, "members": _members, "zones": _zones,
+    "keepers status": _status,
     "keepers add": _to_leader, "keepers remove": _to_leader, "keepers transfer": _to_leader,
     "keepers backup": _backup, "keepers restore": _restore, "keepers verify": _verify, "keepers dump": _dump,
 }  # fmt: skip
