--- a/mothstall/fleet/failover.py
+++ b/mothstall/fleet/failover.py
@@ -26,12 +26,14 @@
 STEPS = (0.05, 0.15, 0.4, 1.0)  # parts that come back, one after the other
 MOST_TRIES = 5  # after so many failed returns the wait doubles no further
 GROW = 1.25  # a zone of unknown capacity bears so much more than it was seen to
+BUSY = 0.2  # boxes less busy than this tell nothing of what a zone bears
+BEARS_GAIN = 0.2  # weight of a look in what a zone bears, as its boxes tell
 FADE = 0.0005  # of what a zone was seen to bear that is forgotten in a second
 FINE = 0.9  # part that goes well where a rate counts as borne
 USUAL = 0.1  # weight of a look in the usual parts
 KEEP_WORTH = 0.5  # what fits nowhere stays on an ill zone that serves at least this part, else is refused
 HURRY = 0.05  # part turned away from which on a return goes twice as quickly
-CHANGE = 0.02  # a plan that differs by less is not made anew
+CHANGE, LEAST = 0.02, 0.002  # a plan that differs by less is not made anew; a part that is one
 ONE_ZONE = 0.9  # of all traffic, onto one of three zones or more, is no plan
 
 
@@ -76,7 +78,7 @@
 
     regions: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
     near: Mapping[str, tuple[str, ...]] = field(default_factory=dict)  # of a region, others in order
-    reserve: float = 0.1
+    reserve: float = 0.05
     bears: float = 0.0  # requests a second for one weight of boxes; 0: as seen
     step_ms: int = 2000
     wait_ms: int = 2000
@@ -177,6 +179,10 @@
         rate = sum(rows.get(zone, 0.0) for rows in seen.rate.values())
         if warm <= 0 or rate <= 0:
             continue
+        if (util := seen.util.get(zone, 0.0)) >= BUSY:
+            known = found.get(zone, rate / util / warm)
+            found[zone] = round(known + BEARS_GAIN * (rate / util / warm - known), 4)
+            continue
         rows = [rows[zone] for rows in seen.opinions.values() if zone in rows]
         total = sum(row.seen for row in rows)
         if total and sum(row.bad for row in rows) <= (1 - FINE) * total:
@@ -192,10 +198,12 @@
         return math.inf
     if terms.bears:
         return terms.bears * warm
-    rate = sum(rows.get(zone, 0.0) for rows in seen.rate.values())
-    if (util := seen.util.get(zone, 0.0)) >= 0.05:
-        return rate / util
-    return GROW * bears.get(zone, 0.0) * warm
+    return (1.0 if _tell(seen) else GROW) * bears.get(zone, 0.0) * warm
+
+
+def _tell(seen: Evidence) -> bool:
+    """Whether boxes tell how busy they are."""
+    return any(util > 0.0 for util in seen.util.values())
 
 
 def _usual(seen: Evidence, last: Plan, zones: list[str]) -> dict[str, dict[str, float]]:
@@ -230,7 +238,8 @@
             ill = seen.ill(origin, zone)
             # Where requests are turned away for want of room, a return is worth more than its care.
             hurry = 2 if last.stays.get(origin, 0.0) > HURRY else 1
-            now = _step(old, ill, seen, origin, zone, terms, passed_ms, hurry)
+            rate = sum(seen.rate.get(origin, {}).values()) * usual.get(origin, {}).get(zone, 0.0)
+            now = _step(old, ill, seen, origin, zone, terms, passed_ms, hurry, rate)
             if ill > TROUBLE:
                 why.append(f"{zone} is {ill:.0%} ill from {origin}")
             if now.allowed < 1.0 or now.for_ms < terms.calm_ms:
@@ -239,8 +248,10 @@
 
 
 def _step(
-    old: Pair, ill: float, seen: Evidence, origin: str, zone: str, terms: Terms, passed_ms: int, hurry: int
-) -> Pair:
+    old: Pair, ill: float, seen: Evidence, origin: str, zone: str, terms: Terms, passed_ms: int, hurry: int,
+    rate: float,
+) -> Pair:  # fmt: skip
+    """`rate`: attempts a second that would usually go that way."""
     if ill > TROUBLE:
         # A pair that was well, or on its way back, has failed once more; one that goes on failing has not.
         going_on = old.allowed < 1.0 and not old.rising
@@ -258,7 +269,7 @@
     # A step is judged by what was served under it: by proxies on the plan, in numbers that say something.
     judged = seen.seen(origin, zone) and seen.settled.get(origin, 0.0) >= 0.5
     step_ms = terms.step_ms // hurry
-    few = 0 < old.allowed * sum(seen.rate.get(origin, {}).values()) * step_ms / 1000 < LEAST_SEEN
+    few = old.allowed * rate * step_ms / 1000 < 2 * LEAST_SEEN
     if waited < step_ms or not (judged or (few and waited >= 2 * step_ms)):
         return Pair(old.allowed, old.tries, waited, old.rising)
     return Pair(next((step for step in STEPS if step > old.allowed + 1e-9), 1.0), old.tries, 0, True)
@@ -288,7 +299,7 @@
         want[origin] = asked - sum(kept[origin].values())
     load = {zone: sum(row.get(zone, 0.0) for row in kept.values()) for zone in zones}
     for zone in zones:
-        known = terms.bears > 0.0 or seen.util.get(zone, 0.0) >= 0.05 or room[zone] == 0.0
+        known = terms.bears > 0.0 or _tell(seen) or room[zone] == 0.0
         if load[zone] <= room[zone] or not known:
             continue  # what was only seen to be borne says nothing against what is there already
         over = 1.0 - room[zone] / load[zone]
@@ -358,12 +369,18 @@
     return ""
 
 
+def _apart(one: float, other: float) -> bool:
+    """Whether two parts differ by enough. Guards against first steps of a return that nobody is told of."""
+    low, high = min(one, other), max(one, other)
+    return high - low > CHANGE or (high > LEAST and high > 1.9 * low)
+
+
 def _differs(plan: Plan, last: Plan) -> bool:
     if set(plan.parts) != set(last.parts):
         return True
     for origin, row in plan.parts.items():
         old = last.parts[origin]
-        if any(abs(row.get(z, 0.0) - old.get(z, 0.0)) > CHANGE for z in {*row, *old}):
+        if any(_apart(row.get(z, 0.0), old.get(z, 0.0)) for z in {*row, *old}):
             return True
         if abs(plan.stays.get(origin, 0.0) - last.stays.get(origin, 0.0)) > CHANGE:
             return True
--- a/mothstall/fleet/operator.py
+++ b/mothstall/fleet/operator.py
@@ -93,7 +93,7 @@
     step: Span = span("2s")  # between two steps of a return
     wait: Span = span("2s")  # before a return is tried; doubles with each that failed
     calm: Span = span("30s")  # after which what was is forgotten
-    reserve: float = 0.1  # of what a zone bears, kept free of what is moved there
+    reserve: float = 0.05  # of what a zone bears, kept free of what is moved there
     bears: float = 0.0  # requests a second for one weight of boxes; 0: as seen
 
 
