zones shows what zones bear by what is reported now, also before there is a plan

Symptom: test_operate, `bears` was 0 where no plan stood yet. Cause: zones read the plan's memory in place of measuring (zones._shown). Change: the same measuring as the maker's. Measured: test_operate and all tests without processes pass.

--- a/mothstall/fleet/failover.py
+++ b/mothstall/fleet/failover.py
@@ -151,7 +151,7 @@
     if held_ms:
         kept = msgspec.structs.replace(last, held_ms=held_ms, orders=orders.number)
         return Next(kept, False, "held")
-    bears = _bears(seen, last, passed_ms)
+    bears = measured(seen, last, passed_ms)
     usual = _usual(seen, last, zones)
     pairs, why = _pairs(seen, last, usual, terms, zones, passed_ms)
     why += [f"{zone}: {part:.0%} away, told by {orders.who}" for zone, part in sorted(orders.away.items())]
@@ -172,7 +172,7 @@
     return Next(plan, True)
 
 
-def _bears(seen: Evidence, last: Plan, passed_ms: int) -> dict[str, float]:
+def measured(seen: Evidence, last: Plan, passed_ms: int) -> dict[str, float]:
     """What each weight of warm boxes was seen to bear; boxes that tell how busy they are say more."""
     found = dict(last.bears)
     for zone, warm in seen.warm.items():
--- a/mothstall/fleet/zones.py
+++ b/mothstall/fleet/zones.py
@@ -175,7 +175,8 @@
     operator: Operator, seen: Evidence, plan: Plan, orders: Orders, delta: st.Delta
 ) -> dict[str, Any]:
     owner = delta.leases.get(failover.OWNER)
-    room = {zone: failover.room(zone, seen, plan.bears, terms(operator)) for zone in seen.zones}
+    bears = failover.measured(seen, plan, 0)
+    room = {zone: failover.room(zone, seen, bears, terms(operator)) for zone in seen.zones}
     return {
         "plan": plan.number, "decided_by": owner.owner.partition("#")[0] if owner else "nobody",
         "token": owner.token if owner else 0, "orders": _told(orders),
