A new maker of plans waits until it knows the last one's plan

Change: it decides only from the version of the state at which the lease was granted on (Agent._own).

--- a/mothstall/fleet/agent.py
+++ b/mothstall/fleet/agent.py
@@ -90,6 +90,7 @@
         self.counts = dict.fromkeys(COUNTS, 0)
         self._handed: dict[str, int] = {}  # in the store from this version on
         self._probing = probes and operator.probing.on
+        self._since: dict[str, int] = {}  # versions of the state at which leases were taken
         self._hints: dict[str, int] = {}  # tokens of the hints that were passed on
         self._changed = changed
         self._store: Store | None = None
@@ -281,6 +282,7 @@
         if result.refused:
             return False
         self.holder.granted(name, result.token, sent, time.monotonic_ns())
+        self._since[name] = result.version
         log.info("lease taken", extra={"kv": {"lease": name, "token": result.token}})
         return True
 
@@ -327,6 +329,10 @@
             await self._take(store, name)
         token = self.holder.token(name, time.monotonic_ns())
         store.listen(bool(token))
+        if token and self.view.version < self._since.get(name, 0):
+            # Guards against a maker that goes on from a plan older than the last one's: what it holds of the
+            # state is older than its own lease, and its keeper will tell it the rest.
+            return
         write = pilot.own(token, self.view, time.monotonic_ns() // MS, _refused)
         if write is None:
             return
--- a/tests/fleet/test_failover.py
+++ b/tests/fleet/test_failover.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import math
+import time
 from typing import Any
 
 import msgspec
@@ -12,11 +14,15 @@
 from hypothesis import strategies as some
 
 from mothstall.fleet import failover
-from mothstall.fleet.course import Helm
+from mothstall.fleet.agent import Agent
+from mothstall.fleet.course import Course, Helm
 from mothstall.fleet.evidence import Board, Report, Row, read_report, weigh
 from mothstall.fleet.failover import Orders, Pair, Plan, Terms, decide
+from mothstall.fleet.operator import from_tree
 from mothstall.fleet.sums import Sums
+from mothstall.fleet.view import View
 from mothstall.interface import Result
+from mothstall.store import state as st
 
 ZONES = ("a", "b", "c")
 TERMS = Terms(reserve=0.1, regions={"r1": ("a", "b"), "r2": ("c",)}, near={"r1": ("r2",)}, bears=10.0)
@@ -296,3 +302,63 @@
 def test_pairs_that_are_well_are_forgotten() -> None:
     plan = msgspec.structs.replace(DAY, pairs={"a>a": Pair(1.0, 3, 29_500)})
     assert _plan(_fleet(HOME), plan).pairs == {}
+
+
+def test_a_new_maker_waits_until_it_knows_the_last_ones_plan() -> None:
+    class Keepers:
+        """Grants the lease at version 9, and takes what is written."""
+
+        def __init__(self) -> None:
+            self.written: list[st.Change] = []
+
+        async def change(self, change: st.Change, wait_s: float) -> st.Result:
+            self.written.append(change)
+            return st.Result(token=4, version=9)
+
+        def listen(self, on: bool) -> None: ...
+
+    class Seat:
+        def warm(self) -> dict[str, float]:
+            return {"a": 10.0}
+
+        def totals(self) -> tuple[int, int]:
+            return 0, 0
+
+        def steer(self, course: Course, lasts_ms: int) -> None: ...
+
+    def view(version: int, number: int) -> View:
+        lease = st.Lease("member/p1", "p1#1", 2000, 1)
+        plan = st.Written(failover.PLAN, msgspec.msgpack.encode(Plan(number)), failover.OWNER, 3)
+        found = View().after(st.Delta(0, version, {lease.name: lease}, {}, {failover.PLAN: plan}))
+        assert found is not None
+        return found
+
+    async def play() -> None:
+        tree = {
+            "cluster": "c", "zone": "a", "keepers": [{"name": "k1", "address": "127.0.0.1:1"}],
+            "failover": {"on": True, "every": "100ms"},
+        }  # fmt: skip
+        loop = asyncio.get_running_loop()
+        agent = Agent(from_tree(tree), "p1", loop=loop, changed=lambda: None, seat=Seat(), classes=["x"])
+        keepers: Any = Keepers()
+        pilot = agent.pilot
+        assert pilot is not None
+        agent.view = view(8, 6)
+        pilot.seen(agent.view, 0)
+        rows = tuple(msgspec.msgpack.encode(_report(f"p{i}", "a", {"a": WELL})) for i in range(3))
+        for _ in range(4):
+            pilot.heard(rows, time.monotonic_ns() // 1_000_000)
+            await agent._own(pilot, keepers)
+            await asyncio.sleep(0.11)
+        assert [type(c) for c in keepers.written] == [st.Take], "plan 7 is not known here yet"
+        agent.view = view(9, 7)
+        pilot.seen(agent.view, 0)
+        for _ in range(3):
+            pilot.heard(rows, time.monotonic_ns() // 1_000_000)
+            await agent._own(pilot, keepers)
+            await asyncio.sleep(0.11)
+        write = keepers.written[1]
+        assert isinstance(write, st.Write) and write.token == 4
+        assert msgspec.msgpack.decode(write.value or b"", type=Plan).number >= 7
+
+    asyncio.run(play())
