--- /dev/null
+++ b/mothstall/lab/fleetbench.py
@@ -0,0 +1,294 @@
+"""What keepers and agents cost and bear: commits, catch-up, memory, a crowd of agents, the path beside them.
+
+Keepers are processes; callers and agents live in this one. Figures are of this machine, over loopback and its
+disk; `lab fleet run` measures how soon an owner is replaced.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import statistics
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from mothstall.fleet.agent import Agent
+from mothstall.fleet.client import NoContact, Store
+from mothstall.fleet.operator import Operator, from_tree
+from mothstall.lab import bench
+from mothstall.lab.ledger import Unfinished
+from mothstall.lab.process import KeeperProcess
+from mothstall.store import state as st
+
+CALLERS = 16  # at once
+WAIT_S = 60.0
+Say = Callable[[str], object]
+
+
+def _free_ports(count: int) -> list[int]:
+    socks = [socket.socket() for _ in range(count)]
+    try:
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in socks]
+    finally:
+        for sock in socks:
+            sock.close()
+
+
+class Keepers:
+    """Three keepers in a folder, direct connections between them."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.processes = {f"k{i}": KeeperProcess(f"k{i}", folder) for i in (1, 2, 3)}
+        ports = _free_ports(3)
+        rows = [
+            {"name": name, "address": f"127.0.0.1:{port}", "data": str(folder / name)}
+            for name, port in zip(self.processes, ports, strict=True)
+        ]
+        self.tree: dict[str, Any] = {"cluster": "bench", "keepers": rows}
+        self.operator: Operator = from_tree(self.tree)
+        self.path = folder / "operator.toml"
+        lines = ['cluster = "bench"']
+        for row in rows:
+            lines += ["[[keepers]]", *(f'{key} = "{value}"' for key, value in row.items())]
+        self.path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+    async def start(self, name: str) -> None:
+        await self.processes[name].begin(self.path, self.folder / f"{name}.switch")
+
+    async def __aenter__(self) -> Keepers:
+        await asyncio.gather(*(self.start(name) for name in self.processes))
+        await self.status_when(lambda rows: any(row["role"] == "leader" for row in rows.values()))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await asyncio.gather(*(process.stop() for process in self.processes.values()))
+
+    async def status(self) -> dict[str, dict[str, Any]]:
+        rows = {}
+        for name in self.processes:
+            one = Store(self.operator, "bench", "tool", loop=asyncio.get_running_loop(), only=name)
+            try:
+                rows[name] = json.loads((await one.order("status", "", 1.0)).text)
+            except NoContact:
+                pass
+            finally:
+                await one.close()
+        return rows
+
+    async def status_when(self, so: Callable[[dict[str, dict[str, Any]]], bool]) -> float:
+        """Seconds until it is so. Raises Unfinished."""
+        began = time.monotonic()
+        while time.monotonic() - began < WAIT_S:
+            if so(await self.status()):
+                return time.monotonic() - began
+            await asyncio.sleep(0.05)
+        raise Unfinished("the keepers did not come to the state that was waited for")
+
+    def rss_mb(self) -> dict[str, float]:
+        found = {}
+        for name, process in self.processes.items():
+            pid = process._process.pid if process._process else 0
+            for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+                if line.startswith("VmRSS"):
+                    found[name] = round(int(line.split()[1]) / 1024, 1)
+        return found
+
+    def cpu_s(self) -> float:
+        """Used by all keepers so far."""
+        for process in self.processes.values():
+            process.note_cpu()
+        return sum(process.cpu_s for process in self.processes.values())
+
+
+async def _changes(keepers: Keepers, count: int, callers: int = CALLERS) -> list[float]:
+    """Makes so many changes, a few callers at once; what each took, in ms."""
+    loop = asyncio.get_running_loop()
+    stores = [Store(keepers.operator, f"c{i}", "tool", loop=loop) for i in range(callers)]
+    took: list[float] = []
+
+    async def work(store: Store, number: int) -> None:
+        lease = f"bench/{number}"
+        token = (await store.change(st.Take(lease, "bench", 3_600_000), 10.0)).token
+        for i in range(count // callers):
+            began = loop.time()
+            row = st.Write(lease, token, f"bench/{number}/{i % 8}", i.to_bytes(8, "big"))
+            if why := (await store.change(row, 10.0)).refused:
+                raise Unfinished(why)
+            took.append((loop.time() - began) * 1000)
+        await store.change(st.Drop(lease, token), 10.0)
+
+    try:
+        await asyncio.gather(*(work(store, i) for i, store in enumerate(stores)))
+    finally:
+        await asyncio.gather(*(store.close() for store in stores))
+    return took
+
+
+async def commits(folder: Path, say: Say) -> dict[str, float]:
+    """Changes a second and what each takes, from 16 callers and from one."""
+    async with Keepers(folder) as keepers:
+        await _changes(keepers, 320)
+        say("commits, 16 callers")
+        began = time.monotonic()
+        many = await _changes(keepers, 4000)
+        span = time.monotonic() - began
+        say("commits, one caller")
+        one = await _changes(keepers, 400, 1)
+    return {
+        "per_s": round(len(many) / span, 1), "median_ms": round(statistics.median(many), 2),
+        "p99_ms": round(sorted(many)[int(0.99 * len(many))], 2),
+        "alone_median_ms": round(statistics.median(one), 2),
+        "alone_p99_ms": round(sorted(one)[int(0.99 * len(one))], 2),
+    }  # fmt: skip
+
+
+async def growth(folder: Path, say: Say, changes: int) -> dict[str, Any]:
+    """Memory while many changes are made, and the time in which a keeper catches up on 10,000 of them."""
+    async with Keepers(folder) as keepers:
+        rss: dict[str, float] = {}
+        for part in range(1, 6):
+            say(f"memory, {part * changes // 5} changes")
+            await _changes(keepers, changes // 5)
+            rss[str(part * changes // 5)] = max(keepers.rss_mb().values())
+        say("catching up on 10,000 changes")
+        rows = await keepers.status()
+        late = next(name for name, row in rows.items() if row["role"] != "leader")
+        await keepers.processes[late].stop()
+        await _changes(keepers, 10_000)
+        due = max(row["commit"] for row in (await keepers.status()).values())
+        began = time.monotonic()
+        await keepers.start(late)
+        up = time.monotonic() - began
+        more = await keepers.status_when(lambda rows: rows.get(late, {}).get("applied", 0) >= due)
+        size = sum(file.stat().st_size for file in (folder / late).iterdir()) / 1e6
+    return {"rss_mb": rss, "start_s": round(up, 2), "caught_up_s": round(more, 2), "disk_mb": round(size, 1)}
+
+
+async def crowd(folder: Path, say: Say, agents: int, seconds: float = 10.0) -> dict[str, Any]:
+    """So many agents with their members' leases on three keepers: cost, and how soon all have a change."""
+    loop = asyncio.get_running_loop()
+    async with Keepers(folder) as keepers:
+        say(f"{agents} agents come at one instant")
+        began = time.monotonic()
+        crowd = [
+            Agent(keepers.operator, f"p{i}", loop=loop, changed=_nothing, probes=False) for i in range(agents)
+        ]
+        await asyncio.gather(*(agent.start() for agent in crowd))
+        while not all(agent.holder.held for agent in crowd):
+            await asyncio.sleep(0.05)
+            if time.monotonic() - began > WAIT_S:
+                raise Unfinished("not all agents became members")
+        joined = time.monotonic() - began
+        say("a quiet while")
+        await asyncio.sleep(2.0)
+        cpu, own, sent = keepers.cpu_s(), time.process_time(), _loopback()
+        await asyncio.sleep(seconds)
+        used, mine, carried = keepers.cpu_s() - cpu, time.process_time() - own, _loopback() - sent
+        say("a change for all")
+        tool = Store(keepers.operator, "bench", "tool", loop=loop)
+        spans = []
+        for i in range(5):
+            began = time.monotonic()
+            done = await tool.change(st.PutDrain(st.Drain("box", f"b{i}", "bench", "", "")), 10.0)
+            while not all(agent.view.version >= done.version for agent in crowd):
+                await asyncio.sleep(0.005)
+            spans.append(time.monotonic() - began)
+        say("all agents come back at one instant")
+        name = next(n for n, row in (await keepers.status()).items() if row["role"] != "leader")
+        process = keepers.processes[name]
+        process.signal(signal.SIGKILL)
+        await process.stop()
+        began = time.monotonic()
+        await asyncio.sleep(0.2)
+        while not all(agent._store and agent._store.keeper for agent in crowd):
+            await asyncio.sleep(0.02)
+        back = time.monotonic() - began
+        lost = sum(agent.counts["leases_lost"] for agent in crowd)
+        await tool.close()
+        await asyncio.gather(*(agent.stop() for agent in crowd))
+    return {
+        "agents": agents, "all_members_s": round(joined, 2),
+        "keepers_cpu_part": round(used / seconds, 3), "agent_cpu_part": round(mine / seconds / agents, 5),
+        "bytes_per_s": round(carried / seconds), "change_at_all_s": round(statistics.median(spans), 3),
+        "all_back_s": round(back, 2), "leases_lost": lost,
+    }  # fmt: skip
+
+
+def _nothing() -> None:
+    pass
+
+
+def _loopback() -> int:
+    """Bytes that went over loopback so far: of this machine, so nothing else may run."""
+    for line in Path("/proc/net/dev").read_text().splitlines():
+        if line.strip().startswith("lo:"):
+            return int(line.split(":")[1].split()[8])
+    return 0
+
+
+async def beside(
+    folder: Path, say: Say, seconds: float = 5.0, rate: int = 1000, pairs: int = 3
+) -> dict[str, Any]:
+    """The request path of one proxy with an agent and 50 changes a second, against without, in turn."""
+    loop = asyncio.get_running_loop()
+    rows: dict[str, list[dict[str, Any]]] = {"off": [], "on": []}
+    async with Keepers(folder) as keepers:
+        changing = loop.create_task(_steadily(keepers, 50.0))
+        for _ in range(pairs):
+            for which in rows:
+                say(f"{rate} requests a second, agent {which}")
+                more = ("--operator", str(keepers.path)) if which == "on" else ()
+                rows[which].append(
+                    (await bench.measure(seconds, (rate,), _quiet, more=more, flat_out=False))[0]
+                )
+        changing.cancel()
+        await asyncio.gather(changing, return_exceptions=True)
+    found: dict[str, Any] = {"rate": rate, "pairs": pairs}
+    for key in ("p50_ms", "p99_ms", "cpu_us_per_request"):
+        found[key] = {which: [row[key] for row in rows[which]] for which in rows}
+        ratios = [a[key] / b[key] for a, b in zip(rows["on"], rows["off"], strict=True)]
+        found[f"{key}_ratio"] = round(statistics.median(ratios), 3)
+    return found
+
+
+def _quiet(_: str) -> None:
+    pass
+
+
+async def _steadily(keepers: Keepers, rate: float) -> None:
+    loop = asyncio.get_running_loop()
+    store = Store(keepers.operator, "steady", "tool", loop=loop)
+    token, number = (await store.change(st.Take("steady", "bench", 3_600_000), 10.0)).token, 0
+    try:
+        while True:
+            began = loop.time()
+            number += 1
+            await store.change(st.Write("steady", token, f"s/{number % 50}", number.to_bytes(8, "big")), 10.0)
+            await asyncio.sleep(max(0.0, 1.0 / rate - (loop.time() - began)))
+    finally:
+        await store.close()
+
+
+def run(say: Say, changes: int, agents: int, only: str | None) -> dict[str, Any]:
+    """All figures, each with keepers of their own. Raises Unfinished."""
+    parts: dict[str, Callable[[Path], Any]] = {
+        "commits": lambda folder: commits(folder, say),
+        "growth": lambda folder: growth(folder, say, changes),
+        "crowd": lambda folder: crowd(folder, say, agents),
+        "beside": lambda folder: beside(folder, say),
+    }
+    tree: dict[str, Any] = {"revision": bench.revision(), "cores": os.cpu_count()}
+    for name, part in parts.items():
+        if only in (None, name):
+            with tempfile.TemporaryDirectory(prefix="mothstall-keepers-") as folder:
+                tree[name] = asyncio.run(part(Path(folder)))
+    return tree
--- a/mothstall/lab/fleetcommand.py
+++ b/mothstall/lab/fleetcommand.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Iterator, Sequence
 from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -40,6 +41,11 @@
     sim.add_argument("--seeds", type=int, default=200)
     sim.add_argument("--first", type=int, default=1, help="the first seed")
     sim.add_argument("--json", metavar="FILE", help="as JSON; - for standard output")
+    bench = commands.add_parser("bench", help="what keepers and agents cost and bear", epilog=EPILOG)
+    bench.add_argument("--changes", type=int, default=100_000, help="for memory; default: 100000")
+    bench.add_argument("--agents", type=int, default=300)
+    bench.add_argument("--only", choices=("commits", "growth", "crowd", "beside"))
+    bench.add_argument("--json", metavar="FILE", help="figures as JSON; - for standard output")
     return parser
 
 
@@ -132,6 +138,19 @@
     return 3 if breaches else 0
 
 
+def _bench(args: argparse.Namespace) -> int:
+    from mothstall.lab import fleetbench
+
+    if args.changes < 100 or not 1 <= args.agents <= 1000:
+        raise fleet.FleetError("--changes must be 100 or more, --agents 1 to 1000")
+    say = partial(print, file=sys.stderr, flush=True)
+    tree = fleetbench.run(say, args.changes, args.agents, args.only)
+    if args.json != "-":
+        print(json.dumps(tree, indent=1))
+    _write(args.json, tree)
+    return 0
+
+
 def _write(where: str | None, tree: Any) -> None:
     if where == "-":
         print(json.dumps(tree, indent=1))
@@ -142,4 +161,4 @@
             raise fleet.FleetError(f"--json {where}: {why.strerror}") from why
 
 
-_COMMANDS = {"list": _list, "run": _run, "simulate": _simulate}
+_COMMANDS = {"list": _list, "run": _run, "simulate": _simulate, "bench": _bench}
--- a/mothstall/store/raft.py
+++ b/mothstall/store/raft.py
@@ -370,6 +370,8 @@
         self._progress[self.name].match = self.stable
         self._reads, self._elapsed, self._beat = [], 0, 0
         self._append(EntryKind.EMPTY, b"")
+        self._send_all(heartbeat=True)  # its place is known to nobody yet: not only with the next tick
+        self._due = False
 
     # Leading
 
