--- a/mothstall/lab/fleetbench.py
+++ b/mothstall/lab/fleetbench.py
@@ -18,6 +18,7 @@
 from pathlib import Path
 from typing import Any
 
+from mothstall.fleet import duties
 from mothstall.fleet.agent import Agent
 from mothstall.fleet.client import NoContact, Store
 from mothstall.fleet.operator import Operator, from_tree
@@ -243,6 +244,7 @@
     rows: dict[str, list[dict[str, Any]]] = {"off": [], "on": []}
     async with Keepers(folder) as keepers:
         changing = loop.create_task(_steadily(keepers, 50.0))
+        looker = Store(keepers.operator, "looker", "tool", loop=loop)
         for _ in range(pairs):
             for which in rows:
                 say(f"{rate} requests a second, agent {which}")
@@ -250,6 +252,10 @@
                 rows[which].append(
                     (await bench.measure(seconds, (rate,), _quiet, more=more, flat_out=False))[0]
                 )
+            # No figure of an agent that took no part.
+            if duties.MEMBER + "bench" not in (await looker.read(5.0)).leases:
+                raise Unfinished("the proxy with an agent never became a member")
+        await looker.close()
         changing.cancel()
         await asyncio.gather(changing, return_exceptions=True)
     found: dict[str, Any] = {"rate": rate, "pairs": pairs}
--- a/mothstall/store/progress.py
+++ b/mothstall/store/progress.py
@@ -17,6 +17,7 @@
     active: bool = False  # heard of since the last look
     offset: int = -1  # bytes of the snapshot sent; below 0: none is on its way
     standing: Standing = Standing.SOUND
+    told: int = 0  # the newest commit that it was told of
     round: int = 0  # the newest round of reads that it has answered
 
 
--- a/mothstall/store/raft.py
+++ b/mothstall/store/raft.py
@@ -435,6 +435,9 @@
         if not heartbeat and (not row.streaming or row.next - row.match > WINDOW):
             return
         entries = self.log.since(row.next) if row.next <= self.log.last else ()
+        if not (heartbeat or entries or row.told < self.commit):
+            return
+        row.told = self.commit
         prev = row.next - 1
         self._out.append(
             m.Append(
@@ -510,6 +513,7 @@
         at = held[self.members.quorum - 1]
         if at > self.commit and (not self.own_term_only or self.log.term(at) == self.term):
             self.commit = at
+            self._due = True  # followers apply it too, and answer their callers, without waiting for a tick
             self._release()
 
     def _read(self, sender: str, context: int) -> None:
--- a/tests/lab/test_processes.py
+++ b/tests/lab/test_processes.py
@@ -13,7 +13,6 @@
 from mothstall.lab.process import ServeProcess
 from mothstall.lab.scenario import from_tree, settings_tree
 
-
 AT_ONCE = 6  # runs side by side: each process needs little
 SEED = 1
 
