--- a/mothstall/lab/fleetjudge.py
+++ b/mothstall/lab/fleetjudge.py
@@ -62,6 +62,7 @@
     owner_ends: list[tuple[str, float]] = field(
         default_factory=list
     )  # leases whose owner was stopped or killed
+    handed: int = 0  # drains said at one proxy that the store was seen to have
     ill: list[str] = field(default_factory=list)  # boxes that failed for a while
     unmet: list[str] = field(default_factory=list)  # operators' calls that went otherwise than they had to
 
@@ -238,6 +239,8 @@
     acked = sum(w.acked > 0 for w in told.writes)
     if acked < s.expects.writes:
         found.append(f"{acked} writes were acknowledged, {s.expects.writes} expected")
+    if told.handed < s.expects.handed:
+        found.append(f"{told.handed} drains said at a proxy came to the store, {s.expects.handed} expected")
     if s.expects.quiet:
         since, until = (at / 1e9 for at in s.expects.quiet)
         acts = [e for e in seen.effects if since < e.at < until and not e.refused]
--- a/mothstall/store/progress.py
+++ b/mothstall/store/progress.py
@@ -53,7 +53,7 @@
             return self.base_term
         return self.entries[index - self.base - 1].term if self.base < index <= self.last else -1
 
-    def since(self, index: int, most: int = MOST_BATCH) -> tuple[Entry, ...]:
+    def since(self, index: int, most: int) -> tuple[Entry, ...]:
         """Entries from `index` on, as many as fit; one at least if there is one."""
         found: list[Entry] = []
         size = 0
--- a/mothstall/store/raft.py
+++ b/mothstall/store/raft.py
@@ -18,7 +18,7 @@
 
 from mothstall.store import messages as m
 from mothstall.store.messages import Entry, EntryKind, Hard, Members, Message, Snapshot, Standing
-from mothstall.store.progress import Log, Progress
+from mothstall.store.progress import MOST_BATCH, Log, Progress
 
 MOST_CHUNK = 256 * 1024  # bytes of a snapshot in one message
 MOST_OPEN = 4096  # entries that may wait for a quorum; further changes are turned away
@@ -72,6 +72,7 @@
 
     prevote = True
     own_term_only = True
+    batch = MOST_BATCH  # bytes of entries in one message
 
     def __init__(
         self,
@@ -434,7 +435,7 @@
             return
         if not heartbeat and (not row.streaming or row.next - row.match > WINDOW):
             return
-        entries = self.log.since(row.next) if row.next <= self.log.last else ()
+        entries = self.log.since(row.next, self.batch) if row.next <= self.log.last else ()
         if not (heartbeat or entries or row.told < self.commit):
             return
         row.told = self.commit
--- /dev/null
+++ b/tests/test_operate.py
@@ -0,0 +1,143 @@
+"""What operators call, against a keeper as a process: each word, what it says, and its exit code."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import re
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from mothstall import operate
+
+_PORT = re.compile(r"event=listening .*port=(\d+)")
+
+
+def _file(path: Path, port: int, **rows: str) -> str:
+    lines = ['cluster = "c"', "[[keepers]]", 'name = "k1"', f'address = "127.0.0.1:{port}"']
+    path.write_text("\n".join(lines + [f'{key} = "{value}"' for key, value in rows.items()]) + "\n")
+    return str(path)
+
+
+def _keeper(folder: Path) -> tuple[subprocess.Popen[str], str]:
+    """One keeper over `folder`, and the operator file by which it is called."""
+    own = _file(folder / "own.toml", 1, listen="127.0.0.1:0", data=str(folder))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "mothstall", "keeper", "--operator", own, "--name", "k1"],
+        stderr=subprocess.PIPE, text=True,
+    )  # fmt: skip
+    assert process.stderr
+    for line in process.stderr:
+        if found := _PORT.search(line):
+            file = _file(folder / "tool.toml", int(found[1]))
+            with contextlib.redirect_stdout(io.StringIO()), contextlib.redirect_stderr(io.StringIO()):
+                end = time.monotonic() + 20
+                while operate.main(["members", "--operator", file]) and time.monotonic() < end:
+                    time.sleep(0.05)  # it has not elected itself yet, and a call without quorum fails at once
+            return process, file
+    raise AssertionError("the keeper did not start")
+
+
+def _ended(process: subprocess.Popen[str]) -> None:
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(20) == 0
+    assert process.stderr
+    process.stderr.close()
+
+
+@pytest.fixture
+def called(tmp_path: Path) -> Iterator[tuple[subprocess.Popen[str], str]]:
+    process, file = _keeper(tmp_path)
+    try:
+        yield process, file
+    finally:
+        process.kill()
+        process.wait()
+
+
+def test_each_word_does_what_it_says_and_exit_codes_tell(
+    called: tuple[subprocess.Popen[str], str], tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    process, file = called
+
+    def says(*words: str, code: int = 0) -> str:
+        assert operate.main([*words, "--operator", file]) == code, words
+        out, err = capsys.readouterr()
+        assert not (out and err) and len(err.splitlines()) <= 1
+        return out + err
+
+    def rows(*words: str) -> list[dict[str, object]]:
+        found: list[dict[str, object]] = json.loads(says(*words, "--json"))
+        return found
+
+    assert "token: 1" in says("lease", "take", "shift", "--owner", "me", "--term", "600")
+    assert "shift is me's, token 1" in says("lease", "take", "shift", "--owner", "you", code=3)
+    assert [(r["name"], r["owner"], r["token"]) for r in rows("lease", "list")] == [("shift", "me", 1)]
+    says("lease", "drop", "shift", "--why", "it stalled")
+    assert "token: 2" in says("lease", "take", "shift", "--owner", "you", "--term", "600")
+    assert "nobody holds" in says("lease", "drop", "none", "--why", "x", code=3)
+
+    says("drain", "box", "b1", "--why", "a bad fan", "--who", "ann")
+    says("drain", "zone", "z2", "--why", "works on its power")
+    drained = rows("drains")[0]
+    assert (drained["kind"], drained["name"], drained["who"]) == ("box", "b1", "ann")
+    says("undrain", "zone", "z2")
+    assert "not drained" in says("undrain", "zone", "z2", code=3)
+    assert says("members").strip() == "none"
+
+    assert rows("keepers", "status")[0]["role"] == "leader"
+    assert "is a keeper already" in says("keepers", "add", "k1", code=3)
+    assert "names no keeper k9" in says("keepers", "add", "k9", code=3)
+    assert "is no other voter" in says("keepers", "transfer", "k1", code=3)
+    says("keepers", "backup", str(tmp_path / "copy"))
+
+    _ended(process)
+    assert "no quorum of k1 answers (k1: not reached)" in says("lease", "list", "--wait", "1", code=1)
+    assert "fine" in says("keepers", "verify", str(tmp_path / "k1.db"))
+    assert "b1" in says("keepers", "dump", str(tmp_path / "k1.db"))
+    assert "is there already" in _restored(tmp_path, str(tmp_path / "copy"), 3, capsys)
+
+
+def _restored(folder: Path, copy: str, code: int, capsys: pytest.CaptureFixture[str]) -> str:
+    words = ["keepers", "restore", copy, "--name", "k1", "--operator", str(folder / "own.toml")]
+    assert operate.main(words) == code
+    out, err = capsys.readouterr()
+    return out + err
+
+
+def test_a_backup_begins_a_new_keeper_and_what_is_none_is_refused(
+    called: tuple[subprocess.Popen[str], str], tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    process, file = called
+    assert operate.main(["drain", "box", "b1", "--why", "a bad fan", "--operator", file]) == 0
+    assert operate.main(["keepers", "backup", str(tmp_path / "copy"), "--operator", file]) == 0
+    _ended(process)
+    capsys.readouterr()
+    other = tmp_path / "other"
+    other.mkdir()
+    _file(other / "own.toml", 1, data=str(other))
+    (other / "rubbish").write_bytes(b"rubbish")
+    assert "is no backup" in _restored(other, str(other / "rubbish"), 2, capsys)
+    assert "1 drains" in _restored(other, str(tmp_path / "copy"), 0, capsys)
+    process, file = _keeper(other)
+    try:
+        assert operate.main(["drains", "--json", "--operator", file]) == 0
+        assert json.loads(capsys.readouterr().out)[0]["name"] == "b1"
+        _ended(process)
+    finally:
+        process.kill()
+        process.wait()
+
+
+def test_a_faulty_operator_file_ends_with_2(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text('cluster = "c"\nkeepers = []\n')
+    assert operate.main(["drains", "--operator", str(path)]) == 2
+    assert "$.keepers" in capsys.readouterr().err
