--- a/mothstall/fleet/evidence.py
+++ b/mothstall/fleet/evidence.py
@@ -168,11 +168,9 @@
 
 def weigh(reports: Iterable[Report], plan: int, capped: bool = True) -> Evidence:
     """`plan`: the number of the one that holds. `capped` is a guard; tests take it out."""
-    found = Evidence()
+    found, reports = Evidence(), list(reports)
     merged = _by_proxy(reports)
-    origins: dict[str, list[_Proxy]] = {}
-    for one in merged:
-        origins.setdefault(one.zone, []).append(one)
+    origins = _by_origin(merged)
     for origin, group in sorted(origins.items()):
         found.proxies[origin] = len(group)
         found.asked[origin] = _sum([one.asked for one in group], capped)
@@ -185,11 +183,32 @@
         found.warm[zone] = median(one.warm[zone] for one in merged if zone in one.warm)
     for zone in sorted({zone for one in merged for zone in one.util}):
         found.util[zone] = median(one.util[zone] for one in merged if zone in one.util)
+    found.opinions = _opinions(origins, capped)
+    # Guards against good attempts of before that outweigh a zone's loss, as proxies send there no more.
+    newest: dict[str, Report] = {}
+    for report in reports:
+        if report.proxy not in newest or report.number > newest[report.proxy].number:
+            newest[report.proxy] = report
+    for origin, rows in _opinions(_by_origin(_by_proxy(newest.values())), capped).items():
+        for zone, row in rows.items():
+            found.opinions[origin][zone].ill = max(found.opinions[origin][zone].ill, row.ill)
+    _find_cut_off(found)
+    return found
+
+
+def _by_origin(proxies: Iterable[_Proxy]) -> dict[str, list[_Proxy]]:
+    found: dict[str, list[_Proxy]] = {}
+    for one in proxies:
+        found.setdefault(one.zone, []).append(one)
+    return found
+
+
+def _opinions(origins: Mapping[str, list[_Proxy]], capped: bool) -> dict[str, dict[str, Opinion]]:
     best, spread = _best(origins, capped)
+    found: dict[str, dict[str, Opinion]] = {}
     for origin, group in sorted(origins.items()):
         for zone in sorted({zone for one in group for zone in one.sent}):
-            found.opinions.setdefault(origin, {})[zone] = _opinion(group, zone, best, spread, capped)
-    _find_cut_off(found)
+            found.setdefault(origin, {})[zone] = _opinion(group, zone, best, spread, capped)
     return found
 
 
--- a/mothstall/fleet/pilot.py
+++ b/mothstall/fleet/pilot.py
@@ -71,6 +71,7 @@
         self._owning = False
         self._making: Plan | None = None  # of this owner, newer than what the store has of it
         self._written = 0
+        self._seen = b""  # the plan's bytes, as they were last read
         self._owed = False  # whether it differs so much that it has to be put out
 
     def ended(self, zone: str, cls: int, result: Result, latency_ns: int, util: float) -> None:
@@ -95,7 +96,10 @@
     def seen(self, view: View, now_ms: int) -> None:
         """A snapshot of the state."""
         row = view.entries.get(failover.PLAN)
-        plan = failover.read_plan(row.value) if row else None
+        if row is None or row.value == self._seen:
+            return  # most snapshots are of other things
+        self._seen = row.value
+        plan = failover.read_plan(row.value)
         if plan is not None and plan.number >= self.plan.number:
             self.plan = plan
             self.helm.take(plan, now_ms)
--- a/mothstall/lab/fleet.py
+++ b/mothstall/lab/fleet.py
@@ -123,6 +123,12 @@
     lasts: Span
 
 
+class Restart(_Fault, tag="restart", kw_only=True, frozen=True):
+    """Boxes begin anew, cold, and the list says so."""
+
+    who: str
+
+
 class Say(_Fault, tag="say", kw_only=True, frozen=True):
     """An operator's call: drain, undrain (a box; with `to`, at that proxy), seize, transfer, remove, add;
     evacuate or resume (a zone), hold (the plan, for a minute)."""
@@ -133,7 +139,7 @@
     fails: bool = False  # whether it has to be refused, or find nobody
 
 
-Fault = Stop | Kill | Cut | Delay | Throttle | Reset | Disk | OldDisk | Flip | Ill | Slow | Say
+Fault = Stop | Kill | Cut | Delay | Throttle | Reset | Disk | OldDisk | Flip | Ill | Slow | Restart | Say
 ZONE_WORDS = ("evacuate", "resume", "hold")
 WORDS = ("drain", "undrain", "seize", "transfer", "remove", "add", *ZONE_WORDS)
 
--- a/mothstall/lab/fleetbench.py
+++ b/mothstall/lab/fleetbench.py
@@ -22,7 +22,7 @@
 from mothstall.fleet.agent import Agent
 from mothstall.fleet.client import NoContact, Store
 from mothstall.fleet.operator import Operator, from_tree
-from mothstall.lab import bench
+from mothstall.lab import bench, planbench
 from mothstall.lab.ledger import Unfinished
 from mothstall.lab.process import KeeperProcess
 from mothstall.store import state as st
@@ -292,6 +292,10 @@
         "crowd": lambda folder: crowd(folder, say, agents),
         "beside": lambda folder: beside(folder, say),
     }
+    async def plans(_: Path) -> dict[str, Any]:
+        return planbench.figures(agents, 12)
+
+    parts["plans"] = plans
     tree: dict[str, Any] = {"revision": bench.revision(), "cores": os.cpu_count()}
     for name, part in parts.items():
         if only in (None, name):
--- a/mothstall/lab/fleetcommand.py
+++ b/mothstall/lab/fleetcommand.py
@@ -55,7 +55,7 @@
     bench = commands.add_parser("bench", help="what keepers and agents cost and bear", epilog=EPILOG)
     bench.add_argument("--changes", type=int, default=100_000, help="for memory; default: 100000")
     bench.add_argument("--agents", type=int, default=300)
-    bench.add_argument("--only", choices=("commits", "growth", "crowd", "beside"))
+    bench.add_argument("--only", choices=("commits", "growth", "crowd", "beside", "plans"))
     bench.add_argument("--json", metavar="FILE", help="figures as JSON; - for standard output")
     return parser
 
--- a/mothstall/lab/fleetjudge.py
+++ b/mothstall/lab/fleetjudge.py
@@ -66,6 +66,7 @@
     )  # leases whose owner was stopped or killed
     handed: int = 0  # drains said at one proxy that the store was seen to have
     ill: list[str] = field(default_factory=list)  # boxes that failed for a while
+    cold: list[tuple[str, float]] = field(default_factory=list)  # boxes that began anew, and when
     trouble: Trouble | None = None
     plan: int = 0  # the newest that the store told of
     unmet: list[str] = field(default_factory=list)  # operators' calls that went otherwise than they had to
@@ -88,7 +89,7 @@
         *([] if s.failover else _put_out(s, seen, told)),  # a plan may leave a zone alone
         *(Breach("operators", 0.0, what) for what in told.unmet), *_expected(s, seen, told),
     ]  # fmt: skip
-    zones, more = zonejudge.judge(s, seen, told.trouble, told.plan)
+    zones, more = zonejudge.judge(s, seen, told.trouble, told.plan, dict(told.cold))
     breaches += [Breach(*row) for row in zones]
     good = [row for row in seen.asked if row.status == 200]
     gaps = _replaced(seen, told)
