Every close of a client's connection lingers; a client that leaves is always seen to leave

Cause, read off frontend.py and forced by tests. (1) An idle connection that ends, and one whose answer is its last, were closed at once (transport.close()): unread bytes then make the kernel reset the connection, and an answer that its client has not read can go with it. All now half-close behind what is written, read what still comes (1 s, 256 KiB) and throw it away, and close: State.ENDING. The operators' door likewise, which also had no TCP_NODELAY. (2) A client that leaves was not seen while the proxy did not read from it: behind 32 requests sent ahead, behind bytes after a bad one, in the second after a request that was turned away (the next was then sent on a second after its client had gone), and while its long body was held up. What comes behind an open request is now read and held unparsed (1 MiB each, a sixteenth of memory in all, more is refused after the open answer and read away), aiohttp's parser stops without its transport, and a held-up body is polled for its client's end. (3) A request that waited unread over 0.1 s, as the process stood still, is not taken up if its client's end came behind it. (4) A connection let in last before the listener closed had 50 ms to bring its request; it has 0.2 s now.

Tried and dropped: refusing more than 128 KiB ahead, which turned away clients that send 100 small requests at once.

--- a/mothstall/net/admin.py
+++ b/mothstall/net/admin.py
@@ -21,6 +21,7 @@
 MOST_CALLERS = 16
 ACCEPT_MOST = 64  # in one turn of the event loop
 OWED_S = 5.0  # for a whole call
+LINGER_S = 1.0  # a lingering close reads what still comes so long
 MOST_CALL = 8 * 1024
 CALLS = {
     "/api/ready": "GET", "/api/telemetry": "GET", "/api/evacuate": "POST", "/api/rejoin": "POST",
@@ -78,8 +79,9 @@
 @dataclass(slots=True, eq=False)
 class _Caller:
     sock: socket.socket
-    since: float
+    since: float  # the connection, or its answer
     came: bytes = b""
+    answered: bool = False
 
 
 class Door:
@@ -93,7 +95,8 @@
     ) -> None:
         self._address, self.loop, self.counters, self._answer = address, loop, counters, answer
         self._listener: socket.socket | None = None
-        self._callers: dict[_Caller, None] = {}  # in the order in which they came
+        self._callers: dict[_Caller, None] = {}  # that owe a call, in the order in which they came
+        self._lingering: dict[_Caller, None] = {}  # that have their answer, in its order
         self._sweeper: asyncio.TimerHandle | None = None
         self.port = 0
 
@@ -107,7 +110,7 @@
     def stop(self) -> None:
         if self._sweeper:
             self._sweeper.cancel()
-        for caller in list(self._callers):
+        for caller in (*self._callers, *self._lingering):
             self._end(caller)
         if self._listener:
             self.loop.remove_reader(self._listener)
@@ -126,11 +129,13 @@
                 # Guards against callers that hold on with no whole call: the longest of them makes way.
                 self._end(next(iter(self._callers)))
             sock.setblocking(False)
+            # Guards against an answer that the kernel holds back, and that goes with a reset.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             caller = _Caller(sock, self.loop.time())
             self._callers[caller] = None
             # A call that came with its connection is answered before any other may take its place.
             self._read(caller)
-            if caller in self._callers:
+            if caller in self._callers or caller in self._lingering:
                 self.loop.add_reader(sock, self._read, caller)
 
     def _read(self, caller: _Caller) -> None:
@@ -144,6 +149,8 @@
         if not data:
             self._end(caller)
             return
+        if caller.answered:
+            return
         caller.came += data
         try:
             path = read_call(caller.came)
@@ -169,17 +176,34 @@
             caller.sock.send(head.encode() + body)
         except OSError as why:
             log.info("answer not sent", extra={"kv": {"why": why}})
-        self._end(caller)
+            self._end(caller)
+            return
+        self._linger(caller)
+
+    def _linger(self, caller: _Caller) -> None:
+        """Guards against a close over bytes behind the call, which would reset the answer."""
+        self._callers.pop(caller, None)
+        caller.answered, caller.came, caller.since = True, b"", self.loop.time()
+        try:
+            caller.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._end(caller)
+            return
+        if len(self._lingering) >= MOST_CALLERS:
+            self._end(next(iter(self._lingering)))
+        self._lingering[caller] = None
 
     def _end(self, caller: _Caller) -> None:
         self._callers.pop(caller, None)
+        self._lingering.pop(caller, None)
         self.loop.remove_reader(caller.sock)
         caller.sock.close()
 
     def _sweep(self) -> None:
         now = self.loop.time()
-        for caller in list(self._callers):
-            if now - caller.since < OWED_S:
-                break
-            self._end(caller)
-        self._sweeper = self.loop.call_later(1.0, self._sweep)
+        for callers, owed_s in ((self._callers, OWED_S), (self._lingering, LINGER_S)):
+            for caller in list(callers):
+                if now - caller.since < owed_s:
+                    break
+                self._end(caller)
+        self._sweeper = self.loop.call_later(LINGER_S / 2, self._sweep)
--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -14,6 +14,7 @@
 import socket
 import struct
 import termios
+from collections import deque
 from collections.abc import Callable
 from enum import IntEnum
 
@@ -32,7 +33,7 @@
 from mothstall.net.counters import Counters
 from mothstall.net.decider import Arrived, Left, Message, Passed, Reply
 from mothstall.net.figures import Outcome
-from mothstall.net.listener import inherited, listening, unsent
+from mothstall.net.listener import hung_up, inherited, listening, unsent
 from mothstall.net.phases import SILENT_S, Phase, Phases
 from mothstall.net.relay import READ_MOST, Grants, Stream
 
@@ -46,7 +47,9 @@
 STALL_S = 10.0  # without a byte taken of a long answer
 SEND_BUFFER = 128 * 1024  # in the kernel, of a long answer
 UNREAD_S = 5.0  # for an answer that the client does not read
-LINGER_S, LINGER_BYTES = 1.0, 256 * 1024  # after an error: what still comes is read so long and so far
+LINGER_S, LINGER_BYTES = 1.0, 256 * 1024  # a lingering close reads what still comes so long and so far
+AHEAD_MOST = 1024 * 1024  # read behind an open request, and held until its turn; for all: Frontend.ahead_most
+LATE_NS = 100_000_000  # what waited so long to be read may be of a client that has left meanwhile
 PENALTY_S = 1.0  # between a bad request that was turned away and the next one of its connection
 SWEEP_S = 0.1
 ACCEPT_PAUSE_S = 0.01
@@ -68,20 +71,22 @@
     IDLE = 0  # served, and between requests
     BUSY = 1  # a request is with the decisions
     HELD = 2  # turned away a moment ago: its next request waits
-    ENDING = 3  # its last answer is written
+    ENDING = 3  # its last answer is written, if any was owed, and our side half closed: a lingering close
     SILENT = 4  # nothing came since it was opened
     HEAD = 5
     BODY = 6
     UPLOAD = 7  # a request is with the decisions, and the rest of its long body is coming
     RELAY = 8  # a long answer is passed on as it comes
     DISCARD = 9  # answered, and the rest of a long body is coming
-    LINGER = 10  # refused and half closed, so that the client gets to see the error
+    LINGER = 10  # the same, after a request that was refused before it was whole
 
 
+WAITS = (State.BUSY, State.RELAY, State.HELD)  # in which what comes behind waits for its turn
+
 # How long each state may last: an idle connection that was served, a first byte and a whole head, a body that
 # is held whole, and what comes after an error. A client may take 2 s for a head.
 OWED_S = {
-    State.IDLE: 6.0, State.ENDING: 2.0, State.SILENT: 2.4, State.HEAD: 2.4, State.BODY: 2.4,
+    State.IDLE: 6.0, State.ENDING: LINGER_S, State.SILENT: 2.4, State.HEAD: 2.4, State.BODY: 2.4,
     State.LINGER: LINGER_S,
 }  # fmt: skip
 
@@ -90,8 +95,9 @@
     """One client: its requests one after the other, each answered before the next is taken up."""
 
     __slots__ = (
-        *("_ahead", "_bad", "_came_ns", "_chunks", "_front", "_got", "_held_up", "_inbound", "_mark"),
-        *("_modern", "_number", "_parts", "_payload", "_relay", "_sized", "_spill", "_stays", "_upload"),
+        *("_ahead", "_backlog", "_bad", "_came_ns", "_chunks", "_front", "_got", "_held_up", "_inbound"),
+        *("_mark", "_modern", "_more", "_number", "_parts", "_payload", "_relay", "_sized", "_spill"),
+        *("_stays", "_upload", "_waiting"),
         *("since", "state"),
     )
 
@@ -109,6 +115,9 @@
         self._came_ns = 0
         self._inbound: protocol.Inbound | None = None
         self._ahead = False  # what came last came behind an open request: the parser may hold some of it
+        self._backlog: deque[bytes] = deque()  # came behind an open request, not parsed yet
+        self._waiting = 0  # bytes of it
+        self._more = False  # the parser stopped at as many messages as may wait, and may hold more
         self._payload: StreamReader | None = None
         self._parts: list[bytes] = []  # of a body that is held whole
         self._got = 0
@@ -139,21 +148,36 @@
         if self._manager is None:
             return
         self._manager.connection_lost(self, exc)
+        self._leave()
         self._front.leave(self)
         BaseProtocol.connection_lost(self, exc)
         self._manager = self._parser = None
-        self._messages.clear()
-        if self.state in (State.BUSY, State.UPLOAD):
-            self._front.left(self._number, self._inbound)
-        upload, self._upload, relay = self._upload, None, self._relay
-        if upload is not None:
-            upload.cut()
+        self._forget_ahead()
+        relay = self._relay
         if relay is not None:
             self._passed(Outcome.LEFT)
             relay.drop()
         self._inbound = self._payload = None
         self._parts = []
 
+    def eof_received(self) -> None:
+        """A client that ends its sending has gone, also while it has still to take an earlier answer."""
+        self._leave()
+
+    def _leave(self) -> None:
+        if self.state in (State.BUSY, State.UPLOAD):
+            self._enter(State.ENDING)
+            self._front.left(self._number, self._inbound)
+        upload, self._upload = self._upload, None
+        if upload is not None:
+            upload.cut()
+
+    def _forget_ahead(self) -> None:
+        self._messages.clear()
+        self._backlog.clear()
+        self._front.ahead -= self._waiting
+        self._waiting, self._more = 0, False
+
     def pause_writing(self) -> None:
         BaseProtocol.pause_writing(self)
         if self._relay is not None:
@@ -172,6 +196,12 @@
         else:
             self._next()
 
+    def pause_reading(self) -> None:
+        """Guards against a client that is not read from, and leaves unseen: the parser alone stops."""
+        self._reading_paused = True
+        if self._parser is not None:
+            self._parser.pause_reading()
+
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Guards against a call back into the parser while a body is taken out of it: it comes afterwards."""
         if self._reading_paused:
@@ -184,7 +214,7 @@
     def _parse_on(self) -> None:
         """Where aiohttp stopped its parser, at so many chunks of any size, it holds bytes that came."""
         if self.state in (State.BODY, State.UPLOAD, State.DISCARD):
-            self.data_received(b"")
+            self._parse(b"")
 
     def force_close(self) -> None:
         self._force_close = True
@@ -194,7 +224,7 @@
 
     def has_more(self) -> bool:
         """Whether something behind the last request may have been read already."""
-        return self._ahead or bool(self._messages) or self._bad is not None
+        return self._ahead or bool(self._messages) or bool(self._backlog) or self._bad is not None
 
     def let_go(self) -> None:
         """Another process holds the connection now: only our copy of its descriptor is closed."""
@@ -214,13 +244,17 @@
         state = self.state
         self._ahead = state not in (State.IDLE, State.SILENT)
         if state >= State.LINGER or state == State.ENDING or self._bad is not None:
-            self._spill += len(data)
-            if self._spill > LINGER_BYTES:
-                # Guards against 60 MB read to be thrown away: the client has its error.
-                self._pause_transport_reading()
+            self._throw_away(data)
             return
         if self._parser is None or self.transport is None:
             return
+        if self._backlog or state in WAITS:
+            self._keep_ahead(data)
+        else:
+            self._receive(data)
+
+    def _receive(self, data: bytes) -> None:
+        state = self.state
         if state == State.SILENT or state == State.IDLE:
             # The first request may have come with its connection, and waited as long to be taken in.
             if state == State.IDLE or self._front.loop.time() - self.since > SHED_SILENT_S:
@@ -229,6 +263,38 @@
             self._enter(State.HEAD)
             if state == State.SILENT:
                 self.since = since  # a whole head is owed since the connection was opened
+        self._parse(data)
+
+    def _throw_away(self, data: bytes) -> None:
+        self._spill += len(data)
+        if self._spill > LINGER_BYTES:
+            # Guards against 60 MB read at once to be thrown away.
+            self._pause_transport_reading()
+
+    def _keep_ahead(self, data: bytes) -> None:
+        """What comes behind an open request waits unparsed, so that its client's leaving is always seen."""
+        front = self._front
+        self._backlog.append(data)
+        self._waiting += len(data)
+        front.ahead += len(data)
+        if self.state in WAITS and (self._waiting > AHEAD_MOST or front.ahead > front.ahead_most):
+            # Guards against a client whose leaving would hide behind what it sent at once: it is read on.
+            self._forget_ahead()
+            self._bad = (400, "too much was sent ahead of an answer")
+
+    def _take_ahead(self) -> None:
+        """What came behind an open request, a piece in a turn of the loop, once that has its answer."""
+        if not self._backlog or self._messages or self._held_up or self._paused or self.state in WAITS:
+            return
+        data = self._backlog.popleft()
+        self._waiting -= len(data)
+        self._front.ahead -= len(data)
+        self._receive(data)
+        if self._backlog:
+            self._loop.call_soon(self._take_ahead)
+
+    def _parse(self, data: bytes) -> None:
+        assert self._parser is not None
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
         except HttpProcessingError:
@@ -237,8 +303,7 @@
             return
         if messages:
             self._messages.extend(messages)
-            if len(self._messages) >= self._max_msg_queue_size:
-                self._pause_reading_for_buffer()
+            self._more = len(self._messages) >= self._max_msg_queue_size
         if upgraded:
             self._front.counters.add("requests_malformed")
             self._refuse(400, "no upgrade")
@@ -249,16 +314,27 @@
 
     def _next(self) -> None:
         """Takes up the next request that has come, if none is open and the last answer went out."""
-        if self.state not in (State.IDLE, State.HEAD) or not self._messages or self._paused:
+        if self.state not in (State.IDLE, State.HEAD) or self._paused:
+            return
+        if not self._messages:
+            self._take_ahead()
             return
         message, payload = self._messages.popleft()
         if self._parser is not None:
             self._parser.message_consumed()
         if self.state == State.IDLE:
             self._came_ns = self._front.clock.came()
+        if self._front.clock.now() - self._came_ns > LATE_NS and hung_up(self.transport):
+            # Guards against a request that waited unread longer than its client, as this process stood still.
+            self._forget_ahead()
+            self.force_close()
+            return
         self._take(message, payload)  # type: ignore[arg-type]
-        if self._buffer_paused and len(self._messages) <= self._msg_queue_resume_size:
-            self._resume_reading_if_drained()
+        if self._more and len(self._messages) <= self._msg_queue_resume_size:
+            self._more = False
+            self._parse(b"")
+        if self._backlog:
+            self._loop.call_soon(self._take_ahead)  # where the rest of this one is
 
     def _take(self, message: RawRequestMessage, payload: StreamReader) -> None:
         front = self._front
@@ -347,7 +423,7 @@
     def _give_up(self, status: int, why: str) -> None:
         """A body that cannot be taken: what has begun of it ends."""
         if self.state == State.DISCARD:
-            self.force_close()
+            self.finish()
             return
         if self.state == State.UPLOAD:
             upload, self._upload = self._upload, None
@@ -365,6 +441,8 @@
 
     def resume(self) -> None:
         self._held_up, self.since = False, self._front.loop.time()
+        if self._backlog:
+            self._loop.call_soon(self._take_ahead)
         if not self._buffer_paused and not self._reading_paused:
             self._resume_transport_reading()
 
@@ -455,8 +533,7 @@
         """Guards against half an answer that passes for a whole one: a reset tells if nothing else does."""
         self._passed(Outcome.FAULTED)
         if (self._chunks or self._sized) and self.transport is not None:
-            self._enter(State.ENDING)
-            self.transport.close()  # after what is written
+            self.finish()
         else:
             self._reset()
 
@@ -482,15 +559,14 @@
 
     def _after_answer(self, transport: asyncio.Transport) -> None:
         if not self._stays:
-            self._enter(State.ENDING)
-            transport.close()  # after what is written
+            self.finish()
             return
         self._enter(State.IDLE)
         if self._front.phases.made_way and self._front.hand_over(self):
             return
         if self._bad is not None:
             self._refuse(*self._bad)
-        elif self._messages:
+        elif self._messages or self._backlog:
             # Guards against a pipeline that keeps the loop to itself.
             self._loop.call_soon(self._next)
 
@@ -508,7 +584,6 @@
         body = f"{why}\n".encode("utf-8", "replace")
         self.transport.write(protocol.response_bytes(status, b"Content-Type: text/plain\r\n", body, False))
         self._enter(State.HELD)
-        self._pause_transport_reading()
 
     def _refuse(self, status: int, why: str) -> None:
         """An error and the end of the connection, such that the client gets to see the error."""
@@ -516,21 +591,26 @@
             self._bad = (status, why)  # its open request is answered first
             return
         self._bad = self._inbound = self._payload = None
-        self._messages.clear()
-        transport = self.transport
-        if transport is None:
+        if self.transport is None:
             return
         body = f"{why}\n".encode("utf-8", "replace")
-        self._end_with(protocol.response_bytes(status, b"Content-Type: text/plain\r\n", body, True))
+        self.transport.write(
+            protocol.response_bytes(status, b"Content-Type: text/plain\r\n", body, True)
+        )
+        self.finish(State.LINGER)
+
+    def finish(self, state: State = State.ENDING) -> None:
+        """A lingering close: our side ends behind what is written; what still comes is read and goes nowhere.
 
-    def _end_with(self, raw: bytes) -> None:
-        """A last answer, while more may be coming: what comes is read for a while and thrown away."""
+        Guards against a close over bytes that were not read, which resets the connection and takes from the
+        client the answer that it has not read yet. Bounded by LINGER_S, LINGER_BYTES and its own end.
+        """
         transport = self.transport
         if transport is None:
             return
-        transport.write(raw)
-        self._enter(State.LINGER)
-        self._buffer_paused = False
+        self._forget_ahead()
+        self._bad, self._spill, self._held_up = None, 0, False
+        self._enter(state)
         self._resume_transport_reading()
         try:
             transport.write_eof()
@@ -541,6 +621,9 @@
         """Guards against clients that owe something for ever: silence, half a request, answers unread."""
         age, state = now - self.since, self.state
         if state == State.BUSY:
+            if self._bad is not None and self._spill:
+                self._spill = 0
+                self._resume_transport_reading()  # a while on: its client may have left behind all that
             return
         if state == State.RELAY:
             self._check_relay(now)
@@ -548,6 +631,9 @@
         if state in (State.UPLOAD, State.DISCARD):
             if self._upload is not None and self._upload.paused:
                 self.since = now
+                if hung_up(self.transport):
+                    # Guards against a client whose leaving is not read, as its body is held up.
+                    self.force_close()
             elif age >= UPLOAD_S:
                 self._front.counters.add("connections_overdue")
                 self._give_up(408, "the request did not come")
@@ -555,20 +641,27 @@
         if state == State.HELD:
             if age >= PENALTY_S:
                 self._enter(State.IDLE)
-                self._resume_transport_reading()
-                self._next()
+                if self._bad is not None:
+                    self._refuse(*self._bad)
+                else:
+                    self._next()
             return
-        if self._paused and age < UNREAD_S:
+        transport = self.transport
+        if transport is None or age < OWED_S[state]:
             return
-        if age < OWED_S[state]:
+        ending = state in (State.ENDING, State.LINGER)
+        if age < UNREAD_S and (self._paused or (ending and transport.get_write_buffer_size())):
+            return
+        if ending:
+            transport.abort()
             return
         self._front.counters.add("connections_overdue")
         if state in (State.HEAD, State.BODY):
             self._refuse(408, "the request did not come")
-        elif self.transport is not None and (self._paused or state == State.LINGER):
-            self.transport.abort()
+        elif self._paused:
+            transport.abort()
         else:
-            self.force_close()
+            self.finish()
 
     def _check_relay(self, now: float) -> None:
         """Guards against a client that takes nothing more of a long answer."""
@@ -641,7 +734,7 @@
     def check_drained(self, now: float, overdue: bool) -> None:
         """Guards against a connection that is held idle, or with half a request, past the end of a drain."""
         if self.state == State.IDLE or (self.state == State.SILENT and now - self.since >= SILENT_S):
-            self.force_close()
+            self.finish()
         elif overdue and self.state in (State.HEAD, State.BODY, State.SILENT, State.HELD):
             self._refuse(408, "the proxy drains")
 
@@ -672,19 +765,21 @@
         phases: Phases,
         grants: Grants,
         most_body: int,
+        ahead_most: int,
         listen_fd: int | None = None,
         give: Callable[[int, bool, float], bool] = lambda fd, silent, age_s: False,
         give_answer: GiveAnswer = lambda *onward: False,
     ) -> None:
-        """`grants` and `most_body`: of long bodies, together and each; `listen_fd`: the descriptor of the
-        clients' socket, where others hold it too; `give` and `give_answer`: hand a connection, or a long
-        answer, to the process that took over.
+        """`grants` and `most_body`: of long bodies, together and each; `ahead_most`: bytes that all clients
+        may send ahead of answers; `listen_fd`: the descriptor of the clients' socket, where others hold it;
+        `give` and `give_answer`: hand a connection, or a long answer, to the process that took over.
         """
         self._give, self._give_answer = give, give_answer
         self._address, self.names, self._most = address, names, most
         self.loop, self.counters, self.clock = loop, counters, clock
         self._decide, self._ready, self.phases, self._inherited = decide, ready, phases, listen_fd
         self.grants, self.most_body = grants, most_body
+        self.ahead, self.ahead_most = 0, ahead_most  # bytes held behind open requests, and how many at most
         self._ids = itertools.count(1)
         self._server = Server(self)
         self._table = self._server._connections
@@ -817,7 +912,7 @@
         Guards against bad clients that hoard connections, and against closing a usual one at work.
         """
         now = self.loop.time()
-        ages = [(State.LINGER, 0.0), (State.SILENT, SHED_SILENT_S), (State.HELD, 0.0)]
+        ages = [(State.LINGER, 0.0), (State.ENDING, 0.0), (State.SILENT, SHED_SILENT_S), (State.HELD, 0.0)]
         ages += [(State.IDLE, SHED_IDLE_S), (State.HEAD, SHED_PART_S), (State.BODY, SHED_PART_S)]
         if self._waiting_since is not None and now - self._waiting_since > PATIENCE_S:
             ages += [(s, SHED_ANY_S) for s in (State.SILENT, State.HEAD, State.BODY, State.IDLE)]
@@ -836,7 +931,9 @@
         Guards against clients that ask once and hold their connection: they run out of connections themselves
         long before the proxy does.
         """
-        return self.phases.closing or len(self._table) >= EDGE_PART * self._most
+        # Those that only linger make way at once.
+        held = len(self._table) - len(self._states[State.ENDING])
+        return self.phases.closing or held >= EDGE_PART * self._most
 
     # Connections
 
@@ -931,11 +1028,11 @@
             # Guards against a close that takes away what another process could still hand to the client.
             self.hand_over_idle()
             self.hand_over_answers()
-        latest = self.loop.time() - SHED_ANY_S
-        for state in (State.IDLE, State.SILENT, State.HELD):
+        now = self.loop.time()
+        for state, age in ((State.IDLE, SHED_ANY_S), (State.SILENT, SILENT_S), (State.HELD, SHED_ANY_S)):
             for connection in list(self._states[state]):
-                if connection.since <= latest:
-                    connection.force_close()  # what is written still goes out
+                if now - connection.since >= age:
+                    connection.finish()
         return bool(self._table)
 
     async def stop(self) -> None:
--- a/mothstall/net/listener.py
+++ b/mothstall/net/listener.py
@@ -1,10 +1,11 @@
-"""Sockets: a listener, bound or inherited, and what a transport still holds that its socket has not taken."""
+"""Sockets: a listener, bound or inherited, what a transport still holds, and whether its peer has gone."""
 
 from __future__ import annotations
 
 import asyncio
 import errno
 import os
+import select
 import socket
 from collections import deque
 
@@ -40,6 +41,16 @@
     return sock
 
 
+def hung_up(transport: asyncio.Transport | None) -> bool:
+    """Whether the peer has closed or reset the connection, also behind bytes that nobody has read yet."""
+    sock = transport.get_extra_info("socket") if transport is not None else None
+    if sock is None or sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return any(what & (select.POLLRDHUP | select.POLLHUP | select.POLLERR) for _, what in poll.poll(0))
+
+
 def unsent(transport: asyncio.Transport) -> bytes | None:
     """What a transport holds that its socket has not taken; None if that cannot be told.
 
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -38,6 +38,7 @@
 
 RESERVE = 32  # descriptors for the listener, discovery, logs and the event loop
 BACKEND_PART = 0.3  # of the other descriptors
+AHEAD_PART = 1 / 16  # of the memory limit, for what clients send ahead of answers
 TIDY_S = 2.0  # between two collections of garbage
 LISTED_S = 4.0  # how long a new process waits for a list before it takes clients over
 LONGEST_MOST_S = 3.0  # a process may be killed 0.7 s after the longest deadline, which counts as this at most
@@ -105,6 +106,7 @@
             phases=self._phases,
             grants=Grants(most_streams),
             most_body=config.most_body,
+            ahead_most=int(config.memory_bytes * AHEAD_PART),
             listen_fd=config.listen_fd,
             give=self._hand_over,
             give_answer=self._hand_over_answer,
--- a/tests/test_net_attempts.py
+++ b/tests/test_net_attempts.py
@@ -172,7 +172,8 @@
     monkeypatch: pytest.MonkeyPatch, how: str, lane: str
 ) -> None:
     async def run() -> None:
-        async with rig(serves, **{"limits--connect_timeout_ns": 5_000 * MS, "contract--cold_from": 1.0}) as r:
+        changes: dict[str, Any] = {"limits--connect_timeout_ns": 5_000 * MS, "contract--cold_from": 1.0}
+        async with rig(serves, **changes) as r:
             gate = Gate(r.proxy.loop, monkeypatch)
             gate.hold(r.backends[0])
             client = await r.client()
@@ -213,7 +214,8 @@
 
 def test_a_connection_that_comes_up_late_and_is_still_wanted_is_used(monkeypatch: pytest.MonkeyPatch) -> None:
     async def run() -> None:
-        async with rig(serves, **{"limits--connect_timeout_ns": 5_000 * MS}) as r:
+        changes: dict[str, Any] = {"limits--connect_timeout_ns": 5_000 * MS}
+        async with rig(serves, **changes) as r:
             gate = Gate(r.proxy.loop, monkeypatch)
             gate.hold(r.backends[0])
             asked = asyncio.create_task(r.ask())
@@ -230,7 +232,8 @@
     monkeypatch: pytest.MonkeyPatch, cancelling: bool
 ) -> None:
     async def run() -> None:
-        changes = {"limits--connect_timeout_ns": 5_000 * MS, "limits--cancelling": cancelling}
+        changes: dict[str, Any] = {"limits--connect_timeout_ns": 5_000 * MS}
+        changes["limits--cancelling"] = cancelling
         async with rig(serves, **changes) as r:
             gate = Gate(r.proxy.loop, monkeypatch)
             gate.hold(r.backends[0])
--- /dev/null
+++ b/tests/test_net_leaving.py
@@ -0,0 +1,274 @@
+"""Clients that leave while something is owed to them: it is seen at once, and nothing is sent on for them."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from mothstall import config, interface
+from mothstall.net import frontend
+from mothstall.net.clock import Poll
+from mothstall.net.proxy import Proxy
+from tests import helpers
+from tests.peers import (
+    Directory,
+    Rig,
+    StandIn,
+    raw_client,
+    request_bytes,
+    reset,
+    rig,
+    serves,
+    silent,
+    tree_of,
+)
+
+ENDS: list[Callable[[socket.socket], None]] = [socket.socket.close, reset]
+LONG = "3900m"  # far longer than any wait of these tests: an end by time would show as a test out of time
+
+
+def nothing_owed(r: Rig) -> bool:
+    return not r.proxy._decider._pending and not r.proxy._frontend.count
+
+
+def given_back(r: Rig) -> bool:
+    """All that requests held: what is in flight, places in queues, ids."""
+    balancer = r.proxy._decider._balancer
+    held = balancer.in_flight, balancer.waiting, len(balancer.requests), len(r.proxy._frontend._open)
+    return held == (0, 0, 0, 0)
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_a_client_that_leaves_behind_many_requests_sent_ahead_is_seen_to_leave(
+    end: Callable[[socket.socket], None],
+) -> None:
+    async def run() -> None:
+        async with rig(silent) as r:
+            client = raw_client(r.proxy.port)
+            client.send(b"".join(request_bytes(remaining=LONG) for _ in range(100)))
+            await r.until(lambda: len(r.backends[0].seen) == 1)
+            end(client)
+            await r.until(lambda: nothing_owed(r))
+            assert given_back(r) and len(r.backends[0].seen) == 1
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("much", [100_000, 2_000_000])
+def test_a_client_that_sends_much_at_once_and_goes_is_seen_to_leave(
+    much: int, end: Callable[[socket.socket], None]
+) -> None:
+    async def run() -> None:
+        async with rig(silent) as r:
+            client = raw_client(r.proxy.port)
+            client.send(request_bytes(remaining=LONG))
+            await r.until(lambda: len(r.backends[0].seen) == 1)
+            ahead = request_bytes("order", body=b"x" * 200, remaining=LONG) + b"x" * much
+            assert client.send(ahead) >= 100_000
+            end(client)
+            await r.until(lambda: nothing_owed(r))
+            assert given_back(r) and len(r.backends[0].seen) == 1
+
+    asyncio.run(run())
+
+
+def test_what_is_sent_far_ahead_is_refused_after_the_open_request_has_its_answer() -> None:
+    async def run() -> None:
+        go = asyncio.Event()
+
+        async def waits(seen: Any, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            await serves(seen, writer)
+
+        async with rig(waits) as r:
+            client = await r.client()
+            client.writer.write(request_bytes(remaining=LONG))
+            await r.until(lambda: len(r.backends[0].seen) == 1)
+            client.writer.write(request_bytes() * (2 * frontend.AHEAD_MOST // 150))
+            await r.until(lambda: any(c._bad for c in r.proxy._frontend._table))  # type: ignore[attr-defined]
+            go.set()
+            assert (await client.read()).status == 200
+            refused = await client.read()
+            assert (refused.status, refused.headers["connection"]) == (400, "close")
+            assert len(r.backends[0].seen) == 1
+            client.close()
+
+    asyncio.run(run())
+
+
+def test_requests_sent_ahead_within_bounds_are_served_in_turn() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            client = await r.client()
+            bodies = [b"%d" % i * 1000 for i in range(100)]
+            client.writer.write(b"".join(request_bytes("order", body=b) for b in bodies))
+            assert [(await client.read()).status for _ in bodies] == [200] * 100
+            assert [seen.body for seen in r.backends[0].seen] == bodies
+            client.close()
+
+    asyncio.run(run())
+
+
+def test_a_client_that_ends_its_sending_is_taken_as_gone() -> None:
+    """A half-close is no way to ask: who has ended his side takes no answer."""
+
+    async def run() -> None:
+        async with rig(silent) as r:
+            client = raw_client(r.proxy.port)
+            client.send(request_bytes(remaining=LONG))
+            await r.until(lambda: len(r.backends[0].seen) == 1)
+            client.shutdown(socket.SHUT_WR)
+            await r.until(lambda: nothing_owed(r))
+            assert given_back(r) and r.count("attempts_cancelled") == 1
+            client.close()
+
+    asyncio.run(run())
+
+
+def test_a_client_that_leaves_while_its_long_body_is_held_up_is_seen_to_leave() -> None:
+    """Its backend reads nothing, so that the proxy does not read from the client either.
+
+    By a reset: a usual end comes behind bytes that the kernel has no room for.
+    """
+
+    async def run() -> None:
+        async with rig(serves) as r:
+            with socket.socket() as listener:
+                listener.bind(("127.0.0.1", 0))
+                listener.listen()
+                at = f"127.0.0.1:{listener.getsockname()[1]}"
+                row = {**r.backends[0].row(), "id": "s-9", "host_port": at}
+                r.directory.tell({**r.backends[0].row(), "phase": "DELETED"}, row)
+                told = r.proxy._decider._backends
+                await r.until(lambda: [b.ident for b in told.values()] == ["s-9"])
+                client = raw_client(r.proxy.port)
+                size = 30_000_000
+                client.send(request_bytes("order", drop=("Content-Length",), Content_length=str(size)))
+
+                def held_up() -> bool:
+                    for _ in range(64):
+                        try:
+                            client.send(b"u" * 65536)
+                        except BlockingIOError:
+                            break
+                    return any(
+                        c._upload is not None and c._upload.paused  # type: ignore[attr-defined]
+                        for c in r.proxy._frontend._table
+                    )
+
+                await r.until(held_up)
+                reset(client)
+                await r.until(lambda: nothing_owed(r))
+                assert given_back(r)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_a_client_that_leaves_while_its_next_request_is_held_back_is_not_sent_on(
+    monkeypatch: pytest.MonkeyPatch, end: Callable[[socket.socket], None]
+) -> None:
+    """After a request that was turned away the next one waits a while."""
+    monkeypatch.setattr(frontend, "PENALTY_S", 0.3)
+
+    async def run() -> None:
+        async with rig(serves) as r:
+            client = raw_client(r.proxy.port)
+            client.send(request_bytes(drop=("X-Txn",)))
+            await r.until(lambda: r.count("requests_bad") == 1)
+            client.send(request_bytes())
+            end(client)
+            await r.until(lambda: nothing_owed(r))
+            assert not r.backends[0].seen and not r.count("requests")
+
+    asyncio.run(run())
+
+
+def test_a_request_that_waited_unread_longer_than_its_client_is_not_sent_on() -> None:
+    """The process stood still meanwhile: bytes and end of a client are there at once."""
+
+    async def run(poll: Poll) -> None:
+        backend = StandIn(serves)
+        await backend.start()
+        directory = Directory([backend.row()])
+        await directory.start()
+        proxy = Proxy(config.from_tree(tree_of(directory, [backend.row()])), poll)
+        await proxy.start()
+        r = Rig(proxy, [backend], directory)
+        gone, stays = raw_client(proxy.port), raw_client(proxy.port)
+        for client in (gone, stays):  # both at once, so that a connection to the backend waits for each
+            client.send(request_bytes())
+        await r.until(lambda: len(backend.seen) == 2 and r.count("answers_ok") == 2)
+        gone.send(request_bytes())
+        gone.close()
+        stays.send(request_bytes())
+        time.sleep(0.25)
+        await r.until(lambda: proxy._frontend.count == 1 and r.count("answers_ok") == 3)
+        assert len(backend.seen) == 3 and given_back(r)
+        stays.close()
+        await proxy.stop(0.0)
+        await directory.stop()
+        await backend.stop()
+
+    poll = Poll()
+    with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(poll)) as runner:
+        runner.run(run(poll))
+
+
+def test_clients_that_leave_in_a_burst_leave_nothing_behind() -> None:
+    async def run() -> None:
+        async with rig(silent, silent, silent) as r:
+            clients = [raw_client(r.proxy.port) for _ in range(60)]
+            for client in clients:
+                client.send(request_bytes(remaining=LONG))
+            await r.until(lambda: r.proxy._decider._balancer.waiting > 0)  # some wait for room
+            for i, client in enumerate(clients):
+                ENDS[i % 2](client)
+            await r.until(lambda: nothing_owed(r))
+            assert given_back(r)
+            sent = sum(len(b.seen) for b in r.backends)
+            for backend in r.backends:
+                backend.behave = serves
+            assert (await r.ask()).status == 200
+            assert sum(len(b.seen) for b in r.backends) == sent + 1
+
+    asyncio.run(run())
+
+
+def test_the_id_of_a_request_whose_client_left_is_free_again() -> None:
+    async def run() -> None:
+        async with rig(silent) as r:
+            raw = request_bytes("pay", remaining=LONG, body=b"x")
+            client = raw_client(r.proxy.port)
+            client.send(raw)
+            await r.until(lambda: len(r.backends[0].seen) == 1)
+            client.close()
+            await r.until(lambda: nothing_owed(r))
+            r.backends[0].behave = serves
+            again = await r.client()
+            again.writer.write(raw)
+            assert (await again.read()).status == 200
+            again.close()
+
+    asyncio.run(run())
+
+
+def test_a_request_that_waits_for_room_is_not_sent_on_after_its_client_left() -> None:
+    drive = helpers.Drive()
+    out = []
+    while True:
+        rid, acts = drive.ask()
+        if not (sent := helpers.sends(acts)):
+            break
+        out.append((rid, sent[0].backend))
+    drive.feed(interface.ClientLeft(rid))
+    for held in out:
+        drive.now += helpers.MS
+        assert not [s for s in helpers.sends(drive.end(*held)) if s.request == rid]
+    assert not drive.balancer.waiting and not drive.balancer.requests
--- /dev/null
+++ b/tests/test_net_shutdown.py
@@ -0,0 +1,323 @@
+"""The end of a process and of connections: what was taken is answered, what comes later goes nowhere."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from mothstall.net import frontend
+from mothstall.net.admin import CALLS
+from tests.peers import (
+    Directory,
+    Rig,
+    Seen,
+    raw_client,
+    request_bytes,
+    reset,
+    rig,
+    serves,
+    silent,
+    tree_of,
+)
+from tests.test_net_process import MAIN, ROOT, free_port
+
+LONG = "3900m"
+
+
+async def takes(r: Rig, sock: socket.socket, until_end: bool = False, seconds: float = 5.0) -> bytes:
+    """What comes on a plain socket: a whole answer, or all up to the end; a reset raises."""
+    came = b""
+    async with asyncio.timeout(seconds):
+        while True:
+            data = await r.proxy.loop.sock_recv(sock, 65536)
+            came += data
+            if not data or (not until_end and b"\r\n\r\nserved" in came):
+                return came
+
+
+def hold_back(r: Rig, *, idle: int) -> None:
+    """From now on the proxy reads nothing from its clients: what they send stays in the kernel."""
+    connections = [c for c in r.proxy._frontend._table if isinstance(c, frontend.Connection)]
+    assert len(connections) == idle
+    for connection in connections:
+        assert connection.transport is not None
+        connection.transport.pause_reading()
+
+
+def answers(came: bytes) -> int:
+    return came.count(b"HTTP/1.1 ")
+
+
+@pytest.mark.parametrize("ahead", ["half a request", "a request"])
+def test_bytes_on_a_resting_connection_as_it_is_closed_are_read_and_go_nowhere(ahead: str) -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            client = raw_client(r.proxy.port)
+            client.send(request_bytes())
+            assert answers(await takes(r, client)) == 1
+            hold_back(r, idle=1)
+            client.send(request_bytes()[: 20 if ahead == "half a request" else None])
+            stopping = asyncio.create_task(r.proxy.stop(0.0))
+            # An end, and no reset: what was not answered crosses the close and is sent once more elsewhere.
+            assert await takes(r, client, until_end=True) == b""
+            client.send(request_bytes())  # a client that has not looked yet
+            client.shutdown(socket.SHUT_WR)
+            await stopping
+            assert await takes(r, client, until_end=True) == b""
+            assert len(r.backends[0].seen) == 1
+            client.close()
+
+    asyncio.run(run())
+
+
+def test_an_answer_that_ends_its_connection_is_not_reset_by_bytes_behind_its_request() -> None:
+    async def run() -> None:
+        go = asyncio.Event()
+
+        async def waits(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            await serves(seen, writer)
+
+        async with rig(waits) as r:
+            client = raw_client(r.proxy.port)
+            client.send(request_bytes(Connection="close"))
+            await r.until(lambda: len(r.backends[0].seen) == 1)
+            hold_back(r, idle=1)
+            client.send(request_bytes())
+            go.set()
+            came = await takes(r, client, until_end=True)
+            assert answers(came) == 1 and b"served" in came
+            assert len(r.backends[0].seen) == 1
+            client.close()
+
+    asyncio.run(run())
+
+
+def test_a_lingering_close_is_bounded_in_time_and_bytes(monkeypatch: pytest.MonkeyPatch) -> None:
+    for state in (frontend.State.ENDING, frontend.State.LINGER):
+        monkeypatch.setitem(frontend.OWED_S, state, 0.2)
+
+    async def run() -> None:
+        async with rig(serves) as r:
+            rests, pours = raw_client(r.proxy.port), raw_client(r.proxy.port)
+            for client in (rests, pours):
+                client.send(request_bytes(Connection="close"))
+                assert answers(await takes(r, client)) == 1
+            poured = 0
+            while poured < 50_000_000:
+                try:
+                    poured += pours.send(b"x" * 65536)
+                except BlockingIOError:
+                    await asyncio.sleep(0.005)
+                except ConnectionError:
+                    break
+            assert poured < 50_000_000
+            await r.until(lambda: r.proxy._frontend.count == 0)
+            rests.close()
+            pours.close()
+
+    asyncio.run(run())
+
+
+def test_what_waits_in_the_listeners_backlog_as_the_proxy_ends_is_served() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            clients = [raw_client(r.proxy.port) for _ in range(3)]  # no turn of the loop: none is accepted
+            for client in clients:
+                client.send(request_bytes())
+            stopping = asyncio.create_task(r.proxy.stop(0.0))
+            for client in clients:
+                came = await takes(r, client, until_end=True)
+                assert came.startswith(b"HTTP/1.1 200") and b"connection: close" in came.lower()
+                client.close()
+            await stopping
+
+    asyncio.run(run())
+
+
+def test_a_connection_taken_in_last_may_still_bring_its_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontend, "SILENT_S", 2.0)
+
+    async def run() -> None:
+        async with rig(serves) as r:
+            client = raw_client(r.proxy.port)
+            stopping = asyncio.create_task(r.proxy.stop(0.0))
+            await r.until(lambda: not r.proxy._frontend._listener and r.proxy._frontend.count == 1)
+            await asyncio.sleep(2 * frontend.SHED_ANY_S)  # longer than a connection between requests is left
+            client.send(request_bytes())
+            assert (await takes(r, client, until_end=True)).startswith(b"HTTP/1.1 200")
+            client.close()
+            await stopping
+
+    asyncio.run(run())
+
+
+def test_a_request_behind_an_open_one_is_not_sent_on_once_the_proxy_ends() -> None:
+    async def run() -> None:
+        go = asyncio.Event()
+
+        async def waits(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            await serves(seen, writer)
+
+        async with rig(waits) as r:
+            client = raw_client(r.proxy.port)
+            client.send(request_bytes() + request_bytes())
+            await r.until(lambda: len(r.backends[0].seen) == 1)
+            stopping = asyncio.create_task(r.proxy.stop(0.0))
+            await r.until(lambda: not r.proxy._frontend._listener)
+            client.send(request_bytes())
+            go.set()
+            came = await takes(r, client, until_end=True)
+            assert answers(came) == 1 and b"connection: close" in came.lower()
+            client.close()
+            await stopping
+            assert len(r.backends[0].seen) == 1
+
+    asyncio.run(run())
+
+
+def test_an_answer_that_its_client_takes_late_outlives_the_word_to_end() -> None:
+    async def run() -> None:
+        body = b"z" * 60_000
+
+        async def big(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + body)
+
+        async with rig(big) as r:
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect(("127.0.0.1", r.proxy.port))
+            client.setblocking(False)
+            client.send(request_bytes())
+            await r.until(lambda: r.count("answers_ok") == 1)
+            stopping = asyncio.create_task(r.proxy.stop(0.0))
+            await r.until(lambda: not r.proxy._frontend._listener)
+            assert (await takes(r, client, until_end=True)).endswith(body)
+            client.close()
+            await stopping
+
+    asyncio.run(run())
+
+
+def test_an_attempt_that_hangs_does_not_hold_the_end_past_the_longest_deadline() -> None:
+    async def run() -> None:
+        async with rig(silent) as r:
+            client = await r.client()
+            client.writer.write(request_bytes("order", remaining=LONG))
+            await r.until(lambda: len(r.backends[0].seen) == 1)
+            began = r.proxy.loop.time()
+            stopping = asyncio.create_task(r.proxy.stop(0.0))
+            assert (await client.read()).status in (502, 504)  # it may have run: no refusal
+            assert await client.closed()
+            await stopping
+            assert r.proxy.loop.time() - began < 1.0 + 0.7  # a kill comes no sooner
+            client.close()
+
+    asyncio.run(run())
+
+
+async def ended(process: asyncio.subprocess.Process, seconds: float = 8.0) -> int:
+    return await asyncio.wait_for(process.wait(), seconds)
+
+
+def configuration(tmp_path: Path, directory: Directory, **changes: Any) -> tuple[Path, int]:
+    tree = tree_of(directory, [], **changes)
+    port = free_port()
+    tree["listen"] = f"127.0.0.1:{port}"
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(tree))
+    return path, port
+
+
+async def begun(path: Path) -> asyncio.subprocess.Process:
+    """A proxy that listens; it may not be ready yet."""
+    process = await asyncio.create_subprocess_exec(
+        *MAIN, env={**os.environ, "LB_CONFIG": str(path)}, cwd=ROOT, stderr=asyncio.subprocess.PIPE
+    )
+    assert process.stderr
+    while b"event=listening" not in await asyncio.wait_for(process.stderr.readline(), 15):
+        pass
+    return process
+
+
+@pytest.mark.parametrize("words", [
+    (signal.SIGTERM,), (signal.SIGTERM, signal.SIGTERM), (signal.SIGHUP, signal.SIGTERM),
+    (signal.SIGTERM, signal.SIGHUP), (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1),
+], ids=lambda words: "-".join(w.name for w in words))  # fmt: skip
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_a_word_before_the_first_list_ends_the_process_with_0(
+    tmp_path: Path, mode: str, words: tuple[signal.Signals, ...]
+) -> None:
+    async def run() -> None:
+        directory = Directory([])
+        directory.hangs = True
+        await directory.start()
+        path, port = configuration(tmp_path, directory, discovery=mode)
+        process = await begun(path)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert b" 503 " in await reader.readline()
+        for word in words:
+            process.send_signal(word)
+        assert await ended(process) == 0
+        writer.close()
+        directory.cut()
+        await directory.stop()
+
+    asyncio.run(run())
+
+
+def test_a_call_of_operators_is_not_reset_by_bytes_behind_it() -> None:
+    """Their door closes in the same way; answers are written at once, held back by nothing."""
+
+    async def run() -> None:
+        async with rig(serves, operators="127.0.0.1:0") as r:
+            for path, method in CALLS.items():
+                caller = raw_client(r.proxy.admin_port)
+                caller.send(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode() + b"x" * 20_000)
+                came = await takes(r, caller, until_end=True)
+                assert came.startswith(b"HTTP/1.1 200")
+                caller.close()
+            # Callers that hold on do not hold the door's places.
+            door, held = r.proxy._door, []
+            for _ in range(40):
+                held.append(caller := raw_client(r.proxy.admin_port))
+                caller.send(b"GET /api/ready HTTP/1.1\r\n\r\n")
+                assert (await takes(r, caller, until_end=True)).startswith(b"HTTP/1.1 200")
+            assert door is not None and len(door._callers) + len(door._lingering) <= 16
+            for caller in held:
+                reset(caller)
+
+    asyncio.run(run())
+
+
+def test_small_writes_are_held_back_nowhere(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        async with rig(serves, operators="127.0.0.1:0") as r:
+            client = await r.client()
+            assert (await client.ask()).status == 200
+            links = [link.transport for link in r.proxy._pool.links]
+            clients = [c.transport for c in r.proxy._frontend._table if isinstance(c, frontend.Connection)]
+            assert links and clients
+            for transport in (*links, *clients):
+                assert transport is not None
+                sock = transport.get_extra_info("socket")
+                assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            door = r.proxy._door
+            assert door is not None and door._listener is not None
+            caller = raw_client(r.proxy.admin_port)
+            await r.until(lambda: len(door._callers) == 1)
+            (seen,) = door._callers
+            assert seen.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            caller.close()
+            client.close()
+
+    asyncio.run(run())
