A silent watch is opened anew at once; where the list is pushed nothing waits past a drain's grace

Cause, read off discovery.py and choice.py. (1) A watch that fell silent was given up 1.2 s after its wait and reported as a failed call; the module then asked again after its jittered pause (0.25 to 0.75 s with few proxies, 0.7 to 6 s with 30 to 200). What the silence hid counts as told 2 s after the wait: with 30 proxies the next call could come 0.9 s past the grace. The watch now begins anew at once, spread by position over at most half a second, and only a second failure is one for the module. (2) Where the list is pushed, what the agent has binds whether or not anybody watches, yet a watch that was reset waited up to 0.75 s (1 s by itself) and a call into a silent agent took 2 s, against a grace of 0.5 s. Now: again at once, then a quarter of the grace between calls that take half of it. (3) There also a new process was ready by its old list before it had read what the agent holds; it waits for the first word, or for the first call to fail.

--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -286,6 +286,8 @@
     def _told(self, message: Told) -> io.Event | None:
         word = message.word
         if word is None:
+            if self._entries:
+                self.listed.set()  # what was known before has to do
             return io.BackendList(message.scope, self._version, [])
         self.counters.add("list_words")
         hold(word.version >= self._version, "versions never go backward", self.counters)
@@ -296,7 +298,8 @@
                 self._retire(number)
         for member in word.members:
             self._learn(member)
-        if message.scope != Scope.CACHED or word.members:
+        # Guards against a start by an old list where the agent has a newer one, which binds from the start.
+        if message.scope != Scope.CACHED or (word.members and not self._config.settings.discovery_push):
             self.listed.set()
         return io.BackendList(message.scope, word.version, [m.entry for m in word.members])
 
--- a/mothstall/net/discovery.py
+++ b/mothstall/net/discovery.py
@@ -7,6 +7,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 import aiohttp
 from yarl import URL
@@ -25,7 +26,11 @@
 CONNECT_S = 1.0
 MOST_LIST = 8 * 1024 * 1024
 MOVE_PAUSE_S, MOVE_TRY_S = 0.1, 3.0  # between tries at a new address, and how long they go on
-PAUSE_S = 1.0  # where the list is pushed: before a watch that failed begins again
+# Where the list is pushed what the agent has binds at once. Parts of a drain's grace: what a first call may
+# take, and the pause before the next one after a second failure in a row.
+CALL_PART, PAUSE_PART = 0.5, 0.25
+LEAST_CALL_S = 0.2
+SPREAD_S, SPREAD_MOST_S = 0.01, 0.5  # after a silence that all share, for each proxy and at most
 
 
 SKIP_AUTO = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -80,6 +85,13 @@
     address: Address
 
 
+class Lost(Enum):
+    """How a call ended that brought no list."""
+
+    SILENT = 0  # nothing came in its time
+    FAILED = 1
+
+
 @dataclass(slots=True)
 class Told:
     """What discovery said, or that a call failed."""
@@ -97,15 +109,21 @@
         *,
         push: bool,
         proxies: int,
+        position: int,
+        grace_s: float,
         loop: asyncio.AbstractEventLoop,
         counters: Counters,
         report: Callable[[Told], None],
     ) -> None:
+        """`position`: this proxy's of `proxies`; `grace_s`: how long requests go on after word of a drain."""
         super().__init__("discovery", loop, counters)
         self._address, self._version, self._names, self._push = address, version, names, push
         self._report = report
         # All proxies together end about one wait a second, as one service answers them all.
         self._wait_s = min(WAIT_MOST_S, max(WAIT_S, float(proxies)))
+        self._first_s = min(CALL_S, max(LEAST_CALL_S, CALL_PART * grace_s)) if push else CALL_S
+        self._pause_s = PAUSE_PART * grace_s
+        self._spread_s = min(SPREAD_MOST_S, SPREAD_S * proxies) * (position % proxies) / proxies
         self._session = make_session()
         self._watch: asyncio.Task[None] | None = None
         # The call that is out at an earlier address: its news still counts, but nothing follows it.
@@ -167,10 +185,12 @@
 
     async def _follow(self, turn: int, address: Address, first: bool = True) -> None:
         """A watch: the first call asks for what was missed, each later one waits for news."""
+        failed = 0  # calls in a row
         while turn == self._turn:
             wait_ms = 1 if first else int(self._wait_s * 1000)
-            most_s = CALL_S if first else self._wait_s + GRACE_S
-            word = await self._call(address, f"?since={self._version}&timeout_ms={wait_ms}", most_s)
+            most_s = self._first_s if first else self._wait_s + GRACE_S
+            came = await self._call(address, f"?since={self._version}&timeout_ms={wait_ms}", most_s)
+            word = None if isinstance(came, Lost) else came
             if turn != self._turn:
                 # The watch at the new address is the one that counts, and its failures with it.
                 if word and (word.members or word.full):
@@ -179,14 +199,21 @@
             if word is None and self.loop.time() < self._moved_until:
                 await asyncio.sleep(MOVE_PAUSE_S)
                 continue
+            if came is Lost.SILENT and not first:
+                # Guards against a pause behind a silence: what was missed counts as told 2 s after the wait.
+                self._asking = first = True
+                await asyncio.sleep(self._spread_s)
+                continue
             self._asking = False
             if word is None:
                 self._report(Told(Scope.FAILED, None))
                 if not self._push:
                     return
-                await asyncio.sleep(PAUSE_S)
-                first = True
+                # Guards against a drain that the agent has and nobody has read: its grace is soon over.
+                await asyncio.sleep(self._pause_s if failed else 0.0)
+                failed, first = failed + 1, True
                 continue
+            failed = 0
             if first or word.members or word.full:
                 self._report(Told(Scope.FULL if word.full else Scope.DELTA, word))
             first = False
@@ -195,13 +222,15 @@
         word, address = None, None
         while word is None and address != self._address:  # once more if the service moved meanwhile
             address = self._address
-            word = await self._call(address, "", CALL_S)
+            came = await self._call(address, "", CALL_S)
+            word = None if isinstance(came, Lost) else came
         scope = Scope.FAILED if word is None else Scope.FULL if word.full else Scope.DELTA
         self._report(Told(scope, word))
 
-    async def _call(self, address: Address, query: str, most_s: float) -> protocol.ListWord | None:
+    async def _call(self, address: Address, query: str, most_s: float) -> protocol.ListWord | Lost:
         self.counters.add("discovery_calls")
         why: object
+        lost, until = Lost.FAILED, self.loop.time() + most_s
         try:
             async with (
                 asyncio.timeout(most_s),
@@ -224,6 +253,7 @@
             why = err
         except (TimeoutError, aiohttp.ClientError, OSError) as err:
             why = f"{type(err).__name__}: {err}"
+            lost = Lost.SILENT if isinstance(err, TimeoutError) and self.loop.time() >= until else lost
         except Exception as err:
             # Guards against a watch that ends unnoticed: whatever went wrong, the call has failed.
             self.counters.add("faults")
@@ -231,4 +261,4 @@
             why = err
         self.counters.add("discovery_failures")
         log.info("discovery call failed", extra={"kv": {"why": why}})
-        return None
+        return lost
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -88,6 +88,8 @@
             config.names,
             push=config.settings.discovery_push,
             proxies=config.settings.proxies,
+            position=config.settings.position,
+            grace_s=config.settings.drain_grace_ns / NS,
             loop=self.loop,
             counters=self.counters,
             report=told,
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -136,7 +136,9 @@
         self.changes: dict[int, list[dict[str, Any]]] = {}
         self.calls: list[str] = []
         self.raw: bytes | None = None  # said instead of any list
+        self.indent: int | None = None
         self.hangs = False
+        self.held: asyncio.Event | None = None  # answers wait for it
         self.news = asyncio.Event()
         self.port = 0
         self.server: asyncio.Server | None = None
@@ -178,6 +180,8 @@
     async def _reply(self, target: str) -> bytes:
         if self.hangs:
             await asyncio.sleep(30)
+        if self.held is not None:
+            await self.held.wait()
         if self.raw is not None:
             return self.raw
         query = dict(pair.split("=") for pair in target.partition("?")[2].split("&") if pair)
@@ -194,7 +198,7 @@
 
     def _list(self, full: bool, rows: list[dict[str, Any]]) -> bytes:
         tree = {"revision": self.revision, "complete": full, "members": rows}
-        return answer(json.dumps(tree).encode())
+        return answer(json.dumps(tree, indent=self.indent).encode())
 
 
 def settings(**changes: Any) -> dict[str, Any]:
@@ -374,13 +378,16 @@
 
 
 @asynccontextmanager
-async def rig(*behaviours: Behaviour, listed: bool = True, **changes: Any) -> AsyncIterator[Rig]:
-    """A proxy in this process, with one backend for each behaviour."""
+async def rig(
+    *behaviours: Behaviour, listed: bool = True, held: asyncio.Event | None = None, **changes: Any
+) -> AsyncIterator[Rig]:
+    """A proxy in this process, with one backend for each behaviour; discovery answers once `held` is set."""
     backends = [StandIn(behave, f"s-{i}") for i, behave in enumerate(behaviours)]
     for backend in backends:
         await backend.start()
     rows = [backend.row() for backend in backends] if listed else []
     directory = Directory(rows)
+    directory.held = held
     await directory.start()
     proxy = Proxy(config.from_tree(tree_of(directory, rows, **changes)))
     await proxy.start()
--- /dev/null
+++ b/tests/test_net_watch.py
@@ -0,0 +1,180 @@
+"""The list's end: watches that fall silent, are reset or cut, just before a backend drains."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from mothstall.interface import Scope
+from mothstall.net import discovery
+from mothstall.net.discovery import Told
+from tests.peers import MS, Rig, answer, rig, serves
+
+MODES = ["ask", "push"]
+
+
+def note_scopes(r: Rig) -> list[Scope]:
+    """What the decider is told from now on."""
+    scopes: list[Scope] = []
+    report = r.proxy._discovery._report
+
+    def noted(told: Told) -> None:
+        scopes.append(told.scope)
+        report(told)
+
+    r.proxy._discovery._report = noted
+    return scopes
+
+
+def drains(r: Rig) -> bool:
+    return r.proxy._decider.out_of_rotation() == 1
+
+
+async def watched(r: Rig, words: int = 2) -> None:
+    """The watch is on: its second call waits for news."""
+    await r.until(lambda: r.count("list_words") >= words and len(r.directory.calls) >= 2)
+
+
+@pytest.mark.parametrize("mode", MODES)
+def test_a_watch_that_fell_silent_is_opened_anew_with_no_pause(
+    monkeypatch: pytest.MonkeyPatch, mode: str
+) -> None:
+    """What it missed counts as told 2 s after its wait: no pause of a failed call may come on top."""
+    monkeypatch.setattr(discovery, "WAIT_S", 0.2)
+    monkeypatch.setattr(discovery, "GRACE_S", 0.3)
+
+    async def run() -> None:
+        async with rig(serves, serves, discovery=mode) as r:
+            await watched(r)
+            held = r.directory.held = asyncio.Event()  # the next wait is never answered
+            calls = len(r.directory.calls)
+            await r.until(lambda: len(r.directory.calls) > calls)
+            scopes = note_scopes(r)
+            r.directory.tell(r.backends[0].row("DRAINING"))
+            r.directory.held = None
+            await r.until(lambda: drains(r))
+            assert scopes == [Scope.DELTA]
+            held.set()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("mode", MODES)
+def test_a_watch_that_is_reset_just_before_a_drain_is_opened_anew(mode: str) -> None:
+    async def run() -> None:
+        async with rig(serves, serves, discovery=mode) as r:
+            await watched(r)
+            if mode == "push":
+                # The module's own check, after half a second, is not to be waited for.
+                r.proxy._decider._balancer._check_discovery = lambda: None  # type: ignore[method-assign]
+            r.directory.cut()
+            r.directory.tell(r.backends[0].row("DRAINING"))
+            # Where the list is pushed the drain binds whether or not anybody watches: no pause at all.
+            await r.until(lambda: drains(r), 0.9 if mode == "push" else 3.0)
+
+    asyncio.run(run())
+
+
+def test_a_push_that_is_down_is_asked_often_enough_for_a_drains_grace() -> None:
+    """While it is down the agent is silent; what it has at its return binds at once."""
+
+    async def run() -> None:
+        async with rig(serves, serves, discovery="push") as r:
+            await watched(r)
+            held = r.directory.held = asyncio.Event()
+            r.directory.cut()
+            await r.until(lambda: r.count("discovery_failures") >= 4)
+            r.directory.tell(r.backends[0].row("DRAINING"))
+            r.directory.held = None  # it is back; what it was asked before is never answered
+            await r.until(lambda: drains(r), 0.9)
+            held.set()
+
+    asyncio.run(run())
+
+
+def test_a_start_where_the_list_is_pushed_waits_for_what_the_agent_has() -> None:
+    async def run() -> None:
+        held = asyncio.Event()
+        changes: dict[str, Any] = {"discovery": "push", "contract--stop_sending_within_ns": 20_000 * MS}
+        async with rig(serves, serves, held=held, **changes) as r:
+            await r.until(lambda: len(r.directory.calls) == 1)
+            client = await r.client()
+            client.writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert (await client.read()).status == 503
+            r.directory.tell(r.backends[0].row("DELETED"))
+            held.set()
+            await r.until(r.proxy._frontend.takes_clients)
+            for _ in range(6):
+                assert (await r.ask()).status == 200
+            assert not r.backends[0].seen
+            client.close()
+
+    asyncio.run(run())
+
+
+def test_a_start_with_a_silent_agent_goes_by_what_was_known_after_a_bounded_time() -> None:
+    async def run() -> None:
+        held = asyncio.Event()
+        async with rig(serves, held=held, discovery="push") as r:
+            await r.until(r.proxy._frontend.takes_clients, 4.0)
+            assert r.count("discovery_failures") >= 1
+            assert (await r.ask()).status == 200
+            held.set()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("mode", MODES)
+def test_discovery_down_and_back_with_a_drain(mode: str) -> None:
+    async def run() -> None:
+        async with rig(serves, serves, discovery=mode) as r:
+            await watched(r)
+            await r.directory.stop()
+            r.directory.cut()
+            await r.until(lambda: r.count("discovery_failures") >= 1)
+            assert (await r.ask()).status == 200  # by the list that it has
+            r.directory.tell(r.backends[0].row("DRAINING"))
+            await r.directory.start()
+            await r.until(lambda: drains(r), 8.0)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("how", ["cut short", "an older revision", "no end"])
+def test_an_answer_that_cannot_be_used_changes_nothing_and_the_next_one_counts(how: str) -> None:
+    async def run() -> None:
+        async with rig(serves, serves) as r:
+            await watched(r)
+            old = b'{"revision": 0, "complete": true, "members": []}'
+            r.directory.raw = {
+                "cut short": answer(b'{"revision": 9, "complete": true, "members": []}')[:-9],
+                "an older revision": answer(old),
+                "no end": b"HTTP/1.1 200 OK\r\n\r\n" + old.replace(b"0", b"9", 1),
+            }[how]
+            r.directory.cut()
+            calls = len(r.directory.calls)
+            await r.until(lambda: len(r.directory.calls) > calls)
+            await asyncio.sleep(0)
+            if how != "an older revision":
+                r.directory.cut()
+            await r.until(lambda: r.count("discovery_failures") >= 2)
+            assert r.proxy._decider.listed_count() == 2
+            r.directory.raw = None
+            r.directory.tell(r.backends[0].row("DRAINING"))
+            await r.until(lambda: drains(r), 5.0)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("mode", MODES)
+def test_a_list_may_come_indented(mode: str) -> None:
+    async def run() -> None:
+        async with rig(serves, serves, discovery=mode) as r:
+            r.directory.indent = 4
+            await watched(r)
+            r.directory.tell(r.backends[0].row("DRAINING"))
+            await r.until(lambda: drains(r))
+
+    asyncio.run(run())
