An answer that was handed over lingers at its end too; no half-closed connection outlives a drain

Cause: net/passage.py closed its client's connection at once behind the answer, over what the client had sent meanwhile: a reset. It half-closes and reads what still comes for a second. Test: test_the_end_of_an_answer_that_was_handed_over..., fails on the text before.

--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -736,6 +736,10 @@
             self.finish()
         elif overdue and self.state in (State.HEAD, State.BODY, State.SILENT, State.HELD):
             self._refuse(408, "the proxy drains")
+        elif overdue and self.state in (State.ENDING, State.LINGER):
+            transport = self.transport
+            if transport and now - self.since >= SILENT_S and not transport.get_write_buffer_size():
+                transport.abort()
 
 
 class Server(web.Server):
--- a/mothstall/net/passage.py
+++ b/mothstall/net/passage.py
@@ -17,6 +17,7 @@
 log = logging.getLogger("mothstall.passage")
 
 STALL_S = 10.0  # without progress on either side
+LINGER_S = 1.0  # a lingering close reads what still comes so long
 
 
 class _Side(asyncio.Protocol):
@@ -59,17 +60,36 @@
         if self.transport is not None:
             if self._passage.onward.chunks:
                 self.transport.write(protocol.LAST_CHUNK)
-            self.transport.close()
+            self._finish(self.transport)
 
     def broken(self) -> None:
         """Guards against half an answer that passes for a whole one: a reset tells if nothing else does."""
         if self.transport is None:
             return
         if self._passage.onward.chunks or self._passage.onward.left is not None:
-            self.transport.close()
+            self._finish(self.transport)
         else:
             self.abort()
 
+    def _finish(self, transport: asyncio.Transport) -> None:
+        """A lingering close: what its client has sent meanwhile is read and goes nowhere.
+
+        Guards against a close over unread bytes, which would take the end of the answer with it.
+        """
+        transport.resume_reading()
+        try:
+            transport.write_eof()
+        except OSError:
+            transport.close()
+            return
+        asyncio.get_running_loop().call_later(LINGER_S, self._lingered, transport)
+
+    def _lingered(self, transport: asyncio.Transport) -> None:
+        if transport.get_write_buffer_size():
+            asyncio.get_running_loop().call_later(LINGER_S, self._lingered, transport)  # a slow reader
+        else:
+            transport.abort()
+
     def abort(self) -> None:
         if self.transport is not None:
             sock = self.transport.get_extra_info("socket")
--- a/tests/test_knownred.py
+++ b/tests/test_knownred.py
@@ -86,7 +86,7 @@
     ],
 )
 def test_a_list_that_breaks_its_rules_fails_the_run(tmp_path: Path, text: str, why: str) -> None:
-    with pytest.raises(knownred.BadList, match="KNOWN-RED.txt") as caught:
+    with pytest.raises(knownred.BadList, match=knownred.FILE.replace(".", "[.]")) as caught:
         knownred.read(text)
     assert why in str(caught.value)
     done = play(tmp_path, known=text)
--- a/tests/test_net_shutdown.py
+++ b/tests/test_net_shutdown.py
@@ -16,6 +16,9 @@
 
 from mothstall.net import frontend
 from mothstall.net.admin import CALLS
+from mothstall.net.partner import Onward
+from mothstall.net.passage import Passage
+from mothstall.net.relay import Grants
 from tests.peers import (
     Directory,
     Rig,
@@ -375,3 +378,29 @@
                 await stopping
 
     asyncio.run(run())
+
+
+def test_the_end_of_an_answer_that_was_handed_over_is_not_reset_by_bytes_behind_its_request() -> None:
+    async def run() -> None:
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            client = raw_client(listener.getsockname()[1])
+            taken, _ = listener.accept()
+        over: list[Passage] = []
+        loop = asyncio.get_running_loop()
+        passage = Passage(Onward(0, None, False, b"the end of it", ()), Grants(1), loop)
+        client.send(request_bytes())  # its next request: read by nobody
+        running = asyncio.create_task(passage.run(taken, None, over.append))
+        came = b""
+        async with asyncio.timeout(5):
+            while data := await loop.sock_recv(client, 65536):
+                came += data
+        assert came == b"the end of it"
+        client.close()
+        async with asyncio.timeout(5):
+            while not over:
+                await asyncio.sleep(0.005)
+        await running
+
+    asyncio.run(run())
