--- a/mothstall/net/backend.py
+++ b/mothstall/net/backend.py
@@ -170,15 +170,23 @@
         """A backend said more than it was asked."""
         self._wary_until = self.loop.time() + WARY_S
 
-    def settled(self, idle: deque[Link]) -> Link | None:
-        """Which of a backend's idle connections is used next: the latest, rested a while if backends stray.
+    def take_idle(self, idle: deque[Link]) -> Link | None:
+        """Out of a backend's idle connections the one to use next: the latest, rested if backends stray.
 
         Guards against a second answer, some milliseconds late, that the next request would take for its own.
         """
-        now = self.loop.time() if self._wary_until else 0.0
-        if now >= self._wary_until:
-            return idle[-1] if idle else None
-        return next((link for link in reversed(idle) if now - self._idle.get(link, now) >= SETTLE_S), None)
+        if not idle:
+            return None
+        if not self._wary_until or (now := self.loop.time()) >= self._wary_until:
+            link = idle.pop()
+        else:
+            rested = (link for link in reversed(idle) if now - self._idle.get(link, now) >= SETTLE_S)
+            if (found := next(rested, None)) is None:
+                return None
+            link = found
+            idle.remove(link)
+        self._idle.pop(link, None)
+        return link
 
     def wake(self, link: Link) -> None:
         self._idle.pop(link, None)
@@ -735,9 +743,7 @@
         if order is not None and order.by_ns:
             attempt.by = self._clock.loop_time(order.by_ns)
             attempt.window = self.loop.call_at(attempt.by, self._window_over, attempt)
-        while (link := self._pool.settled(self._idle)) is not None:
-            self._idle.remove(link)
-            self._pool.wake(link)
+        while (link := self._pool.take_idle(self._idle)) is not None:
             if link.is_connected():
                 self._write(attempt, link)
                 return
