An attempt called off before its first step gives its place in the pool back; more crossings forced

Cause: a task cancelled before its first step runs none of its body, so that _connect's own count never went down: Pool.open leaked, and a full pool sends nothing. The count is given back by the task's end. Test: test_an_attempt_called_off_before_its_first_step..., fails on the text before. Further crossings forced by tests that passed at once: answer and deadline in one turn, a deadline shorter than the dial, last byte with the word to end, drain and rejoin at once, accept without descriptors, a start while half of the backends hang, a client that takes nothing.

--- a/mothstall/net/backend.py
+++ b/mothstall/net/backend.py
@@ -16,6 +16,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.client_proto import ResponseHandler
@@ -566,7 +567,10 @@
 class _Attempt:
     """A request that is out on a link, or waits for one to come up."""
 
-    __slots__ = ("by", "called_off", "due", "link", "order", "raw", "sent_at", "task", "timer", "window")
+    __slots__ = (
+        *("by", "called_off", "dialling", "due", "link", "order", "raw", "sent_at"),
+        *("task", "timer", "window"),
+    )
 
     def __init__(self, order: Send | None, sent_at: int, due: float) -> None:
         self.order, self.sent_at, self.due = order, sent_at, due  # without an order: a probe
@@ -576,6 +580,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.by: float | None = None  # by when its last byte goes out or never, on the loop's clock
         self.window: asyncio.TimerHandle | None = None
+        self.dialling = False  # its connection comes up: counted in the pool, and no link there yet
         self.called_off = False
 
     def written(self) -> bool:
@@ -752,7 +757,15 @@
             self._end(attempt, Result.NOT_SENT)
             return
         self._pool.open += 1
+        attempt.dialling = True
         attempt.task = self.loop.create_task(self._connect(attempt))
+        attempt.task.add_done_callback(partial(self._dialled, attempt))
+
+    def _dialled(self, attempt: _Attempt, task: asyncio.Task[None]) -> None:
+        """Guards against a place in the pool that is lost with a task called off before its first step."""
+        if attempt.dialling:
+            attempt.dialling = False
+            self._pool.open -= 1
 
     async def _connect(self, attempt: _Attempt) -> None:
         link = Link(self)
@@ -760,7 +773,6 @@
             async with asyncio.timeout(self._connect_s):
                 await self.loop.create_connection(lambda: link, self.address.host, self.address.port)
         except BaseException as why:
-            self._pool.open -= 1
             if not isinstance(why, (OSError, asyncio.CancelledError)):
                 self.counters.add("faults")
                 log.exception("connect fault", extra={"kv": {"backend": self.ident}})
@@ -771,7 +783,7 @@
             if isinstance(why, asyncio.CancelledError):
                 raise
             return
-        attempt.task = None
+        attempt.task, attempt.dialling = None, False
         self._pool.links.add(link)
         if link.transport is None:  # up and lost before anything was written
             self.lost(link)
--- a/mothstall/net/counters.py
+++ b/mothstall/net/counters.py
@@ -24,7 +24,7 @@
     "attempts_connect_failed": "attempts that found no connection, or whose request was not written whole",
     "attempts_reset": "attempts whose connection was lost after the request",
     "attempts_cancelled": "attempts withdrawn",
-    "attempts_not_sent": "attempts never sent: their request was over or their backend unknown",
+    "attempts_not_sent": "attempts never sent: what they were for, or their backend's life, was over by then",
     "probes": "probes sent",
     "answers_with_more": "good answers of backends with more behind them: passed on, connection closed",
     "answers_cut": "long answers that broke off at the backend after their first bytes were passed on",
--- a/tests/test_net_attempts.py
+++ b/tests/test_net_attempts.py
@@ -14,7 +14,7 @@
 from mothstall.net import protocol
 from mothstall.net.clock import Clock
 from mothstall.net.counters import Counters
-from mothstall.net.decider import Arrived, Decider, Left, Message, Reply
+from mothstall.net.decider import Arrived, Decider, Left, Message, Overdue, Reply
 from mothstall.net.discovery import Told
 from mothstall.net.figures import Figures
 from tests import helpers
@@ -35,6 +35,11 @@
     tree_of,
 )
 
+SHORT = [
+    {"name": name, "effect": effect, "aim-ns": 25 * MS, "deadline-ns": 60 * MS, "worth": 1}
+    for name, effect in (("search", "pure"), ("order", "side_effect"))
+]
+
 
 class Orders:
     """In place of a backend's actor: what the decider tells it."""
@@ -200,10 +205,12 @@
         gate = Gate(single.loop, monkeypatch)
         gate.hold(stand_in)
         single.actor.tell(peer.SendProbe())
-        while not gate.waiting:
+        single.send(within_ms=5000)
+        single.send("POST", within_ms=5000, body=b"x")  # retries and second copies are attempts like any
+        while gate.waiting < 3:
             await asyncio.sleep(0.002)
         single.actor.tell(peer.Retire())
-        assert await single.ended() == [Result.NOT_SENT]
+        assert await single.ended(3) == [Result.NOT_SENT] * 3
         gate.open.set()
         await settle()
         assert not stand_in.seen and single.pool.open == 0
@@ -212,6 +219,54 @@
     asyncio.run(run())
 
 
+def test_an_attempt_called_off_before_its_first_step_leaves_the_pool_as_it_was() -> None:
+    async def run() -> None:
+        stand_in, single = await alone(serves)
+        for count in range(1, 4):
+            request = single.send()
+            single.actor.tell(peer.Cancel(request, 0))
+            assert (await single.ended(count))[-1] == Result.NOT_SENT
+        await settle()
+        assert single.pool.open == 0 and not stand_in.seen
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+def test_a_deadline_shorter_than_the_dial_is_met_and_nothing_goes_out_later(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def run() -> None:
+        async with rig(serves, **{"limits--connect_timeout_ns": 5_000 * MS, "classes": SHORT}) as r:  # type: ignore[arg-type]
+            gate = Gate(r.proxy.loop, monkeypatch)
+            gate.hold(r.backends[0])
+            for lane in ("search", "order"):
+                assert (await r.ask(lane, remaining="60m")).status == 503  # it never ran
+            gate.open.set()
+            await settle()
+            assert not r.backends[0].seen
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("first", ["answer", "deadline"])
+def test_an_answer_and_the_deadline_in_one_turn_give_one_answer(first: str) -> None:
+    async def run() -> None:
+        desk = Desk()
+        desk.batch(desk.arrived(1))
+        (send,) = desk.sends()
+        served = desk.ended(send, Result.OK)
+        served.answer = protocol.Answer(b"served", b"")
+        both: list[Message] = [served, Overdue(1)]
+        desk.batch(*(both if first == "answer" else reversed(both)))
+        await settle()
+        assert desk.replies == [200 if first == "answer" else 502]
+        assert desk.in_flight == (0, 0) and not desk.decider._pending
+        assert not desk.counters.values["checks_broken"]
+
+    asyncio.run(run())
+
+
 def test_a_connection_that_comes_up_late_and_is_still_wanted_is_used(monkeypatch: pytest.MonkeyPatch) -> None:
     async def run() -> None:
         changes: dict[str, Any] = {"limits--connect_timeout_ns": 5_000 * MS}
--- a/tests/test_net_leaving.py
+++ b/tests/test_net_leaving.py
@@ -19,6 +19,7 @@
     Directory,
     Rig,
     StandIn,
+    answer,
     raw_client,
     request_bytes,
     reset,
@@ -221,6 +222,28 @@
         runner.run(run(poll))
 
 
+def test_a_client_that_takes_no_answer_is_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontend, "UNREAD_S", 0.3)
+    monkeypatch.setitem(frontend.OWED_S, frontend.State.IDLE, 0.2)
+
+    async def run() -> None:
+        async def big(seen: Any, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(b"z" * 60_000))
+
+        async with rig(big) as r:
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect(("127.0.0.1", r.proxy.port))
+            client.setblocking(False)
+            client.send(b"".join(request_bytes(remaining=LONG) for _ in range(200)))
+            await r.until(lambda: r.count("connections_overdue") == 1, 8.0)
+            await r.until(lambda: nothing_owed(r))
+            assert given_back(r) and len(r.backends[0].seen) < 200
+            client.close()
+
+    asyncio.run(run())
+
+
 def test_clients_that_leave_in_a_burst_leave_nothing_behind() -> None:
     async def run() -> None:
         async with rig(silent, silent, silent) as r:
--- a/tests/test_net_shutdown.py
+++ b/tests/test_net_shutdown.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import os
 import signal
@@ -189,6 +190,101 @@
     asyncio.run(run())
 
 
+def test_a_request_whose_last_byte_comes_with_the_word_to_end_is_served() -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            rests, half = await r.client(), await r.client()
+            assert (await rests.ask()).status == 200
+            raw = request_bytes("order", body=b"whole")
+            half.writer.write(raw[:-1])
+            await r.until(lambda: bool(r.proxy._frontend._states[frontend.State.BODY]))
+            stopping = asyncio.create_task(r.proxy.stop(0.2))
+            await asyncio.sleep(0)
+            half.writer.write(raw[-1:])
+            # So is one that comes on a resting connection while new ones are still let in.
+            for reply in (await half.read(), await rests.ask()):
+                assert (reply.status, reply.headers["connection"]) == (200, "close")
+            await stopping
+
+    asyncio.run(run())
+
+
+def test_a_drain_and_a_rejoin_at_once_leave_nothing_closed_and_nothing_owed() -> None:
+    async def run() -> None:
+        go = asyncio.Event()
+
+        async def waits(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            await serves(seen, writer)
+
+        async with rig(serves, operators="127.0.0.1:0") as r:
+            rests, busy = await r.client(), await r.client()
+            assert (await rests.ask()).status == 200
+            r.backends[0].behave = waits
+            busy.writer.write(request_bytes())
+            await r.until(lambda: len(r.backends[0].seen) == 2)
+            for path in ("/api/evacuate", "/api/rejoin", "/api/evacuate", "/api/evacuate", "/api/rejoin"):
+                assert (await r.call(path)).status == 200
+            go.set()
+            for reply in (await busy.read(), await rests.ask(), await busy.ask()):
+                assert reply.status == 200 and "connection" not in reply.headers
+            assert r.proxy._frontend.takes_clients()
+            # Once it ends there is no way back.
+            stopping = asyncio.create_task(r.proxy.stop(0.1))
+            await asyncio.sleep(0)
+            assert (await r.call("/api/rejoin")).status == 409
+            rests.close()
+            busy.close()
+            await stopping
+
+    asyncio.run(run())
+
+
+def test_an_accept_without_descriptors_is_tried_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            listener = r.proxy._frontend._listener
+            assert listener is not None
+            accept = listener.accept
+            left = [OSError(errno.EMFILE, "too many open files")] * 3
+
+            class Poor:
+                """The listener of a process without descriptors."""
+
+                def accept(self) -> Any:
+                    if left:
+                        raise left.pop()
+                    return accept()
+
+                def __getattr__(self, name: str) -> Any:
+                    return getattr(listener, name)
+
+            monkeypatch.setattr(r.proxy._frontend, "_listener", Poor())
+            assert (await r.ask()).status == 200
+            assert not left
+            monkeypatch.setattr(r.proxy._frontend, "_listener", listener)
+
+    asyncio.run(run())
+
+
+def test_a_start_while_half_of_the_backends_hang_gives_every_client_that_comes_its_answer() -> None:
+    async def run() -> None:
+        async with rig(silent, serves, silent, serves) as r:
+            async def comes_again() -> int:
+                for _ in range(40):
+                    reply = await r.ask(remaining="800m")
+                    if reply.status == 200:
+                        return 1
+                    assert reply.status in (502, 503, 504)
+                return 0
+
+            assert sum(await asyncio.gather(*(comes_again() for _ in range(30)))) == 30
+            assert r.count("answers_overdue") == r.count("checks_broken") == 0
+            await r.until(lambda: not r.proxy._decider._pending)
+
+    asyncio.run(run())
+
+
 def test_an_answer_that_its_client_takes_late_outlives_the_word_to_end() -> None:
     async def run() -> None:
         body = b"z" * 60_000
