A request that waited in the listener's backlog longer than its client is not taken up

Cause: a first request's time counted from when its connection was made known to its protocol, a turn of the loop after it was accepted, so that a request that had waited in the backlog (this process stood still, or had no descriptor) looked fresh; it was sent on though its client had gone. It counts from what the loop looked at when it accepted, and a newcomer that was kept waiting is polled for its end once. Tests: three cases of test_net_leaving.py, all fail on the text before.

--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -96,8 +96,8 @@
 
     __slots__ = (
         *("_ahead", "_backlog", "_bad", "_came_ns", "_chunks", "_front", "_got", "_held_up", "_inbound"),
-        *("_mark", "_modern", "_more", "_number", "_parts", "_payload", "_relay", "_sized", "_spill"),
-        *("_stays", "_upload", "_waiting"),
+        *("_late", "_mark", "_modern", "_more", "_number", "_parts", "_payload", "_relay", "_sized"),
+        *("_spill", "_stays", "_upload", "_waiting"),
         *("since", "state"),
     )
 
@@ -113,6 +113,7 @@
         self._front = front
         self.state, self.since = State.SILENT, 0.0
         self._came_ns = 0
+        self._late = False  # what comes first may have waited for long in the listener's backlog
         self._inbound: protocol.Inbound | None = None
         self._ahead = False  # what came last came behind an open request: the parser may hold some of it
         self._backlog: deque[bytes] = deque()  # came behind an open request, not parsed yet
@@ -144,6 +145,10 @@
         self._came_ns = self._front.clock.came()
         self._enter(State.SILENT)
 
+    def taken(self, came_ns: int, late: bool) -> None:
+        """Since when its first request may have been there, 0 if unknown; `late`: long before that."""
+        self._came_ns, self._late = came_ns or self._came_ns, late
+
     def connection_lost(self, exc: BaseException | None) -> None:
         if self._manager is None:
             return
@@ -324,8 +329,10 @@
             self._parser.message_consumed()
         if self.state == State.IDLE:
             self._came_ns = self._front.clock.came()
-        if self._front.clock.now() - self._came_ns > LATE_NS and hung_up(self.transport):
-            # Guards against a request that waited unread longer than its client, as this process stood still.
+        late, self._late = self._late or self._front.clock.now() - self._came_ns > LATE_NS, False
+        if late and hung_up(self.transport):
+            # Guards against a request that waited unread longer than its client: this process stood still, or
+            # had no descriptor for it.
             self._forget_ahead()
             self.force_close()
             return
@@ -828,10 +835,17 @@
                 return
             self.counters.add("connections")
             sock.setblocking(False)
-            self._start_taking(sock)
+            self._start_taking(sock, came_ns=self.clock.came(), late=self._waiting_since is not None)
 
-    def _start_taking(self, sock: socket.socket, idle: bool = False, age_s: float = 0.0) -> None:
-        task = self.loop.create_task(self._take(sock, idle, age_s))
+    def _start_taking(
+        self,
+        sock: socket.socket,
+        idle: bool = False,
+        age_s: float = 0.0,
+        came_ns: int = 0,
+        late: bool = False,
+    ) -> None:
+        task = self.loop.create_task(self._take(sock, idle, age_s, came_ns, late))
         self._taking.add(task)
         task.add_done_callback(self._taking.discard)
 
@@ -844,13 +858,14 @@
         if self._listener and not self.phases.made_way:
             self.loop.add_reader(self._listener, self._accept)
 
-    async def _take(self, sock: socket.socket, idle: bool = False, age_s: float = 0.0) -> None:
+    async def _take(self, sock: socket.socket, idle: bool, age_s: float, came_ns: int, late: bool) -> None:
         try:
             _, connection = await self.loop.connect_accepted_socket(self._server, sock)
         except OSError:
             sock.close()
             return
         if connection.state == State.SILENT and connection.transport is not None:
+            connection.taken(came_ns, late)
             if idle:
                 connection._enter(State.IDLE)
             connection.since -= age_s
--- a/tests/test_net_leaving.py
+++ b/tests/test_net_leaving.py
@@ -191,7 +191,8 @@
     asyncio.run(run())
 
 
-def test_a_request_that_waited_unread_longer_than_its_client_is_not_sent_on() -> None:
+@pytest.mark.parametrize("known", [True, False], ids=["on an open connection", "on a new one"])
+def test_a_request_that_waited_unread_longer_than_its_client_is_not_sent_on(known: bool) -> None:
     """The process stood still meanwhile: bytes and end of a client are there at once."""
 
     async def run(poll: Poll) -> None:
@@ -206,6 +207,10 @@
         for client in (gone, stays):  # both at once, so that a connection to the backend waits for each
             client.send(request_bytes())
         await r.until(lambda: len(backend.seen) == 2 and r.count("answers_ok") == 2)
+        if not known:
+            gone.close()
+            await r.until(lambda: proxy._frontend.count == 1)
+            gone = raw_client(proxy.port)
         gone.send(request_bytes())
         gone.close()
         stays.send(request_bytes())
@@ -222,6 +227,30 @@
         runner.run(run(poll))
 
 
+def test_a_request_that_waited_in_the_backlog_longer_than_its_client_is_not_sent_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """For want of descriptors: it is let in once others have made way."""
+
+    async def run() -> None:
+        async with rig(serves) as r:
+            front = r.proxy._frontend
+            assert (await r.ask()).status == 200  # a connection to the backend waits for the next request
+            await r.until(lambda: front.count == 0)
+            with monkeypatch.context() as full:
+                full.setattr(front, "_room", lambda: False)
+                gone, stays = raw_client(r.proxy.port), raw_client(r.proxy.port)
+                gone.send(request_bytes())
+                gone.close()
+                stays.send(request_bytes())
+                await r.until(lambda: front._waiting_since is not None)
+            await r.until(lambda: r.count("answers_ok") == 2 and front.count == 1)
+            assert len(r.backends[0].seen) == 2 and given_back(r)
+            stays.close()
+
+    asyncio.run(run())
+
+
 def test_a_client_that_takes_no_answer_is_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(frontend, "UNREAD_S", 0.3)
     monkeypatch.setitem(frontend.OWED_S, frontend.State.IDLE, 0.2)
