--- a/mothstall/net/backend.py
+++ b/mothstall/net/backend.py
@@ -162,7 +162,7 @@
         oldest.drop()
         return True
 
-    def rest(self, link: Link) -> None:
+    def add_idle(self, link: Link) -> None:
         self._idle[link] = self.loop.time()
         if self._sweeper is None:
             self._sweeper = self.loop.call_later(self._idle_s, self._sweep)
@@ -189,7 +189,7 @@
         self._idle.pop(link, None)
         return link
 
-    def wake(self, link: Link) -> None:
+    def remove_idle(self, link: Link) -> None:
         self._idle.pop(link, None)
 
     def _sweep(self) -> None:
@@ -613,7 +613,7 @@
         # Guards against a successor at the same address: a link of an earlier life is never used again.
         self.life = 0
         self._idle: deque[Link] = deque()  # the latest to fall idle is used first, so that the others end
-        self._out: dict[tuple[int, int], _Attempt] = {}
+        self._in_flight: dict[tuple[int, int], _Attempt] = {}
         self._probes: set[_Attempt] = set()
 
     def receive(self, batch: list[Order]) -> None:
@@ -621,10 +621,10 @@
             if isinstance(order, Send):
                 self._start(order)
             elif isinstance(order, Cancel):
-                if attempt := self._out.get((order.request, order.attempt)):
+                if attempt := self._in_flight.get((order.request, order.attempt)):
                     self._call_off(attempt, Result.CANCELLED)
             elif isinstance(order, Withhold):
-                attempt = self._out.get((order.request, order.attempt))
+                attempt = self._in_flight.get((order.request, order.attempt))
                 if attempt is not None and attempt.link is None:
                     self._call_off(attempt, Result.CANCELLED)
             elif isinstance(order, SendProbe):
@@ -640,13 +640,13 @@
 
     def recover(self, batch: list[Order], why: Exception) -> None:
         for order in batch:
-            if isinstance(order, Send) and (order.request, order.attempt) not in self._out:
+            if isinstance(order, Send) and (order.request, order.attempt) not in self._in_flight:
                 attempt = _Attempt(order, self._clock.now(), 0.0)
                 self._end(attempt, Result.NOT_SENT)
 
     @property
-    def out(self) -> int:
-        return len(self._out)
+    def in_flight(self) -> int:
+        return len(self._in_flight)
 
     @property
     def grants(self) -> Grants:
@@ -700,7 +700,7 @@
         """
         self.life += 1
         self._drop_idle()
-        for attempt in [a for a in (*self._out.values(), *self._probes) if a.link is None]:
+        for attempt in [a for a in (*self._in_flight.values(), *self._probes) if a.link is None]:
             self._call_off(attempt, Result.CANCELLED)
 
     def _drop_idle(self) -> None:
@@ -713,7 +713,7 @@
             return
         self._pool.links.discard(link)
         self._pool.open -= 1
-        self._pool.wake(link)
+        self._pool.remove_idle(link)
         if link in self._idle:
             self._idle.remove(link)
         if attempt := link.attempt:
@@ -724,7 +724,7 @@
         link.attempt = None
         if keep and link.life == self.life and link.flushed and link.is_connected():
             self._idle.append(link)
-            self._pool.rest(link)
+            self._pool.add_idle(link)
         else:
             link.drop()
 
@@ -736,7 +736,7 @@
         due = self._clock.loop_time(due_ns)
         attempt = _Attempt(order, now, due)
         if order:
-            self._out[order.request, order.attempt] = attempt
+            self._in_flight[order.request, order.attempt] = attempt
             attempt.raw = protocol.request_bytes(order.inbound, due_ns - now)
         else:
             self._probes.add(attempt)
@@ -874,7 +874,7 @@
             self._probes.discard(attempt)
             self._report(Probed(self.number, result, latency, load))
             return
-        self._out.pop((order.request, order.attempt), None)
+        self._in_flight.pop((order.request, order.attempt), None)
         self.counters.add("attempts_" + result.name.lower())
         if result in (Result.RESET, Result.CONNECT_FAILED):
             # Guards against a cut that ended: idle connections from before it would each fail a request.
--- a/mothstall/net/counters.py
+++ b/mothstall/net/counters.py
@@ -39,7 +39,7 @@
     "discovery_failures": "calls to discovery that failed",
     "reloads": "configurations read again and taken over",
     "reloads_failed": "configurations read again and refused: the old one stays",
-    "list_words": "lists and changes taken from discovery",
+    "list_updates": "lists and changes of it taken from discovery",
     "faults": "exceptions inside an actor",
     "checks_broken": "things that must hold and did not",
 }
--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -101,7 +101,7 @@
     deadline_ns: int
     backstop: asyncio.TimerHandle | None
     attempts: list[peer.Backend | None] = field(default_factory=list)
-    out: int = 0
+    in_flight: int = 0
     answered: bool = False
     silent: bool = False  # the last attempt ran out of time
     relaying: bool = False  # answered as far as the first bytes of a long answer
@@ -242,7 +242,7 @@
         if entry:
             upload = entry.arrived.inbound.stream
             again = upload is None or not upload.opened
-            entry.out -= 1
+            entry.in_flight -= 1
             entry.silent = message.result == Result.TIMEOUT
             if not entry.answered and message.answer and message.result == Result.OK:
                 answer = message.answer
@@ -284,24 +284,24 @@
         return io.ClientLeft(request)
 
     def _told(self, message: Told) -> io.Event | None:
-        word = message.word
-        if word is None:
+        update = message.update
+        if update is None:
             if self._entries:
                 self.listed.set()  # what was known before has to do
             return io.BackendList(message.scope, self._version, [])
-        self.counters.add("list_words")
-        hold(word.version >= self._version, "versions never go backward", self.counters)
-        self._version = word.version
+        self.counters.add("list_updates")
+        hold(update.version >= self._version, "versions never go backward", self.counters)
+        self._version = update.version
         if message.scope != Scope.DELTA:
-            listed = {m.entry.backend for m in word.members}
+            listed = {m.entry.backend for m in update.members}
             for number in [n for n in self._backends if n not in listed]:
                 self._retire(number)
-        for member in word.members:
+        for member in update.members:
             self._learn(member)
         # Guards against a start by an old list where the agent has a newer one, which binds from the start.
-        if message.scope != Scope.CACHED or (word.members and not self._config.settings.discovery_push):
+        if message.scope != Scope.CACHED or (update.members and not self._config.settings.discovery_push):
             self.listed.set()
-        return io.BackendList(message.scope, word.version, [m.entry for m in word.members])
+        return io.BackendList(message.scope, update.version, [m.entry for m in update.members])
 
     def _learn(self, member: protocol.Member) -> None:
         entry = member.entry
@@ -366,11 +366,11 @@
         actor = self._backends.get(action.backend)
         inbound = entry.arrived.inbound
         late = now >= entry.deadline_ns and inbound.stream is None
-        gone = inbound.stream is not None and (inbound.stream.opened or entry.out > 0)
+        gone = inbound.stream is not None and (inbound.stream.opened or entry.in_flight > 0)
         if entry.answered or number >= self._config.settings.max_attempts or late or gone:
             actor = None
         entry.attempts.append(actor)
-        entry.out += 1
+        entry.in_flight += 1
         if actor is None:
             self.counters.add("attempts_not_sent")
             self.tell(peer.Ended(action.request, number, action.backend, Result.NOT_SENT, 0, (), None))
@@ -401,7 +401,7 @@
         entry.answered = True
         if entry.backstop:
             entry.backstop.cancel()
-        if entry.out:
+        if entry.in_flight:
             # Guards against an attempt that still waits for its connection and goes out for nobody, where
             # the settings let the module withdraw none.
             for number, actor in enumerate(entry.attempts):
@@ -429,7 +429,7 @@
     def _forget_over(self) -> None:
         over, self._over = self._over, []
         for entry in over:
-            if entry.answered and not entry.out and not entry.relaying:
+            if entry.answered and not entry.in_flight and not entry.relaying:
                 self._pending.pop(entry.arrived.request, None)
 
     def recover(self, batch: list[Message], why: Exception) -> None:
--- a/mothstall/net/discovery.py
+++ b/mothstall/net/discovery.py
@@ -97,7 +97,7 @@
     """What discovery said, or that a call failed."""
 
     scope: Scope
-    word: protocol.ListWord | None
+    update: protocol.ListUpdate | None
 
 
 class Discovery(Actor[Watch | Fetch | Move]):
@@ -115,7 +115,7 @@
         counters: Counters,
         report: Callable[[Told], None],
     ) -> None:
-        """`position`: this proxy's of `proxies`; `grace_s`: how long requests go on after word of a drain."""
+        """`position`: this proxy's of `proxies`; `grace_s`: how long requests go on after news of a drain."""
         super().__init__("discovery", loop, counters)
         self._address, self._version, self._names, self._push = address, version, names, push
         self._report = report
@@ -190,13 +190,13 @@
             wait_ms = 1 if first else int(self._wait_s * 1000)
             most_s = self._first_s if first else self._wait_s + GRACE_S
             came = await self._call(address, f"?since={self._version}&timeout_ms={wait_ms}", most_s)
-            word = None if isinstance(came, Lost) else came
+            update = None if isinstance(came, Lost) else came
             if turn != self._turn:
                 # The watch at the new address is the one that counts, and its failures with it.
-                if word and (word.members or word.full):
-                    self._report(Told(Scope.FULL if word.full else Scope.DELTA, word))
+                if update and (update.members or update.full):
+                    self._report(Told(Scope.FULL if update.full else Scope.DELTA, update))
                 return
-            if word is None and self.loop.time() < self._moved_until:
+            if update is None and self.loop.time() < self._moved_until:
                 await asyncio.sleep(MOVE_PAUSE_S)
                 continue
             if came is Lost.SILENT and not first:
@@ -205,7 +205,7 @@
                 await asyncio.sleep(self._spread_s)
                 continue
             self._asking = False
-            if word is None:
+            if update is None:
                 self._report(Told(Scope.FAILED, None))
                 if not self._push:
                     return
@@ -214,20 +214,20 @@
                 failed, first = failed + 1, True
                 continue
             failed = 0
-            if first or word.members or word.full:
-                self._report(Told(Scope.FULL if word.full else Scope.DELTA, word))
+            if first or update.members or update.full:
+                self._report(Told(Scope.FULL if update.full else Scope.DELTA, update))
             first = False
 
     async def _fetch(self) -> None:
-        word, address = None, None
-        while word is None and address != self._address:  # once more if the service moved meanwhile
+        update, address = None, None
+        while update is None and address != self._address:  # once more if the service moved meanwhile
             address = self._address
             came = await self._call(address, "", CALL_S)
-            word = None if isinstance(came, Lost) else came
-        scope = Scope.FAILED if word is None else Scope.FULL if word.full else Scope.DELTA
-        self._report(Told(scope, word))
+            update = None if isinstance(came, Lost) else came
+        scope = Scope.FAILED if update is None else Scope.FULL if update.full else Scope.DELTA
+        self._report(Told(scope, update))
 
-    async def _call(self, address: Address, query: str, most_s: float) -> protocol.ListWord | Lost:
+    async def _call(self, address: Address, query: str, most_s: float) -> protocol.ListUpdate | Lost:
         self.counters.add("discovery_calls")
         why: object
         lost, until = Lost.FAILED, self.loop.time() + most_s
@@ -242,11 +242,11 @@
             ):
                 body = await read_whole(response, MOST_LIST)
                 if response.status == 200:
-                    word = protocol.read_list(json.loads(body), self._names)
-                    if word.version < self._version:
-                        raise protocol.Unreadable(f"version {word.version} after {self._version}")
-                    self._version = word.version
-                    return word
+                    update = protocol.read_list(json.loads(body), self._names)
+                    if update.version < self._version:
+                        raise protocol.Unreadable(f"version {update.version} after {self._version}")
+                    self._version = update.version
+                    return update
                 why = f"status {response.status}"
         except (protocol.Unreadable, ValueError) as err:
             self.counters.add("unreadable")
--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -71,14 +71,14 @@
     IDLE = 0  # served, and between requests
     BUSY = 1  # a request is with the decisions
     HELD = 2  # turned away a moment ago: its next request waits
-    ENDING = 3  # its last answer is written, if any was owed, and our side half closed: a lingering close
+    LINGERING = 3  # its last answer is written, if any was owed, and our side half closed: a lingering close
     SILENT = 4  # nothing came since it was opened
     HEAD = 5
     BODY = 6
     UPLOAD = 7  # a request is with the decisions, and the rest of its long body is coming
     RELAY = 8  # a long answer is passed on as it comes
     DISCARD = 9  # answered, and the rest of a long body is coming
-    LINGER = 10  # the same, after a request that was refused before it was whole
+    REFUSED = 10  # the same, after a request that was refused before it was whole
 
 
 WAITS = (State.BUSY, State.RELAY, State.HELD)  # in which what comes behind waits for its turn
@@ -86,8 +86,8 @@
 # How long each state may last: an idle connection that was served, a first byte and a whole head, a body that
 # is held whole, and what comes after an error. A client may take 2 s for a head.
 OWED_S = {
-    State.IDLE: 6.0, State.ENDING: LINGER_S, State.SILENT: 2.4, State.HEAD: 2.4, State.BODY: 2.4,
-    State.LINGER: LINGER_S,
+    State.IDLE: 6.0, State.LINGERING: LINGER_S, State.SILENT: 2.4, State.HEAD: 2.4, State.BODY: 2.4,
+    State.REFUSED: LINGER_S,
 }  # fmt: skip
 
 
@@ -95,9 +95,9 @@
     """One client: its requests one after the other, each answered before the next is taken up."""
 
     __slots__ = (
-        *("_ahead", "_backlog", "_bad", "_came_ns", "_chunks", "_front", "_got", "_held_up", "_inbound"),
+        *("_ahead", "_pipelined", "_bad", "_came_ns", "_chunks", "_front", "_got", "_held_up", "_inbound"),
         *("_late", "_mark", "_modern", "_more", "_number", "_parts", "_payload", "_relay", "_sized"),
-        *("_spill", "_stays", "_upload", "_waiting"),
+        *("_spill", "_stays", "_upload", "_pipelined_bytes"),
         *("since", "state"),
     )
 
@@ -116,8 +116,8 @@
         self._late = False  # what comes first may have waited for long in the listener's backlog
         self._inbound: protocol.Inbound | None = None
         self._ahead = False  # what came last came behind an open request: the parser may hold some of it
-        self._backlog: deque[bytes] = deque()  # came behind an open request, not parsed yet
-        self._waiting = 0  # bytes of it
+        self._pipelined: deque[bytes] = deque()  # came behind an open request, not parsed yet
+        self._pipelined_bytes = 0  # bytes of it
         self._more = False  # the parser stopped at as many messages as may wait, and may hold more
         self._payload: StreamReader | None = None
         self._parts: list[bytes] = []  # of a body that is held whole
@@ -171,7 +171,7 @@
 
     def _leave(self) -> None:
         if self.state in (State.BUSY, State.UPLOAD):
-            self._enter(State.ENDING)
+            self._enter(State.LINGERING)
             self._front.left(self._number, self._inbound)
         upload, self._upload = self._upload, None
         if upload is not None:
@@ -179,9 +179,9 @@
 
     def _forget_ahead(self) -> None:
         self._messages.clear()
-        self._backlog.clear()
-        self._front.ahead -= self._waiting
-        self._waiting, self._more = 0, False
+        self._pipelined.clear()
+        self._front.ahead -= self._pipelined_bytes
+        self._pipelined_bytes, self._more = 0, False
 
     def pause_writing(self) -> None:
         BaseProtocol.pause_writing(self)
@@ -229,7 +229,7 @@
 
     def has_more(self) -> bool:
         """Whether something behind the last request may have been read already."""
-        return self._ahead or bool(self._messages) or bool(self._backlog) or self._bad is not None
+        return self._ahead or bool(self._messages) or bool(self._pipelined) or self._bad is not None
 
     def let_go(self) -> None:
         """Another process holds the connection now: only our copy of its descriptor is closed."""
@@ -248,12 +248,12 @@
     def data_received(self, data: bytes) -> None:
         state = self.state
         self._ahead = state not in (State.IDLE, State.SILENT)
-        if state >= State.LINGER or state == State.ENDING or self._bad is not None:
+        if state >= State.REFUSED or state == State.LINGERING or self._bad is not None:
             self._throw_away(data)
             return
         if self._parser is None or self.transport is None:
             return
-        if self._backlog or state in WAITS:
+        if self._pipelined or state in WAITS:
             self._keep_ahead(data)
         else:
             self._receive(data)
@@ -279,23 +279,23 @@
     def _keep_ahead(self, data: bytes) -> None:
         """What comes behind an open request waits unparsed, so that its client's leaving is always seen."""
         front = self._front
-        self._backlog.append(data)
-        self._waiting += len(data)
+        self._pipelined.append(data)
+        self._pipelined_bytes += len(data)
         front.ahead += len(data)
-        if self.state in WAITS and (self._waiting > AHEAD_MOST or front.ahead > front.ahead_most):
+        if self.state in WAITS and (self._pipelined_bytes > AHEAD_MOST or front.ahead > front.ahead_most):
             # Guards against a client whose leaving would hide behind what it sent at once: it is read on.
             self._forget_ahead()
             self._bad = (400, "too much was sent ahead of an answer")
 
     def _take_ahead(self) -> None:
         """What came behind an open request, a piece in a turn of the loop, once that has its answer."""
-        if not self._backlog or self._messages or self._held_up or self._paused or self.state in WAITS:
+        if not self._pipelined or self._messages or self._held_up or self._paused or self.state in WAITS:
             return
-        data = self._backlog.popleft()
-        self._waiting -= len(data)
+        data = self._pipelined.popleft()
+        self._pipelined_bytes -= len(data)
         self._front.ahead -= len(data)
         self._receive(data)
-        if self._backlog:
+        if self._pipelined:
             self._loop.call_soon(self._take_ahead)
 
     def _parse(self, data: bytes) -> None:
@@ -340,7 +340,7 @@
         if self._more and len(self._messages) <= self._msg_queue_resume_size:
             self._more = False
             self._parse(b"")
-        if self._backlog:
+        if self._pipelined:
             self._loop.call_soon(self._take_ahead)  # where the rest of this one is
 
     def _take(self, message: RawRequestMessage, payload: StreamReader) -> None:
@@ -430,7 +430,7 @@
     def _give_up(self, status: int, why: str) -> None:
         """A body that cannot be taken: what has begun of it ends."""
         if self.state == State.DISCARD:
-            self.finish()
+            self.linger()
             return
         if self.state == State.UPLOAD:
             upload, self._upload = self._upload, None
@@ -448,7 +448,7 @@
 
     def resume(self) -> None:
         self._held_up, self.since = False, self._front.loop.time()
-        if self._backlog:
+        if self._pipelined:
             self._loop.call_soon(self._take_ahead)
         if not self._buffer_paused and not self._reading_paused:
             self._resume_transport_reading()
@@ -540,7 +540,7 @@
         """Guards against half an answer that passes for a whole one: a reset tells if nothing else does."""
         self._passed(Outcome.FAULTED)
         if (self._chunks or self._sized) and self.transport is not None:
-            self.finish()
+            self.linger()
         else:
             self._reset()
 
@@ -566,14 +566,14 @@
 
     def _after_answer(self, transport: asyncio.Transport) -> None:
         if not self._stays:
-            self.finish()
+            self.linger()
             return
         self._enter(State.IDLE)
         if self._front.phases.made_way and self._front.hand_over(self):
             return
         if self._bad is not None:
             self._refuse(*self._bad)
-        elif self._messages or self._backlog:
+        elif self._messages or self._pipelined:
             # Guards against a pipeline that keeps the loop to itself.
             self._loop.call_soon(self._next)
 
@@ -603,9 +603,9 @@
         body = f"{why}\n".encode("utf-8", "replace")
         head = PLAIN + (self._front.come_back if status == 503 else b"")
         self.transport.write(protocol.response_bytes(status, head, body, True))
-        self.finish(State.LINGER)
+        self.linger(State.REFUSED)
 
-    def finish(self, state: State = State.ENDING) -> None:
+    def linger(self, state: State = State.LINGERING) -> None:
         """A lingering close: our side ends behind what is written; what still comes is read and goes nowhere.
 
         Guards against a close over bytes that were not read, which resets the connection and takes from the
@@ -655,7 +655,7 @@
         transport = self.transport
         if transport is None or age < OWED_S[state]:
             return
-        ending = state in (State.ENDING, State.LINGER)
+        ending = state in (State.LINGERING, State.REFUSED)
         if age < UNREAD_S and (self._paused or (ending and transport.get_write_buffer_size())):
             return
         if ending:
@@ -667,7 +667,7 @@
         elif self._paused:
             transport.abort()
         else:
-            self.finish()
+            self.linger()
 
     def _check_relay(self, now: float) -> None:
         """Guards against a client that takes nothing more of a long answer."""
@@ -734,16 +734,16 @@
             self._give_up(503, "the proxy ends")
         elif self.state in (State.HEAD, State.BODY):
             self._refuse(503, "the proxy ends")
-        elif self.state in (State.DISCARD, State.LINGER):
+        elif self.state in (State.DISCARD, State.REFUSED):
             self.force_close()  # it has its answer
 
     def check_drained(self, now: float, overdue: bool) -> None:
         """Guards against a connection that is held idle, or with half a request, past the end of a drain."""
         if self.state == State.IDLE or (self.state == State.SILENT and now - self.since >= SILENT_S):
-            self.finish()
+            self.linger()
         elif overdue and self.state in (State.HEAD, State.BODY, State.SILENT, State.HELD):
             self._refuse(408, "the proxy drains")
-        elif overdue and self.state in (State.ENDING, State.LINGER):
+        elif overdue and self.state in (State.LINGERING, State.REFUSED):
             transport = self.transport
             if transport and now - self.since >= SILENT_S and not transport.get_write_buffer_size():
                 transport.abort()
@@ -909,7 +909,7 @@
 
     def hand_over_answers(self) -> None:
         """Gives the long answers in the middle to the process that took over, their buffers empty."""
-        states = (State.RELAY, State.ENDING, State.IDLE)
+        states = (State.RELAY, State.LINGERING, State.IDLE)
         for state in states if self.phases.phase is Phase.STOPPING else states[:1]:
             for connection in list(self._states[state]):
                 connection.hand_over_answer(self._give_answer)
@@ -933,7 +933,8 @@
         Guards against bad clients that hoard connections, and against closing a usual one at work.
         """
         now = self.loop.time()
-        ages = [(State.LINGER, 0.0), (State.ENDING, 0.0), (State.SILENT, SHED_SILENT_S), (State.HELD, 0.0)]
+        ages = [(State.REFUSED, 0.0), (State.LINGERING, 0.0), (State.SILENT, SHED_SILENT_S)]
+        ages += [(State.HELD, 0.0)]
         ages += [(State.IDLE, SHED_IDLE_S), (State.HEAD, SHED_PART_S), (State.BODY, SHED_PART_S)]
         if self._waiting_since is not None and now - self._waiting_since > PATIENCE_S:
             ages += [(s, SHED_ANY_S) for s in (State.SILENT, State.HEAD, State.BODY, State.IDLE)]
@@ -953,7 +954,7 @@
         long before the proxy does.
         """
         # Those that only linger make way at once.
-        held = len(self._table) - len(self._states[State.ENDING])
+        held = len(self._table) - len(self._states[State.LINGERING])
         return self.phases.closing or held >= EDGE_PART * self._most
 
     # Connections
@@ -1053,7 +1054,7 @@
         for state, age in ((State.IDLE, SHED_ANY_S), (State.SILENT, SILENT_S), (State.HELD, SHED_ANY_S)):
             for connection in list(self._states[state]):
                 if now - connection.since >= age:
-                    connection.finish()
+                    connection.linger()
         return bool(self._table)
 
     async def stop(self) -> None:
--- a/mothstall/net/protocol.py
+++ b/mothstall/net/protocol.py
@@ -258,7 +258,7 @@
 
 
 @dataclass(slots=True)
-class ListWord:
+class ListUpdate:
     version: int
     full: bool
     members: list[Member]
@@ -269,13 +269,13 @@
     return int.from_bytes(hashlib.blake2b(ident.encode("utf-8", "replace"), digest_size=6).digest(), "big")
 
 
-def read_list(tree: Any, names: Names) -> ListWord:
-    """Discovery's JSON; one unreadable member makes the whole word unreadable."""
+def read_list(tree: Any, names: Names) -> ListUpdate:
+    """Discovery's JSON; one unreadable member makes the whole update unreadable."""
     try:
         version, full, rows = tree["revision"], tree["complete"], tree["members"]
         if not isinstance(version, int) or not isinstance(full, bool) or not isinstance(rows, list):
             raise Unreadable("list of an unknown form")
-        return ListWord(version, full, [_member(row, names) for row in rows])
+        return ListUpdate(version, full, [_member(row, names) for row in rows])
     except (KeyError, TypeError, ValueError, OverflowError) as why:
         raise Unreadable(f"list: {type(why).__name__}: {why}") from why
 
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -145,14 +145,14 @@
     def port(self) -> int:
         return self._frontend.port
 
-    def _known(self) -> protocol.ListWord:
+    def _known(self) -> protocol.ListUpdate:
         if self.config.known is None:
-            return protocol.ListWord(0, True, [])
+            return protocol.ListUpdate(0, True, [])
         try:
             return protocol.read_list(self.config.known, self.config.names)
         except protocol.Unreadable as why:
             log.warning("known list unreadable", extra={"kv": {"why": why}})
-            return protocol.ListWord(0, True, [])
+            return protocol.ListUpdate(0, True, [])
 
     def _backend(self, number: int, member: protocol.Member) -> Backend:
         return Backend(
--- a/mothstall/net/together.py
+++ b/mothstall/net/together.py
@@ -1,4 +1,4 @@
-"""The proxy's side of the fleet's agent: the list's word with operators' drains over it, for the decider.
+"""The proxy's side of the fleet's agent: the list's update with operators' drains over it, for the decider.
 
 It is there only where an operator file is given. The agent knows boxes by name and drains; the decider gets
 what discovery said, or a change of it, and never waits.
@@ -68,21 +68,21 @@
         return replace(member, entry=replace(member.entry, health=health))
 
     def told(self, message: Told) -> None:
-        """A word of discovery, which goes on with the drains over it."""
-        word = message.word
-        if word is None:
+        """An update of discovery, which goes on with the drains over it."""
+        update = message.update
+        if update is None:
             self._report(message)
             return
-        self._version = max(self._version, word.version)
+        self._version = max(self._version, update.version)
         if message.scope != Scope.DELTA:
             self._members, self._told = {}, {}
-        for member in word.members:
+        for member in update.members:
             self._members[member.id] = member
-        members = [self._merged(member) for member in word.members]
+        members = [self._merged(member) for member in update.members]
         self._members = {k: m for k, m in self._members.items() if m.entry.health != Health.GONE}
         self.agent.boxes = {key: BoxAt(m.address, self._zone(m)) for key, m in self._members.items()}
         self._zones = {m.entry.backend: self._zone(m) for m in self._members.values()}
-        self._report(Told(message.scope, replace(word, members=members)))
+        self._report(Told(message.scope, replace(update, members=members)))
 
     def _changed(self) -> None:
         """Drains may have changed: what differs is told at once, as a change of the list."""
@@ -93,7 +93,7 @@
             if health != self._told.get(member.id):
                 rows.append(self._merged(member))
         if rows:
-            self._report(Told(Scope.DELTA, protocol.ListWord(self._version, False, rows)))
+            self._report(Told(Scope.DELTA, protocol.ListUpdate(self._version, False, rows)))
         for box in self.agent.hinted():
             if box in self._members:  # one that is known by a hint alone is nobody's
                 self._report(Partner(Hinted(self._members[box].entry.backend)))
--- a/tests/test_net_attempts.py
+++ b/tests/test_net_attempts.py
@@ -75,7 +75,7 @@
         )
         rows = [Entry(i, 0, 0, 0, Health.READY, 1.0, 0) for i in (1, 2)]
         members = [protocol.Member(f"s-{e.backend}", config.Address("127.0.0.1", 1), e) for e in rows]
-        self.batch(Told(Scope.FULL, protocol.ListWord(1, True, members)))
+        self.batch(Told(Scope.FULL, protocol.ListUpdate(1, True, members)))
 
     def _make(self, number: int, member: protocol.Member) -> Any:
         self.backends[number] = Orders(member.id)
@@ -182,11 +182,11 @@
             gate = Gate(r.proxy.loop, monkeypatch)
             gate.hold(r.backends[0])
             client = await r.client()
-            await r.until(lambda: r.count("list_words") >= 2)  # the watch is on
+            await r.until(lambda: r.count("list_updates") >= 2)  # the watch is on
             asked = asyncio.create_task(client.ask(lane))
             await r.until(lambda: gate.waiting == 1)
             r.directory.tell(listed(r, 0, how))
-            await r.until(lambda: r.count("list_words") >= 3)
+            await r.until(lambda: r.count("list_updates") >= 3)
             await settle()
             again = gate.waiting  # a successor at the same address may be asked anew
             gate.open.set()
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -21,9 +21,9 @@
             new = StandIn(serves, "s-new")
             await new.start()
             r.backends.append(new)
-            words = r.count("list_words")
+            words = r.count("list_updates")
             r.directory.tell(new.row(), old.row("DRAINING"))
-            await r.until(lambda: r.count("list_words") > words, 0.1)
+            await r.until(lambda: r.count("list_updates") > words, 0.1)
             await asyncio.sleep(0.02)
             assert old.ended == old.opened == 1  # its idle connection is let go
             for lane in ("search", "pay", "order"):
@@ -93,7 +93,7 @@
         async with rig(serves) as r:
             await r.until(lambda: len(r.directory.calls) >= 2)
             r.directory.tell(r.backends[0].row())
-            await r.until(lambda: r.count("list_words") >= 3)
+            await r.until(lambda: r.count("list_updates") >= 3)
             r.directory.raw = answer(b'{"revision":1,"complete":true,"members":[]}')
             news, r.directory.news = r.directory.news, asyncio.Event()
             news.set()
@@ -119,7 +119,7 @@
                 await r.until(lambda r=r: r.count("discovery_failures") >= 1)  # type: ignore[misc]
                 assert (await r.ask()).status == 200
                 r.directory.raw = None
-                await r.until(lambda r=r: r.count("list_words") >= 2, 5.0)  # type: ignore[misc]
+                await r.until(lambda r=r: r.count("list_updates") >= 2, 5.0)  # type: ignore[misc]
 
     asyncio.run(run())
 
@@ -142,7 +142,7 @@
             await asyncio.sleep(0.01)
         await directory.start()  # on the same port
         async with asyncio.timeout(6):
-            while proxy.counters.values["list_words"] < 2:
+            while proxy.counters.values["list_updates"] < 2:
                 await asyncio.sleep(0.01)
         await proxy.stop(0.0)
         await directory.stop()
@@ -162,8 +162,8 @@
             wait_s = r.proxy._discovery._wait_s
             assert asyncio.get_running_loop().time() - silent_since < wait_s + 2.0
             r.directory.hangs = False
-            words = r.count("list_words")
-            await r.until(lambda: r.count("list_words") > words, 2.0)
+            words = r.count("list_updates")
+            await r.until(lambda: r.count("list_updates") > words, 2.0)
 
     asyncio.run(run())
 
@@ -191,7 +191,7 @@
         async with rig(serves, listed=False, discovery="push") as r:
             await r.until(lambda: len(r.directory.calls) >= 2)
             r.directory.tell(r.backends[0].row())
-            await r.until(lambda: r.count("list_words") >= 3, 0.2)
+            await r.until(lambda: r.count("list_updates") >= 3, 0.2)
             assert (await r.ask()).status == 200
 
     asyncio.run(run())
--- a/tests/test_net_failures.py
+++ b/tests/test_net_failures.py
@@ -249,7 +249,7 @@
         request = single.send()
         single.actor.tell(peer.Cancel(request, 0))
         assert await single.ended() == [Result.NOT_SENT]
-        assert not stand_in.seen and not single.actor.out
+        assert not stand_in.seen and not single.actor.in_flight
         single.pool.close()
         await stand_in.stop()
 
@@ -562,7 +562,7 @@
 
 def shorter(monkeypatch: pytest.MonkeyPatch) -> None:
     owed = dict.fromkeys(frontend.OWED_S, 0.3)
-    owed |= {frontend.State.IDLE: 0.5, frontend.State.LINGER: 0.2}
+    owed |= {frontend.State.IDLE: 0.5, frontend.State.REFUSED: 0.2}
     for name, value in (("OWED_S", owed), ("SWEEP_S", 0.02)):
         monkeypatch.setattr(frontend, name, value)
 
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -346,9 +346,9 @@
             stay = r.backends[0].row()
             for i in range(50):
                 row = {**stay, "id": f"s-new-{i}"}
-                words = r.count("list_words")
+                words = r.count("list_updates")
                 r.directory.tell(row, {"id": f"s-new-{i - 1}", "phase": "DELETED"})
-                await r.until(lambda w=words: r.count("list_words") > w)  # type: ignore[misc]
+                await r.until(lambda w=words: r.count("list_updates") > w)  # type: ignore[misc]
                 assert (await r.ask()).status == 200
             decider = r.proxy._decider
             assert len(decider._backends) == len(decider._entries) == len(decider._balancer.backends) == 2
@@ -372,10 +372,10 @@
             await r.until(lambda: len(r.directory.calls) >= 2)
             out = asyncio.create_task(r.ask("order"))
             await r.until(lambda: len(r.backends[0].seen) == 1)
-            words = r.count("list_words")
+            words = r.count("list_updates")
             new = {**r.backends[0].row(), "id": "s-successor"}
             r.directory.tell({"id": "s-0", "phase": "DELETED"}, new)
-            await r.until(lambda: r.count("list_words") > words)
+            await r.until(lambda: r.count("list_updates") > words)
             gate.set()
             assert (await out).status == 200
             assert (await r.ask("order")).status == 200
--- a/tests/test_net_reload.py
+++ b/tests/test_net_reload.py
@@ -38,16 +38,16 @@
             new = StandIn(serves, "s-new")
             await new.start()
             r.backends.append(new)
-            before, words = len(r.directory.calls), r.count("list_words")
+            before, words = len(r.directory.calls), r.count("list_updates")
             r.directory.tell(new.row())
-            await r.until(lambda: r.count("list_words") > words, 0.5)
+            await r.until(lambda: r.count("list_updates") > words, 0.5)
             r.directory.cut()
             await asyncio.sleep(0.05)
             assert len(r.directory.calls) == before
             # The list held stays, and news of the new address come at once.
-            other.revision, words = r.directory.revision, r.count("list_words")
+            other.revision, words = r.directory.revision, r.count("list_updates")
             other.tell(r.backends[0].row("DRAINING"))
-            await r.until(lambda: r.count("list_words") > words, 0.5)
+            await r.until(lambda: r.count("list_updates") > words, 0.5)
             for _ in range(4):
                 assert (await r.ask()).status == 200
             assert len(new.seen) == 4 and not r.backends[0].seen
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -230,7 +230,7 @@
             client.writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
             assert (await client.read()).status == 503  # nothing is known yet
             r.directory.hangs = False
-            await r.until(lambda: r.count("list_words") > 1, 6.0)
+            await r.until(lambda: r.count("list_updates") > 1, 6.0)
             client.writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
             assert (await client.read()).status == 200
             client.writer.write(b"GET /counters HTTP/1.1\r\nHost: x\r\n\r\n")
--- a/tests/test_net_shutdown.py
+++ b/tests/test_net_shutdown.py
@@ -107,7 +107,7 @@
 
 
 def test_a_lingering_close_is_bounded_in_time_and_bytes(monkeypatch: pytest.MonkeyPatch) -> None:
-    for state in (frontend.State.ENDING, frontend.State.LINGER):
+    for state in (frontend.State.LINGERING, frontend.State.REFUSED):
         monkeypatch.setitem(frontend.OWED_S, state, 0.2)
 
     async def run() -> None:
--- a/tests/test_net_watch.py
+++ b/tests/test_net_watch.py
@@ -34,7 +34,7 @@
 
 async def watched(r: Rig, words: int = 2) -> None:
     """The watch is on: its second call waits for news."""
-    await r.until(lambda: r.count("list_words") >= words and len(r.directory.calls) >= 2)
+    await r.until(lambda: r.count("list_updates") >= words and len(r.directory.calls) >= 2)
 
 
 @pytest.mark.parametrize("mode", MODES)
