Nothing that was sent ahead is taken up from a connection that is closed already

Cause: the next request of a pipeline is taken up a turn of the loop after the answer before it; a connection that closed in between, from either side, still gave it to the decisions, and it was sent on for nobody. Test: test_what_was_sent_ahead_is_not_taken_up..., fails on the text before (two cases).

--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -177,6 +177,10 @@
         if upload is not None:
             upload.cut()
 
+    def _closing(self) -> bool:
+        """Guards against a request taken up from a connection that is closed already, by either side."""
+        return self.transport is None or self.transport.is_closing()
+
     def _forget_ahead(self) -> None:
         self._messages.clear()
         self._pipelined.clear()
@@ -289,7 +293,7 @@
 
     def _take_ahead(self) -> None:
         """What came behind an open request, a piece in a turn of the loop, once that has its answer."""
-        if not self._pipelined or self._messages or self._held_up or self._paused or self.state in WAITS:
+        if not self._pipelined or self._messages or self._held_up or self.state in WAITS or self._closing():
             return
         data = self._pipelined.popleft()
         self._pipelined_bytes -= len(data)
@@ -319,7 +323,7 @@
 
     def _next(self) -> None:
         """Takes up the next request that has come, if none is open and the last answer went out."""
-        if self.state not in (State.IDLE, State.HEAD) or self._paused:
+        if self.state not in (State.IDLE, State.HEAD) or self._paused or self._closing():
             return
         if not self._messages:
             self._take_ahead()
--- a/tests/test_net_leaving.py
+++ b/tests/test_net_leaving.py
@@ -324,3 +324,59 @@
         drive.now += helpers.MS
         assert not [s for s in helpers.sends(drive.end(*held)) if s.request == rid]
     assert not drive.balancer.waiting and not drive.balancer.requests
+
+
+@pytest.mark.parametrize("who", ["the client", "the proxy"])
+def test_what_was_sent_ahead_is_not_taken_up_from_a_connection_that_closes(
+    monkeypatch: pytest.MonkeyPatch, who: str
+) -> None:
+    """The answer to the first went out, the second waits for the next turn of the loop, and it closes."""
+
+    async def run() -> None:
+        async with rig(serves) as r:
+            after = frontend.Connection._after_answer
+
+            def closes(self: frontend.Connection, transport: asyncio.Transport) -> None:
+                after(self, transport)
+                if who == "the client":
+                    self.eof_received()
+                    transport.close()  # as asyncio does on its end
+                else:
+                    self.force_close()
+
+            monkeypatch.setattr(frontend.Connection, "_after_answer", closes)
+            client = await r.client()
+            client.writer.write(request_bytes() + request_bytes())
+            assert (await client.read()).status == 200
+            assert await client.closed()
+            await r.until(lambda: nothing_owed(r))
+            assert len(r.backends[0].seen) == 1 and r.count("requests") == 1
+            client.close()
+
+    asyncio.run(run())
+
+
+def test_a_body_sent_ahead_by_a_client_that_reads_late_is_taken_whole() -> None:
+    async def run() -> None:
+        async def big(seen: Any, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(b"z" * 60_000))
+
+        async with rig(big) as r:
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect(("127.0.0.1", r.proxy.port))
+            client.setblocking(False)
+            count = 100
+            bodies = [b"%d" % i * 2000 for i in range(count)]
+            raw = b"".join(request_bytes("order", body=body, remaining=LONG) for body in bodies)
+            sending = asyncio.create_task(r.proxy.loop.sock_sendall(client, raw))
+            came = 0
+            async with asyncio.timeout(10):
+                while came < count * 60_000:
+                    came += len(await r.proxy.loop.sock_recv(client, 65536))
+            await sending
+            await r.until(lambda: r.count("answers_ok") == count)
+            assert [s.body for s in r.backends[0].seen] == bodies
+            client.close()
+
+    asyncio.run(run())
