Where the list is pushed: a slow agent is heard, and no grace keeps the loop busy

Cause: calls of half a drain's grace never hear an agent that takes longer, and a grace of nought left no pause at all between calls that are refused at once. One of 32 such calls in a row may take its whole 2 s; 50 ms go by at least. Two tests in test_net_watch.py.

--- a/mothstall/net/discovery.py
+++ b/mothstall/net/discovery.py
@@ -29,7 +29,8 @@
 # Where the list is pushed what the agent has binds at once. Parts of a drain's grace: what a first call may
 # take, and the pause before the next one after a second failure in a row.
 CALL_PART, PAUSE_PART = 0.5, 0.25
-LEAST_CALL_S = 0.2
+LEAST_CALL_S, LEAST_PAUSE_S = 0.2, 0.05
+PATIENT_EACH = 32  # of so many such calls that failed in a row one may take its whole time: the agent may be slow
 SPREAD_S, SPREAD_MOST_S = 0.01, 0.5  # after a silence that all share, for each proxy and at most
 
 
@@ -122,7 +123,7 @@
         # All proxies together end about one wait a second, as one service answers them all.
         self._wait_s = min(WAIT_MOST_S, max(WAIT_S, float(proxies)))
         self._first_s = min(CALL_S, max(LEAST_CALL_S, CALL_PART * grace_s)) if push else CALL_S
-        self._pause_s = PAUSE_PART * grace_s
+        self._pause_s = max(LEAST_PAUSE_S, PAUSE_PART * grace_s)
         self._spread_s = min(SPREAD_MOST_S, SPREAD_S * proxies) * (position % proxies) / proxies
         self._session = make_session()
         self._watch: asyncio.Task[None] | None = None
@@ -188,7 +189,8 @@
         failed = 0  # calls in a row
         while turn == self._turn:
             wait_ms = 1 if first else int(self._wait_s * 1000)
-            most_s = self._first_s if first else self._wait_s + GRACE_S
+            patient = failed > 0 and failed % PATIENT_EACH == 0
+            most_s = (CALL_S if patient else self._first_s) if first else self._wait_s + GRACE_S
             came = await self._call(address, f"?since={self._version}&timeout_ms={wait_ms}", most_s)
             update = None if isinstance(came, Lost) else came
             if turn != self._turn:
--- a/tests/test_net_watch.py
+++ b/tests/test_net_watch.py
@@ -178,3 +178,38 @@
             await r.until(lambda: drains(r))
 
     asyncio.run(run())
+
+
+def test_a_push_that_is_slow_is_heard_in_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its answers take longer than the short calls of a drain's grace."""
+    monkeypatch.setattr(discovery, "PATIENT_EACH", 3)
+
+    async def run() -> None:
+        async with rig(serves, serves, listed=False, discovery="push") as r:
+            reply = r.directory._reply
+
+            async def late(target: str) -> bytes:
+                await asyncio.sleep(0.6)
+                return await reply(target)
+
+            r.directory._reply = late  # type: ignore[method-assign]
+            r.directory.tell(*(b.row() for b in r.backends))
+            await r.until(lambda: r.proxy._decider.listed_count() == 2, 8.0)
+
+    asyncio.run(run())
+
+
+def test_a_grace_of_nought_keeps_no_loop_busy() -> None:
+    async def run() -> None:
+        changes: dict[str, Any] = {"discovery": "push", "contract--stop_sending_within_ns": 0}
+        async with rig(serves, **changes) as r:
+            await watched(r)
+            await r.directory.stop()
+            r.directory.cut()
+            await r.until(lambda: r.count("discovery_failures") >= 2)
+            before, began = r.count("discovery_calls"), r.proxy.loop.time()
+            await asyncio.sleep(0.3)
+            spent = r.proxy.loop.time() - began
+            assert r.count("discovery_calls") - before <= 2 + spent / discovery.LEAST_PAUSE_S
+
+    asyncio.run(run())
