A pushed watch that goes on is not begun anew by the module's own check

Cause: after each failed call the module asks to subscribe, which began the actor's own watch anew and with it its count of failures, so that the patient call never came (test_a_push_that_is_slow_is_heard_in_the_end). test_a_watch_that_falls_silent... held discovery silent until the failure was counted; the call that now follows at once ran into that silence.

--- a/mothstall/net/discovery.py
+++ b/mothstall/net/discovery.py
@@ -30,7 +30,7 @@
 # take, and the pause before the next one after a second failure in a row.
 CALL_PART, PAUSE_PART = 0.5, 0.25
 LEAST_CALL_S, LEAST_PAUSE_S = 0.2, 0.05
-PATIENT_EACH = 32  # of so many such calls that failed in a row one may take its whole time: the agent may be slow
+PATIENT_EACH = 32  # of so many such calls in a row that failed one takes its whole time: a slow agent
 SPREAD_S, SPREAD_MOST_S = 0.01, 0.5  # after a silence that all share, for each proxy and at most
 
 
@@ -143,8 +143,8 @@
                 self._fetches.add(task)
                 task.add_done_callback(self._fetches.discard)
                 continue
-            if order.on and self._asking:
-                continue  # the call that is out answers this one too
+            if order.on and (self._asking or (self._push and self._watch and not self._watch.done())):
+                continue  # the call that is out answers this one too, or the next one of a watch that goes on
             self._drop()
             if order.on:
                 self._asking = True
