--- a/tests/peers.py
+++ b/tests/peers.py
@@ -70,6 +70,16 @@
     return behave
 
 
+def serves_after(go: asyncio.Event) -> Behaviour:
+    """Serves once it is let to."""
+
+    async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        await go.wait()
+        await serves(seen, writer)
+
+    return behave
+
+
 async def silent(seen: Seen, writer: asyncio.StreamWriter) -> None:
     pass
 
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -24,6 +24,7 @@
     rig,
     says,
     serves,
+    serves_after,
     silent,
 )
 
@@ -284,10 +285,7 @@
         from tests.peers import Gate
 
         go = asyncio.Event()
-
-        async def waits(seen: Seen, writer: asyncio.StreamWriter) -> None:
-            await go.wait()
-            await serves(seen, writer)
+        waits = serves_after(go)
 
         changes: dict[str, Any] = {"limits--connect_timeout_ns": 5_000 * MS, "limits--cancelling": False}
         async with rig(serves, serves, **changes) as r:
--- a/tests/test_net_leaving.py
+++ b/tests/test_net_leaving.py
@@ -25,6 +25,7 @@
     reset,
     rig,
     serves,
+    serves_after,
     silent,
     tree_of,
 )
@@ -82,10 +83,7 @@
 def test_what_is_sent_far_ahead_is_refused_after_the_open_request_has_its_answer() -> None:
     async def run() -> None:
         go = asyncio.Event()
-
-        async def waits(seen: Any, writer: asyncio.StreamWriter) -> None:
-            await go.wait()
-            await serves(seen, writer)
+        waits = serves_after(go)
 
         async with rig(waits) as r:
             client = await r.client()
--- a/tests/test_net_shutdown.py
+++ b/tests/test_net_shutdown.py
@@ -29,6 +29,7 @@
     reset,
     rig,
     serves,
+    serves_after,
     silent,
     tree_of,
 )
@@ -86,10 +87,7 @@
 def test_an_answer_that_ends_its_connection_is_not_reset_by_bytes_behind_its_request() -> None:
     async def run() -> None:
         go = asyncio.Event()
-
-        async def waits(seen: Seen, writer: asyncio.StreamWriter) -> None:
-            await go.wait()
-            await serves(seen, writer)
+        waits = serves_after(go)
 
         async with rig(waits) as r:
             client = raw_client(r.proxy.port)
@@ -168,10 +166,7 @@
 def test_a_request_behind_an_open_one_is_not_sent_on_once_the_proxy_ends() -> None:
     async def run() -> None:
         go = asyncio.Event()
-
-        async def waits(seen: Seen, writer: asyncio.StreamWriter) -> None:
-            await go.wait()
-            await serves(seen, writer)
+        waits = serves_after(go)
 
         async with rig(waits) as r:
             client = raw_client(r.proxy.port)
@@ -212,10 +207,7 @@
 def test_a_drain_and_a_rejoin_at_once_leave_nothing_closed_and_nothing_owed() -> None:
     async def run() -> None:
         go = asyncio.Event()
-
-        async def waits(seen: Seen, writer: asyncio.StreamWriter) -> None:
-            await go.wait()
-            await serves(seen, writer)
+        waits = serves_after(go)
 
         async with rig(serves, operators="127.0.0.1:0") as r:
             rests, busy = await r.client(), await r.client()
