lab scale: hollow proxies on real sockets, keepers as processes, plays of control by size

Change: mothstall/lab/scale: hollows (the real agent and client, no request path), plays that measure keepers, agents and pure parts at several sizes, kept step by step; `short` is a small real run judged by its states. Keepers count the bytes of their connections and tell their sessions.

--- a/mothstall/keeper/process.py
+++ b/mothstall/keeper/process.py
@@ -16,6 +16,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
+from weakref import WeakSet
 
 import msgspec
 
@@ -114,7 +115,7 @@
         self.counts = dict.fromkeys(
             (
                 "calls", "changes", "refused", "pushes", "writes", "writes_failed", "frames_unreadable",
-                "reports", "reports_left_out", "slowest_write_ms",
+                "reports", "reports_left_out", "slowest_write_ms", "bytes_in", "bytes_out",
             ), 0,
         )
         self.disk_says = ""
@@ -124,6 +125,7 @@
         self._writing = False
         self._due = False
         self._links: set[FrameLink] = set()
+        self._open: WeakSet[FrameLink] = WeakSet()  # of either side, from the first byte on
         self._watchers: dict[FrameLink, Watcher] = {}
         self._listeners: set[FrameLink] = set()
         self._reports: list[bytes] = []  # of this keeper's callers, not passed on yet
@@ -180,7 +182,13 @@
         met: Callable[[FrameLink], None],
         lost: Callable[[FrameLink, str], None],
     ) -> FrameLink:
-        return FrameLink(
+        def ended(link: FrameLink, why: str) -> None:
+            self.counts["bytes_in"] += link.bytes_in
+            self.counts["bytes_out"] += link.bytes_out
+            self._open.discard(link)
+            lost(link, why)
+
+        link = FrameLink(
             self.operator.cluster,
             self._key,
             self.name,
@@ -188,8 +196,10 @@
             dialled=dialled,
             met=met,
             taken=self._taken,
-            lost=lost,
+            lost=ended,
         )
+        self._open.add(link)
+        return link
 
     def _accept(self) -> FrameLink:
         return self._link("keeper", False, met=self._met, lost=self._lost)
@@ -435,6 +445,14 @@
         self._pump_soon()
         return why, b""
 
+    def _counted(self) -> dict[str, int]:
+        """Counts since the start; bytes of the connections that are open among them."""
+        found = dict(self.counts)
+        for link in self._open:
+            found["bytes_in"] += link.bytes_in
+            found["bytes_out"] += link.bytes_out
+        return found
+
     def status(self) -> dict[str, Any]:
         """What an operator reads of this keeper, by its own account."""
         raft, state = self.replica.raft, self.replica.state
@@ -452,6 +470,7 @@
             "applied": state.applied,
             "snapshot": raft.log.snapshot.index,
             "version": state.version,
+            "sessions": len(state.sessions),
             "leases": len(state.leases),
             "drains": len(state.drains),
             "entries": len(state.entries),
@@ -464,5 +483,5 @@
                 for name in list(state.leases)[:64]
                 if (left := self.replica.grantor.left_ns(name, now)) is not None
             },
-            "counts": dict(self.counts),
+            "counts": self._counted(),
         }
--- a/mothstall/lab/command.py
+++ b/mothstall/lab/command.py
@@ -54,6 +54,7 @@
     )
     bench.add_argument("--json", metavar="FILE", help="figures as JSON; - for standard output")
     commands.add_parser("fleet", help="keepers and proxies as processes; `lab fleet --help`", add_help=False)
+    commands.add_parser("scale", help="what grows with the fleet; `lab scale --help`", add_help=False)
     return parser
 
 
@@ -62,6 +63,10 @@
         from mothstall.lab.fleetcommand import main as fleets
 
         return fleets(words[1:])
+    if words[:1] == ["scale"]:
+        from mothstall.lab.scale.command import main as scales
+
+        return scales(words[1:])
     args = _parser().parse_args(words)
     try:
         return _COMMANDS[args.command](args)
--- /dev/null
+++ b/mothstall/lab/scale/command.py
@@ -0,0 +1,189 @@
+"""`mothstall lab scale`: plays by size, kept as points.
+
+Exit codes: 0 done, 1 a step could not be finished or is left, 2 bad input, 3 a state was not as it has to be.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from mothstall.lab.ledger import Unfinished
+from mothstall.lab.process import ROOT
+from mothstall.lab.scale import control, points
+from mothstall.lab.scale.points import Point, PointsError
+
+EPILOG = (
+    "exit codes: 0 done, 1 a step could not be finished or is left, 2 bad input, "
+    "3 a state was not as it has to be"
+)
+
+
+class ScaleError(ValueError):
+    """Bad input; the message is one line."""
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="mothstall lab scale", epilog=EPILOG, description="What grows with the fleet, by size."
+    )
+    commands = parser.add_subparsers(dest="command", metavar="COMMAND", required=True)
+    listing = commands.add_parser("list", help="the series, their sizes, what each tells", epilog=EPILOG)
+    listing.add_argument("--json", action="store_true", help="as JSON on standard output")
+    run = commands.add_parser("run", help="play series by size, or `short`: one small fleet", epilog=EPILOG)
+    run.add_argument("series", nargs="+", help="names of `list`, or `short`")
+    run.add_argument("--seed", type=int, default=1)
+    run.add_argument("--sizes", type=int, nargs="+", metavar="N", help="in place of the series' own")
+    run.add_argument("--repeats", type=int, default=3)
+    run.add_argument(
+        "--kept", metavar="FILE", help="each finished step goes there; those that it has are not played again"
+    )
+    run.add_argument("--most", type=float, metavar="SECONDS", help="begin no step after so long")
+    run.add_argument("--beside", default="not said", metavar="TEXT", help="what else runs on the machine")
+    run.add_argument("--json", metavar="FILE", help="the points as JSON; - for standard output")
+    return parser
+
+
+def main(words: Sequence[str]) -> int:
+    args = _parser().parse_args(words)
+    try:
+        return _list(args) if args.command == "list" else _run(args)
+    except (ScaleError, PointsError) as why:
+        print(f"mothstall: {why}", file=sys.stderr)
+        return 2
+    except Unfinished as why:
+        print(f"mothstall: {why}", file=sys.stderr)
+        return 1
+
+
+def _list(args: argparse.Namespace) -> int:
+    if args.json:
+        tree = {
+            name: {"axis": row.axis, "sizes": row.sizes, "tells": row.tells}
+            for name, row in control.SERIES.items()
+        }
+        print(json.dumps(tree, indent=1))
+        return 0
+    wide = max(map(len, control.SERIES))
+    for name, row in control.SERIES.items():
+        sizes = " ".join(map(str, row.sizes))
+        print(f"{name:<{wide}}  {row.tells}; {row.axis}: {sizes}")
+    return 0
+
+
+def revision() -> str:
+    """The last commit of the proxy's own text, without the lab, with a mark where that text differs."""
+
+    def git(*words: str) -> str:
+        asked = subprocess.run(
+            ["git", "-C", str(ROOT), *words, "--", "mothstall", ":!mothstall/lab"],
+            capture_output=True, text=True, check=False, timeout=30,
+        )  # fmt: skip
+        return asked.stdout.strip() if asked.returncode == 0 else ""
+
+    found = git("log", "-1", "--format=%h", "--abbrev=10") or "unknown"
+    return found + ("+changes" if git("status", "--porcelain") else "")
+
+
+def read(path: Path) -> list[Point]:
+    """The points of a file. Raises ScaleError or PointsError."""
+    try:
+        return points.decode(path.read_bytes())
+    except OSError as why:
+        raise ScaleError(f"{path}: {why.strerror}") from why
+
+
+def write(path: Path, rows: Sequence[Point]) -> None:
+    """Whole or not at all: a run that is broken off here leaves what was. Raises ScaleError."""
+    try:
+        fresh = path.with_name(path.name + ".fresh")
+        fresh.write_bytes(points.encode(rows))
+        os.replace(fresh, path)
+    except OSError as why:
+        raise ScaleError(f"{path}: {why.strerror}") from why
+
+
+def _run(args: argparse.Namespace) -> int:
+    say = partial(print, file=sys.stderr, flush=True)
+    if "short" in args.series:
+        return _short(args, say)
+    if unknown := [name for name in args.series if name not in control.SERIES]:
+        raise ScaleError(f"no series {unknown[0]!r}: {', '.join(control.SERIES)}, short")
+    if not 1 <= args.repeats <= 20 or any(not 1 <= size <= 1_000_000_000 for size in args.sizes or ()):
+        raise ScaleError("--repeats must be 1 to 20, --sizes 1 or more")
+    began, text = time.monotonic(), revision()
+    kept = Path(args.kept) if args.kept else None
+    rows = read(kept) if kept and kept.exists() else []
+    steps = [
+        (name, size, repeat)
+        for repeat in range(1, args.repeats + 1)
+        for name in args.series
+        for size in args.sizes or control.SERIES[name].sizes
+    ]
+    done = {point.name for point in rows}
+    left, failed = 0, 0
+    for i, (name, size, repeat) in enumerate(steps):
+        one = control.SERIES[name]
+        axes = {one.axis: float(size), **one.fixed}
+        if (name, tuple(sorted(axes.items())), repeat, text) in done:
+            continue
+        if args.most is not None and time.monotonic() - began > args.most:
+            left += 1
+            continue
+        say(f"[{i + 1}/{len(steps)}] {name}, {one.axis} {size}, repeat {repeat}")
+        try:
+            values = one.play(size, args.seed + repeat - 1, lambda word: say(f"    {word}"))
+        except Unfinished as why:
+            failed += 1
+            say(f"    not finished: {why}")
+            continue
+        point = Point(
+            series=name, axes=axes, repeat=repeat, seed=args.seed + repeat - 1, revision=text,
+            values={key: (float(f"{number:.6g}"), unit) for key, (number, unit) in values.items()},
+            cores=os.cpu_count() or 1, beside=args.beside, leaves_out=one.leaves_out,
+            command=f"mothstall lab scale run {name} --sizes {size} --seed {args.seed}",
+        )  # fmt: skip
+        rows = points.merged(rows, [point])
+        if kept:
+            write(kept, rows)
+        say("    " + ", ".join(f"{key} {number:g} {unit}" for key, (number, unit) in point.values.items()))
+    if args.json:
+        _write_json(args.json, rows)
+    if left or failed:
+        say(f"{failed} steps could not be finished, {left} are left")
+        return 1
+    return 0
+
+
+def _short(args: argparse.Namespace, say: control.Say) -> int:
+    """A small real fleet; its verdict is of states alone, not of times."""
+    wrong = asyncio.run(control.short(say, seed=args.seed))
+    tree: dict[str, Any] = {"proxies": control.SHORT, "wrong": wrong}
+    if args.json:
+        _write_json(args.json, tree)
+    if args.json != "-":
+        print("\n".join(wrong) or f"{control.SHORT} hollows: all joined, all have the changes, none doubled")
+    return 3 if wrong else 0
+
+
+def _write_json(where: str, found: Any) -> None:
+    if isinstance(found, list) and all(isinstance(row, Point) for row in found):
+        text = points.encode(found).decode()
+    else:
+        text = json.dumps(found, indent=1) + "\n"
+    if where == "-":
+        print(text, end="")
+        return
+    try:
+        Path(where).write_text(text, encoding="utf-8")
+    except OSError as why:
+        raise ScaleError(f"--json {where}: {why.strerror}") from why
--- a/mothstall/lab/scale/points.py
+++ b/mothstall/lab/scale/points.py
@@ -13,10 +13,11 @@
        "leaves_out": "request path",           what a hollow part left out; empty: nothing
        "command": "mothstall lab scale run control/proxies"}]}
 
-One file holds figures of one text; before and after a change are two files, `scale-SET.json` being of now and
-`scale-SET-before.json` of the text before. `revision` is the last commit that touched the proxy's own files,
-those outside `mothstall/lab`, with `+changes` where they differ from it. Names of values and axes are words of small letters, digits and `_`; units as in `UNITS`. A series, its axes
-and repeat, and the revision name a point: a later point of the same name takes the place of the earlier one.
+One file holds figures of one text; before and after a change are two files, `scale-SET.json` being of now
+and `scale-SET-before.json` of the text before. `revision` is the last commit that touched the proxy's own
+files, those outside `mothstall/lab`, with `+changes` where they differ from it. Names of values and axes
+are words of small letters, digits and `_`; units as in `UNITS`. A series, its axes and repeat, and the
+revision name a point: a later point of the same name takes the place of the earlier one.
 """
 
 from __future__ import annotations
--- a/mothstall/store/link.py
+++ b/mothstall/store/link.py
@@ -38,6 +38,7 @@
         self._overdue: asyncio.TimerHandle | None = None
         self._why = "closed by the other side"
         self.state: Any = None  # for whoever owns the connection
+        self.bytes_in = self.bytes_out = 0  # of frames, the greeting among them
 
     @property
     def peer(self) -> str:
@@ -54,11 +55,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        transport.write(self._codec.greet(self._name, self._role))
+        greeting = self._codec.greet(self._name, self._role)
+        self.bytes_out += len(greeting)
+        transport.write(greeting)
         self._overdue = asyncio.get_running_loop().call_later(GREET_S, self.end, "no greeting in time")
 
     def data_received(self, data: bytes) -> None:
         known = self._codec.peer is not None
+        self.bytes_in += len(data)
         try:
             payloads = self._codec.feed(data)
         except FrameError as why:
@@ -82,10 +86,12 @@
             self.end("the other side takes nothing")
             return False
         try:
-            self._transport.write(self._codec.seal(payload))
+            frame = self._codec.seal(payload)
         except FrameError as why:
             log.error("frame not sent", extra={"kv": {"peer": self.peer, "why": why}})
             return False
+        self.bytes_out += len(frame)
+        self._transport.write(frame)
         return True
 
     def end(self, why: str) -> None:
--- /dev/null
+++ b/tests/lab/scale/test_short.py
@@ -0,0 +1,97 @@
+"""The short form: a small real fleet of hollows, judged by its states; and what is bad input."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from pathlib import Path
+
+import pytest
+
+from mothstall.lab.command import main
+from mothstall.lab.ledger import Unfinished
+from mothstall.lab.scale import command, control, hollow
+from mothstall.lab.scale.hollow import Crew
+
+TREE = {"cluster": "t", "keepers": [{"name": "k1", "address": "127.0.0.1:9"}]}
+
+
+@pytest.mark.processes
+def test_all_join_all_have_the_change_and_none_is_doubled(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["scale", "run", "short", "--json", "-"]) == 0
+    assert json.loads(capsys.readouterr().out) == {"proxies": control.SHORT, "wrong": []}
+
+
+@pytest.mark.processes
+def test_a_crew_over_its_memory_ends_itself_and_says_so() -> None:
+    async def play() -> None:
+        async with Crew(TREE, 2, seed=1, zones=1, most_kb=1) as crew:
+            for _ in range(200):
+                await crew.all("joined")
+                await asyncio.sleep(0.05)
+
+    with pytest.raises(Unfinished, match="MB are more than"):
+        asyncio.run(play())
+
+
+def test_more_hollows_than_processes_may_hold_are_refused() -> None:
+    with pytest.raises(Unfinished, match="processes"):
+        Crew(TREE, hollow.MOST_PROCESSES * hollow.PER_PROCESS + 1, seed=1, zones=1)
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        ["run", "control/none"],
+        ["run", "pure/view", "--repeats", "0"],
+        ["run", "pure/view", "--sizes", "0"],
+        ["run", "pure/view", "--sizes", "10", "--json", "/nowhere/at/all"],
+    ],
+)
+def test_bad_input_is_one_line_and_exit_2(words: list[str], capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["scale", *words]) == 2
+    said = [line for line in capsys.readouterr().err.splitlines() if line.startswith("mothstall: ")]
+    assert len(said) == 1
+
+
+def test_kept_steps_are_not_played_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """A run that was broken off goes on where it was, and a step that fails leaves the finished ones."""
+    played: list[int] = []
+
+    def play(size: int, seed: int, say: control.Say) -> control.Values:
+        played.append(size)
+        if size == 20 and len(played) < 3:
+            raise Unfinished("broken off")
+        return {"cost": (float(size), "ms")}
+
+    one = control.Series("n", (10, 20), "a test", play)
+    monkeypatch.setitem(control.SERIES, "test/one", one)
+    kept = str(tmp_path / "scale-test.json")
+    words = ["scale", "run", "test/one", "--repeats", "1", "--kept", kept]
+    assert main(words) == 1
+    assert [point.axes["n"] for point in command.read(Path(kept))] == [10]
+    assert main(words) == 0
+    assert played == [10, 20, 20]
+    assert main([*words, "--most", "0"]) == 0
+    assert main(["scale", "run", "test/one", "--repeats", "1", "--most", "0"]) == 1
+    assert "2 are left" in capsys.readouterr().err
+
+
+def test_a_kept_file_that_is_none_is_bad_input(tmp_path: Path) -> None:
+    kept = tmp_path / "x.json"
+    kept.write_text("{}")
+    assert main(["scale", "run", "pure/view", "--kept", str(kept)]) == 2
+
+
+def test_list_names_every_series(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["scale", "list", "--json"]) == 0
+    assert list(json.loads(capsys.readouterr().out)) == list(control.SERIES)
+
+
+@pytest.mark.skipif(not os.path.exists("/proc/self/statm"), reason="the system does not tell")
+def test_memory_of_a_process_is_told_and_of_none_is_0() -> None:
+    assert hollow.rss_kb(os.getpid()) > 1000
+    assert hollow.rss_kb(2**22 + 1) == 0
