--- a/mothstall/cli.py
+++ b/mothstall/cli.py
@@ -68,15 +68,19 @@
         # Guards against a word to read the file again that comes before the loop can take it: it waits.
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
-        config = load(args.config, env)
         operator = _operator(args.operator)
+        if args.command == "check-config" and operator and not (args.config or env.get("LB_CONFIG")):
+            # A keeper's machine has an operator file and no proxy's configuration.
+            print(_part_of(operator))
+            return 0
+        config = load(args.config, env)
     except ConfigError as why:
         print(f"mothstall: {why}", file=sys.stderr)
         return 2
     if args.command == "check-config":
         print(f"mothstall: {config.name}: {len(config.settings.classes)} classes, listens on {config.listen}")
         if operator:
-            print(f"mothstall: takes part in {operator.cluster}, kept by {len(operator.keepers)} keepers")
+            print(_part_of(operator))
         return 0
 
     def reread() -> Config:
@@ -86,6 +90,10 @@
     return _serve(replace(config, log_level=args.log_level or config.log_level), reread, operator)
 
 
+def _part_of(operator: Operator) -> str:
+    return f"mothstall: takes part in {operator.cluster}, kept by {len(operator.keepers)} keepers"
+
+
 def _group(words: Sequence[str]) -> int:
     """Groups stand on libraries that the proxy does without; they are read when a command is called."""
     import importlib
--- a/tests/test_operate.py
+++ b/tests/test_operate.py
@@ -19,7 +19,7 @@
 import msgspec
 import pytest
 
-from mothstall import operate
+from mothstall import cli, operate
 from mothstall.fleet.client import Store
 from mothstall.fleet.evidence import Report, Row
 from mothstall.fleet.operator import read
@@ -206,3 +206,25 @@
     path.write_text('cluster = "c"\nkeepers = []\n')
     assert operate.main(["drains", "--operator", str(path)]) == 2
     assert "$.keepers" in capsys.readouterr().err
+
+
+def test_an_operator_file_is_checked_without_a_configuration(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = _file(tmp_path / "operator.toml", 7101)
+    assert cli.main(["check-config", "--operator", file], {}) == 0
+    assert capsys.readouterr().out == "mothstall: takes part in c, kept by 1 keepers\n"
+    (tmp_path / "operator.toml").write_text('cluster = "c"\nkeepers = []\n')
+    assert cli.main(["check-config", "--operator", file], {}) == 2
+    said = capsys.readouterr().err
+    assert "$.keepers" in said and len(said.splitlines()) == 1
+
+
+def test_a_configuration_that_is_named_is_checked_beside_the_operator_file(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = _file(tmp_path / "operator.toml", 7101)
+    for words, env in ((["--config", "/nowhere"], {}), ([], {"LB_CONFIG": "/nowhere"})):
+        assert cli.main(["check-config", "--operator", file, *words], env) == 2
+        assert "/nowhere" in capsys.readouterr().err
+    assert cli.main(["check-config"], {}) == 2
