docs/CAPACITY.md and lab capacity: roles, verdicts and ranking from kept slopes

Need: figures at one size were held against nothing. Each line is a slope or a bound in the code against one limit at one size; the worst of the forms that are not told apart counts, and what was not measured says so.

--- a/mothstall/lab/command.py
+++ b/mothstall/lab/command.py
@@ -55,6 +55,7 @@
     bench.add_argument("--json", metavar="FILE", help="figures as JSON; - for standard output")
     commands.add_parser("fleet", help="keepers and proxies as processes; `lab fleet --help`", add_help=False)
     commands.add_parser("scale", help="what grows with the fleet; `lab scale --help`", add_help=False)
+    commands.add_parser("capacity", help="the tables of docs/CAPACITY.md", add_help=False)
     return parser
 
 
@@ -67,6 +68,10 @@
         from mothstall.lab.scale.command import main as scales
 
         return scales(words[1:])
+    if words[:1] == ["capacity"]:
+        from mothstall.lab.scale.command import capacity_main
+
+        return capacity_main(words[1:])
     args = _parser().parse_args(words)
     try:
         return _COMMANDS[args.command](args)
--- /dev/null
+++ b/mothstall/lab/scale/capacity.py
@@ -0,0 +1,592 @@
+"""What a fleet of the target's size asks of each role, from kept slopes: tables for docs/CAPACITY.md. Pure.
+
+A line holds one measured slope, or one bound that stands in the code, against one limit at one size. Sizes
+are functions of the target and of a part of it: at part 0.5 there are half of the proxies, backends, changes.
+The part at which a line crosses its limit ranks it. What counts at a size is `Slope.worst`.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+import statistics
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from mothstall.keeper.process import MOST_CONNECTIONS
+from mothstall.lab.scale import fit
+from mothstall.lab.scale.fit import FitError, Slope
+from mothstall.lab.scale.points import Point
+from mothstall.lab.scale.target import Target
+from mothstall.store.frames import MOST_FRAME
+from mothstall.store.state import MOST_ROWS, MOST_SESSIONS
+
+BUSY = 10.0  # the busiest hour against the mean of a day, for changes and restarts: our assumption
+TERM_S = 1.83  # what an owner may count on of a term of 2 s, less drift and margin: deploy/operator.toml
+KEEP_S = 10.0  # a plan holds so long without contact: deploy/operator.toml
+ELECTION_S = 0.3  # a keeper that computes for longer is taken for dead: deploy/operator.toml
+LINK = 125e6  # bytes a second: one Gbit/s
+KEEPERS = 3  # that were played
+PLAYED = 100  # proxies, where changes were played
+LOOKS = 10  # of an agent, a second
+
+Size = Callable[[Target, float], float]
+Limit = Callable[[Target], float]
+
+GONE = "no tier between keepers and proxies"
+
+
+def proxies(t: Target, part: float) -> float:
+    return part * t.fleet.proxies
+
+
+def state_rows(t: Target, part: float) -> float:
+    """A lease for each member and for each probed backend."""
+    return part * (t.fleet.proxies + t.fleet.backends)
+
+
+def pairs(t: Target, part: float) -> float:
+    return part * part * t.fleet.proxies * t.fleet.backends
+
+
+def changes(t: Target, part: float) -> float:
+    """Of configuration, and two of a member's lease for each restart, in the busiest hour."""
+    return part * BUSY * (t.changes_per_s + 2 * t.restarts_per_s)
+
+
+def pushes(t: Target, part: float) -> float:
+    """The changes a second that would make as many pushes at the 100 proxies that were played."""
+    return changes(t, part) * proxies(t, part) / PLAYED
+
+
+@dataclass(slots=True, frozen=True)
+class Line:
+    """`series` empty: the value is the size itself, a count that stands against a bound in the code."""
+
+    role: str
+    what: str
+    unit: str
+    limit: Limit
+    why: str  # whose limit
+    carried: str  # the mechanism that carries it, or what is missing
+    series: str = ""
+    axis: str = "proxies"
+    values: tuple[str, ...] = ()  # added up
+    size: Size = proxies
+    times: float = 1.0
+    most_of: tuple[str, str] | None = None  # the limit is the most that this value of a series ever reached
+
+
+@dataclass(slots=True, frozen=True)
+class Held:
+    """A line worked out: `size`, `value` at the target, and the proxies at which it crosses (inf: never)."""
+
+    line: Line
+    size: float
+    value: float  # by the worst of the forms that are not told apart
+    best: float  # by the best form
+    limit: float
+    crosses: float
+    slopes: tuple[Slope, ...]
+    missing: str = ""
+
+    @property
+    def far(self) -> bool:
+        return any(slope.far(self.size) for slope in self.slopes)
+
+    @property
+    def verdict(self) -> str:
+        if self.missing:
+            return f"not measured: {self.missing}"
+        if self.best <= self.limit < self.value:
+            forms = sorted({form.name for slope in self.slopes for form in slope.alike})
+            return f"**open**: {', '.join(forms)} not told apart, over by the worst, fits by the best"
+        if self.value <= self.limit:
+            spare = f"{_times(self.limit / self.value)} to spare" if self.value else "nothing of it"
+            return f"fits, {spare}"
+        return f"**over, {_times(self.value / self.limit, up=True)}**"
+
+
+LINES: tuple[Line, ...] = (
+    Line(
+        "proxy's control", "processor time, quiet", "cores", lambda t: t.control.proxy_cores, "operators",
+        "looks ten times a second at what is held", "control/proxies", "proxies", ("agent_cpu",),
+    ),
+    Line(
+        "proxy's control", "processor time with reports, quiet", "cores", lambda t: t.control.proxy_cores,
+        "operators", "sums each second", "control/reports", "proxies", ("agent_cpu",),
+    ),
+    Line(
+        "proxy's control", "processor time, by changes in the busiest hour", "cores",
+        lambda t: t.control.proxy_cores, "operators", "everybody is sent everything", "control/changes",
+        "changes_per_s", ("agent_cpu",), changes,
+    ),
+    Line(
+        "proxy's control", "bytes, quiet", "B/s", lambda t: t.control.proxy_bytes_per_s, "operators",
+        "heartbeats, renewals", "control/proxies", "proxies", ("agent_in", "agent_out"),
+    ),
+    Line(
+        "proxy's control", "bytes with reports, quiet", "B/s", lambda t: t.control.proxy_bytes_per_s,
+        "operators", "a report a second", "control/reports", "proxies", ("agent_in", "agent_out"),
+    ),
+    Line(
+        "proxy's control", "bytes, by changes in the busiest hour", "B/s",
+        lambda t: t.control.proxy_bytes_per_s, "operators", "everybody is sent everything",
+        "control/changes", "changes_per_s", ("agent_in", "agent_out"), changes,
+    ),
+    Line(
+        "proxy's control", "memory, by rows in the state", "MB", lambda t: t.control.proxy_memory_mb,
+        "operators", "a snapshot of everything", "control/rows", "rows", ("agent_memory",), state_rows,
+    ),
+    Line(
+        "probers", "who probes what, worked out", "cores", lambda t: t.control.proxy_cores, "operators",
+        "rendezvous over all proxies and all backends", "pure/duties", "pairs", ("mine_cpu",), pairs,
+        LOOKS / 1000,
+    ),
+    Line(
+        "probers", "leases of probes and members", "1", lambda t: MOST_ROWS, "`MOST_ROWS`",
+        "missing: a lease for many backends", size=state_rows,
+    ),
+    Line(
+        "keeper", "processor time of the busiest, quiet", "cores", lambda t: 1.0, "one thread",
+        f"renewals through the log: {GONE}", "control/proxies", "proxies", ("keeper_cpu_most",),
+    ),
+    Line(
+        "keeper", "the same with reports", "cores", lambda t: 1.0, "one thread",
+        f"each report to each listener: {GONE}", "control/reports", "proxies", ("keeper_cpu_most",),
+    ),
+    Line(
+        "keeper", "processor time, pushes in the busiest hour", "cores", lambda t: 1.0, "one thread",
+        f"each change to each watcher: {GONE}", "control/changes", "changes_per_s", ("keeper_cpu_most",),
+        pushes,
+    ),
+    Line(
+        "keeper", "bytes out of the busiest, quiet", "B/s", lambda t: LINK, "one Gbit/s", GONE,
+        "control/proxies", "proxies", ("keeper_out_most",),
+    ),
+    Line(
+        "keeper", "commits", "1/s", lambda t: 0.0, "the most that were measured, by callers at once",
+        f"a lease each through the log: {GONE}", "control/proxies", "proxies", ("commits",),
+        most_of=("control/commits", "rate"),
+    ),
+    Line(
+        "keeper", "memory, by proxies", "MB", lambda t: 1024.0, "ours: one GB", "connections, sessions",
+        "control/proxies", "proxies", ("keeper_memory",),
+    ),
+    Line(
+        "keeper", "memory, by rows in the state", "MB", lambda t: 1024.0, "ours: one GB", "state, log",
+        "control/rows", "rows", ("keeper_memory",), state_rows,
+    ),
+    Line(
+        "keeper", "connections, all keepers there", "1", lambda t: MOST_CONNECTIONS, "`MOST_CONNECTIONS`",
+        GONE, size=lambda t, part: proxies(t, part) / KEEPERS,
+    ),
+    Line(
+        "keeper", "connections, one keeper lost", "1", lambda t: MOST_CONNECTIONS, "`MOST_CONNECTIONS`", GONE,
+        size=lambda t, part: proxies(t, part) / (KEEPERS - 1),
+    ),
+    Line(
+        "keeper", "sessions", "1", lambda t: MOST_SESSIONS, "`MOST_SESSIONS`",
+        f"one for each proxy: {GONE}",
+    ),
+    Line(
+        "keeper", "one snapshot made, while nothing else is done", "ms", lambda t: ELECTION_S * 1000,
+        "an election's time", "missing: snapshots off the loop", "pure/snapshot", "rows", ("snapshot_made",),
+        state_rows,
+    ),
+    Line(
+        "keeper", "one snapshot loaded", "ms", lambda t: ELECTION_S * 1000, "an election's time",
+        "missing: snapshots off the loop", "pure/snapshot", "rows", ("snapshot_loaded",), state_rows,
+    ),
+    Line(
+        "keeper", "all of the state in one frame, to whoever comes anew", "MB", lambda t: MOST_FRAME / 1e6,
+        "`MOST_FRAME`", "missing: a snapshot in pieces; who subscribes to what", "pure/snapshot", "rows",
+        ("snapshot",), state_rows,
+    ),
+    Line(
+        "keeper", "a change's delta, made", "us", lambda t: 1000.0, "ours: one ms", "kept changes",
+        "pure/view", "rows", ("delta_one_cpu",), state_rows,
+    ),
+    Line(
+        "proxy's control", "one row that changes, taken in", "ms", lambda t: 1000 * t.control.proxy_cores,
+        "operators, at one a second", "a copy of the view", "pure/view", "rows", ("after_one_cpu",),
+        state_rows, 0.001,
+    ),
+    Line(
+        "owner of plans", "processor time: reports read, a look a second", "cores",
+        lambda t: t.control.proxy_cores, "operators: an owner is a proxy",
+        "missing: sums of zones instead of proxies", "pure/owner", "proxies", ("owner_cpu",),
+    ),
+    Line(
+        "owner of plans", "bytes of reports", "B/s", lambda t: t.control.proxy_bytes_per_s,
+        "operators: an owner is a proxy", "missing: sums of zones instead of proxies", "pure/owner",
+        "proxies", ("owner_in",),
+    ),
+    Line(
+        "changes", "until the last proxy has one", "s", lambda t: t.control.everywhere_s, "operators",
+        "pushes, 64 in a turn", "control/proxies", "proxies", ("change_last",),
+    ),
+    Line(
+        "operators' tools", "all of the state read, in one frame", "MB", lambda t: MOST_FRAME / 1e6,
+        "`MOST_FRAME`", "missing: reads of a part", "pure/snapshot", "rows", ("snapshot",), state_rows,
+    ),
+    Line(
+        "peak: a zone's proxies come at one instant", "until the last is a member", "s",
+        lambda t: t.control.everywhere_s, "operators: as for a change", "sessions and leases of their own",
+        "control/join", "proxies", ("join_last",), lambda t, part: part * t.proxies_of_a_zone,
+    ),
+    Line(
+        "peak: a region's proxies return", "until the last is a member", "s",
+        lambda t: t.control.everywhere_s, "operators: as for a change", "sessions and leases of their own",
+        "control/join", "proxies", ("join_last",), lambda t, part: part * t.proxies_of_a_region,
+    ),
+    Line(
+        "peak: all proxies start anew", "until the last is a member", "s",
+        lambda t: t.control.everywhere_s, "operators: as for a change", "sessions and leases of their own",
+        "control/join", "proxies", ("join_last",),
+    ),
+    Line(
+        "peak: the leading keeper is lost", "longest silence of an agent", "s", lambda t: TERM_S,
+        "what a term leaves an owner", "another keeper is turned to", "control/proxies", "proxies",
+        ("kill_silence_last",),
+    ),
+    Line(
+        "peak: all keepers start anew", "longest silence of an agent", "s", lambda t: KEEP_S,
+        "a plan holds so long", "the last snapshot serves on", "control/proxies", "proxies",
+        ("restart_silence_last",),
+    ),
+)  # fmt: skip
+
+
+def slope_of(points: Sequence[Point], line: Line) -> tuple[Slope, ...]:
+    """Raises FitError."""
+    return tuple(fit.of_points(points, line.series, line.axis, value) for value in line.values)
+
+
+def hold(points: Sequence[Point], target: Target, lines: Sequence[Line] = LINES) -> list[Held]:
+    found = []
+    for line in lines:
+        size, limit = line.size(target, 1.0), line.limit(target)
+        slopes: tuple[Slope, ...] = ()
+        missing = ""
+        if line.most_of:
+            limit = _most(points, *line.most_of)
+            missing = "" if limit else f"{line.most_of[0]} has no {line.most_of[1]}"
+        if line.series:
+            try:
+                slopes = slope_of(points, line)
+            except FitError as why:
+                missing = str(why)
+
+        def value(part: float, line: Line = line, slopes: tuple[Slope, ...] = slopes) -> float:
+            at = line.size(target, part)
+            return line.times * sum(slope.worst(at) for slope in slopes) if line.series else at
+
+        crosses = math.inf if missing else _crossing(value, limit) * target.fleet.proxies
+        top = 0.0 if missing else value(1.0)
+        best = line.times * sum(slope.best.at(size) for slope in slopes) if slopes else top
+        found.append(Held(line, size, top, best, limit, crosses, slopes, missing))
+    return found
+
+
+def _most(points: Sequence[Point], series: str, value: str) -> float:
+    """The highest median over repeats of any size; 0: it was never measured."""
+    by: dict[tuple[tuple[str, float], ...], list[float]] = {}
+    for point in points:
+        if point.series == series and value in point.values:
+            by.setdefault(tuple(sorted(point.axes.items())), []).append(point.values[value][0])
+    return max((statistics.median(rows) for rows in by.values()), default=0.0)
+
+
+def _crossing(value: Callable[[float], float], limit: float, most: float = 1000.0) -> float:
+    """The part of the target from which on it is over; inf beyond `most` of it. Values grow with the part."""
+    if value(most) <= limit:
+        return math.inf
+    low, high = 0.0, most
+    for _ in range(100):
+        middle = (low + high) / 2
+        low, high = (low, middle) if value(middle) > limit else (middle, high)
+    return low
+
+
+# Text. Numbers that decide are never rounded towards the limit.
+
+
+def _times(ratio: float, up: bool = False) -> str:
+    """A factor of two digits, rounded against us: down where it is to spare, up where it is over."""
+    scale = 10.0 ** (math.floor(math.log10(ratio)) - 1) if ratio >= 1 else 0.1
+    rounded = (math.ceil if up else math.floor)(round(ratio / scale, 9)) * scale
+    return f"{rounded:,.0f} times" if ratio >= 10 else f"{rounded:.1f} times"
+
+
+def number(value: float) -> str:
+    if not math.isfinite(value):
+        return "-"
+    if value == 0:
+        return "0"
+    if abs(value) >= 1000:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def _up(value: float) -> float:
+    """Three digits, never less than it is."""
+    if not math.isfinite(value) or value <= 0:
+        return value
+    scale = 10.0 ** (math.floor(math.log10(value)) - 2)
+    return math.ceil(round(value / scale, 6)) * scale
+
+
+def _amount(value: float, unit: str) -> str:
+    if unit == "B/s" and value >= 1000:
+        return f"{number(value / 1e6)} MB/s" if value >= 1e6 else f"{number(value / 1000)} kB/s"
+    return number(value) if unit == "1" else f"{number(value)} {unit}"
+
+
+def _table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    lines = [f"| {' | '.join(head)} |", f"|{' --- |' * len(head)}"]
+    return "\n".join([*lines, *(f"| {' | '.join(row)} |" for row in rows)])
+
+
+def roles_table(held: Sequence[Held]) -> str:
+    rows = []
+    for row in held:
+        line = row.line
+        value = "-" if row.missing else _amount(_up(row.value), line.unit)
+        if row.best < row.value:
+            value = f"{_amount(_up(row.best), line.unit)}; worst {value}"
+        run = f"`{line.series}`" if line.series else "counted"
+        mark = " (far)" if row.far else ""
+        rows.append(
+            [
+                line.role, line.what, value + mark, f"{_amount(row.limit, line.unit)} ({line.why})",
+                row.verdict, line.carried, run,
+            ]
+        )  # fmt: skip
+    return _table(("role", "what", "at the target", "limit", "verdict", "carried by", "run"), rows)
+
+
+def ranking_table(held: Sequence[Held], target: Target) -> str:
+    broken = sorted((row for row in held if math.isfinite(row.crosses)), key=lambda row: row.crosses)
+    rows = []
+    for row in broken:
+        if row.crosses >= 10 * target.fleet.proxies:
+            continue
+        at = math.floor(row.crosses)
+        rows.append(
+            [
+                number(at) + (" (below all sizes played)" if _below(row, target) else ""),
+                f"{row.line.role}: {row.line.what}", _amount(row.limit, row.line.unit), row.verdict,
+                row.line.carried,
+            ]
+        )  # fmt: skip
+    return _table(("proxies at which it breaks", "what", "limit", "at the target", "carried by"), rows)
+
+
+def _below(row: Held, target: Target) -> bool:
+    part = row.crosses / target.fleet.proxies
+    return bool(row.slopes) and row.line.size(target, part) < row.slopes[0].sizes[0]
+
+
+def slopes_table(points: Sequence[Point], held: Sequence[Held]) -> str:
+    rows, seen = [], set()
+    for row in held:
+        for value, slope in zip(row.line.values, row.slopes, strict=False):
+            key = (row.line.series, row.line.axis, value)
+            if key in seen:
+                continue
+            seen.add(key)
+            best = slope.best
+            unit = next(p.values[value][1] for p in points if p.series == key[0] and value in p.values)
+            forms = " or ".join(form.name for form in slope.alike)
+            coefficient = "-" if best.name == "none" else f"{best.b:.3g} [{best.low:.3g}, {best.high:.3g}]"
+            rows.append(
+                [
+                    f"`{row.line.series}` {value}, {unit}", row.line.axis,
+                    " ".join(f"{size:,.0f}" for size in slope.sizes), str(slope.repeats), forms,
+                    f"{best.a:.3g}", coefficient, f"{100 * best.residual:.1f}%",
+                    f"{row.size / slope.largest:.1f}" + (" **far**" if slope.far(row.size) else ""),
+                ]
+            )  # fmt: skip
+    head = (
+        "value", "axis", "sizes", "repeats", "form (not told apart)", "a", "b [95%]", "residual",
+        "target over largest",
+    )  # fmt: skip
+    return _table(head, rows)
+
+
+def points_table(points: Sequence[Point], series: str, axis: str, values: Mapping[str, str]) -> str:
+    """Medians over repeats as measured, with how many of them have the value."""
+    sizes = sorted({point.axes[axis] for point in points if point.series == series})
+    rows = []
+    for size in sizes:
+        here = [point for point in points if point.series == series and point.axes[axis] == size]
+        row = [f"{size:,.0f}", str(len(here))]
+        for value in values:
+            found = [point.values[value][0] for point in here if value in point.values]
+            row.append(number(statistics.median(found)) + _of(len(found), len(here)) if found else "-")
+        rows.append(row)
+    return _table((axis, "repeats", *values.values()), rows)
+
+
+def _of(some: int, all_: int) -> str:
+    return "" if some == all_ else f" ({some} of {all_})"
+
+
+def target_table(target: Target) -> str:
+    fleet, control = target.fleet, target.control
+    rows = [
+        ["proxies, backends, services", f"{fleet.proxies:,}, {fleet.backends:,}, {fleet.services:,}"],
+        ["routes, tenants", f"{fleet.routes:,}, {fleet.tenants:,}"],
+        ["regions, zones, machines for control", f"{fleet.regions}, {fleet.zones}, {fleet.control_machines}"],
+        ["requests a second", f"{target.load.requests_per_s:,.0f}"],
+        ["requests a second of a proxy", f"{target.requests_per_proxy:.1f}"],
+        ["proxies of a zone", f"{target.proxies_of_a_zone:,}"],
+        ["proxies of a region, at most", f"{target.proxies_of_a_region:,}"],
+        ["backends of a zone", f"{target.backends_of_a_zone:,}"],
+        ["changes a day; a second; in the busiest hour", (
+            f"{control.changes_a_day:,.0f}; {target.changes_per_s:.3f}; {BUSY * target.changes_per_s:.2f}"
+        )],
+        ["restarts and failures a day; a second; in the busiest hour", (
+            f"{target.failures.restarts_a_day + target.failures.machines_a_day:,.0f}; "
+            f"{target.restarts_per_s:.3f}; {BUSY * target.restarts_per_s:.2f}"
+        )],
+    ]  # fmt: skip
+    return _table(("what", "number"), rows)
+
+
+@dataclass(slots=True, frozen=True)
+class Machine:
+    name: str
+    region: int
+    zone: int
+    keeper: bool
+
+
+def placement(target: Target, voters: int = 5) -> list[Machine]:
+    """Machines over zones in turn, regions in turn within that; voters over regions in turn."""
+    fleet = target.fleet
+    zones = [(zone % fleet.regions, zone) for zone in range(fleet.zones)]
+    given = [zones[i % len(zones)] for i in range(fleet.control_machines)]
+    count = min(voters, fleet.control_machines)
+    count -= 1 - count % 2  # an even number bears no more than the odd one below it
+    order = sorted(
+        range(len(given)), key=lambda i: (sum(g[0] == given[i][0] for g in given[:i]), given[i][0])
+    )
+    chosen = set(order[:count])
+    return [Machine(f"c{i + 1}", r, z, i in chosen) for i, (r, z) in enumerate(given)]
+
+
+def placement_table(target: Target) -> str:
+    machines = placement(target)
+    voters = [m for m in machines if m.keeper]
+    quorum = len(voters) // 2 + 1
+    rows = []
+    for region in range(target.fleet.regions):
+        here = [m for m in machines if m.region == region]
+        left = sum(m.region != region for m in voters)
+        zones = sorted({m.zone for m in here})
+        worst = min((sum(m.zone != zone for m in voters) for zone in zones), default=len(voters))
+        rows.append(
+            [
+                f"region {region + 1}", ", ".join(f"zone {zone + 1}" for zone in zones) or "none",
+                ", ".join(m.name + (" (keeper)" if m.keeper else "") for m in here) or "none",
+                f"{len(voters) - 1} of {len(voters)}", _left(worst, len(voters), quorum),
+                _left(left, len(voters), quorum),
+            ]
+        )  # fmt: skip
+    head = (
+        "where", "zones", "machines", "keepers left when one machine goes", "a zone", "the region",
+    )  # fmt: skip
+    return _table(head, rows)
+
+
+def _left(left: int, of: int, quorum: int) -> str:
+    return f"{left} of {of}, {'a quorum' if left >= quorum else '**no quorum**'}"
+
+
+def runs_table(points: Sequence[Point]) -> str:
+    """What was run, of which text, on which machine, beside what."""
+    rows: dict[tuple[str, ...], list[Point]] = {}
+    for point in points:
+        key = (point.series, point.revision, str(point.cores), point.beside)
+        rows.setdefault(key, []).append(point)
+    found = []
+    for (series, revision, cores, beside), here in rows.items():
+        seeds = sorted({point.seed for point in here})
+        found.append(
+            [f"`{series}`", str(len(here)), f"{seeds[0]} to {seeds[-1]}", f"`{revision}`", cores, beside]
+        )
+    return _table(("series", "points", "seeds", "text", "cores", "beside"), found)
+
+
+@dataclass(slots=True)
+class Sets:
+    """Points of now, and of the text before where there are some."""
+
+    now: list[Point]
+    before: list[Point] = field(default_factory=list)
+
+
+JOINING = {
+    "joined": "members", "join_last": "the last after, s", "join_gave_up": "given up after, s",
+    "join_commits": "commits a proxy", "join_calls": "calls a proxy",
+}  # fmt: skip
+
+
+def tables(sets: Sets, target: Target) -> dict[str, str]:
+    """By the name of their markers."""
+    held = hold(sets.now, target)
+    found = {
+        "target": target_table(target),
+        "roles": roles_table(held),
+        "ranking": ranking_table(held, target),
+        "slopes": slopes_table(sets.now, held),
+        "joining": points_table(sets.now, "control/join", "proxies", JOINING),
+        "placement": placement_table(target),
+        "runs": runs_table(sets.now),
+    }
+    if sets.before:
+        found["before"] = before_table(sets, target)
+        found["joining-before"] = points_table(sets.before, "control/join", "proxies", JOINING)
+        found["runs-before"] = runs_table(sets.before)
+    return found
+
+
+def before_table(sets: Sets, target: Target) -> str:
+    """Lines whose slopes are there of both texts, side by side."""
+    rows = []
+    for old, new in zip(hold(sets.before, target), hold(sets.now, target), strict=True):
+        if not old.line.series or not (old.slopes or new.slopes):
+            continue
+        unit = old.line.unit
+        rows.append(
+            [
+                f"{old.line.role}: {old.line.what}",
+                "-" if old.missing else _amount(_up(old.value), unit), number(math.floor(old.crosses))
+                if math.isfinite(old.crosses) else "-",
+                "-" if new.missing else _amount(_up(new.value), unit), number(math.floor(new.crosses))
+                if math.isfinite(new.crosses) else "-",
+            ]
+        )  # fmt: skip
+    head = (
+        "what", "before, at the target", "breaks at, proxies", "now, at the target", "breaks at, proxies",
+    )  # fmt: skip
+    return _table(head, rows)
+
+
+_MARK = re.compile(r"(<!-- table: ([a-z-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
+
+
+class PageError(ValueError):
+    """The page's markers do not fit; the message is one line."""
+
+
+def written(page: str, found: Mapping[str, str]) -> str:
+    """The page with its tables made anew. Raises PageError."""
+    named = [match[2] for match in _MARK.finditer(page)]
+    if page.count("<!-- table: ") != len(named):
+        raise PageError("a table's marker has no end")
+    if unknown := [name for name in named if name not in found]:
+        raise PageError(f"no table {unknown[0]!r}: {', '.join(found)}")
+    return _MARK.sub(lambda match: f"{match[1]}{found[match[2]]}\n{match[3]}", page)
--- a/mothstall/lab/scale/command.py
+++ b/mothstall/lab/scale/command.py
@@ -1,4 +1,4 @@
-"""`mothstall lab scale`: plays by size, kept as points.
+"""`mothstall lab scale`: plays by size, kept as points; `mothstall lab capacity`: the page made of them.
 
 Exit codes: 0 done, 1 a step could not be finished or is left, 2 bad input, 3 a state was not as it has to be.
 """
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import json
+import math
 import os
 import subprocess
 import sys
@@ -19,8 +20,9 @@
 
 from mothstall.lab.ledger import Unfinished
 from mothstall.lab.process import ROOT
-from mothstall.lab.scale import control, points
+from mothstall.lab.scale import capacity, control, points, target
 from mothstall.lab.scale.points import Point, PointsError
+from mothstall.lab.scale.target import Target
 
 EPILOG = (
     "exit codes: 0 done, 1 a step could not be finished or is left, 2 bad input, "
@@ -187,3 +189,92 @@
         Path(where).write_text(text, encoding="utf-8")
     except OSError as why:
         raise ScaleError(f"--json {where}: {why.strerror}") from why
+
+
+# The page
+
+PAGE = ROOT / "docs" / "CAPACITY.md"
+TARGET = ROOT / "deploy" / "target.toml"
+BEFORE = "-before.json"
+
+
+def _capacity_parser() -> argparse.ArgumentParser:
+    epilog = "exit codes: 0 done, 2 bad input, 3 the page's tables are not those of the sets (--check)"
+    parser = argparse.ArgumentParser(
+        prog="mothstall lab capacity", epilog=epilog,
+        description="What a fleet of the target's size asks of each role, from kept points.",
+    )  # fmt: skip
+    parser.add_argument("--target", metavar="FILE", default=str(TARGET), help="default: deploy/target.toml")
+    parser.add_argument(
+        "--sets", metavar="FOLDER", default=str(ROOT / "benchmarks"),
+        help="scale-*.json there, and scale-*-before.json for those before; default: benchmarks",
+    )  # fmt: skip
+    what = parser.add_mutually_exclusive_group()
+    what.add_argument("--write", metavar="FILE", help="make the tables between the markers of this page anew")
+    what.add_argument("--check", metavar="FILE", help="whether they are as they would be made")
+    parser.add_argument("--json", action="store_true", help="the lines as JSON on standard output")
+    return parser
+
+
+def sets(folder: Path) -> capacity.Sets:
+    """All points that a folder keeps. Raises ScaleError or PointsError."""
+    found = capacity.Sets([])
+    for path in sorted(folder.glob("scale-*.json")):
+        try:
+            (found.before if path.name.endswith(BEFORE) else found.now).extend(read(path))
+        except PointsError as why:
+            raise ScaleError(f"{path}: {why}") from why
+    if not found.now:
+        raise ScaleError(f"{folder} holds no points: scale-*.json")
+    return found
+
+
+def target_of(path: Path) -> Target:
+    """Raises ScaleError."""
+    try:
+        return target.decode(path.read_bytes())
+    except OSError as why:
+        raise ScaleError(f"target: {path}: {why.strerror}") from why
+    except target.TargetError as why:
+        raise ScaleError(str(why)) from why
+
+
+def capacity_main(words: Sequence[str]) -> int:
+    args = _capacity_parser().parse_args(words)
+    try:
+        return _capacity(args)
+    except (ScaleError, PointsError, capacity.PageError) as why:
+        print(f"mothstall: {why}", file=sys.stderr)
+        return 2
+
+
+def _capacity(args: argparse.Namespace) -> int:
+    aim, kept = target_of(Path(args.target)), sets(Path(args.sets))
+    if args.json:
+        rows = [
+            {
+                "role": row.line.role, "what": row.line.what, "unit": row.line.unit, "size": row.size,
+                "value": None if row.missing else row.value, "limit": row.limit, "far": row.far,
+                "breaks_at_proxies": row.crosses if math.isfinite(row.crosses) else None,
+                "series": row.line.series, "missing": row.missing,
+            }
+            for row in capacity.hold(kept.now, aim)
+        ]  # fmt: skip
+        print(json.dumps(rows, indent=1))
+    found = capacity.tables(kept, aim)
+    path = args.write or args.check
+    if not path:
+        if not args.json:
+            print("\n\n".join(f"{name}\n{text}" for name, text in found.items()))
+        return 0
+    try:
+        page = Path(path).read_text(encoding="utf-8")
+        fresh = capacity.written(page, found)
+        if args.write and fresh != page:
+            Path(path).write_text(fresh, encoding="utf-8")
+    except OSError as why:
+        raise ScaleError(f"{path}: {why.strerror}") from why
+    if args.check and fresh != page:
+        print(f"mothstall: {path}: its tables are not those of the sets", file=sys.stderr)
+        return 3
+    return 0
--- a/mothstall/lab/scale/control.py
+++ b/mothstall/lab/scale/control.py
@@ -346,6 +346,49 @@
     return wrong
 
 
+async def commit_rate(callers: int, say: Say, *, seed: int, seconds: float = 3.0) -> Values:
+    """Writes of so many callers at once, each with one out at a time."""
+    files_for_many()
+    took: list[float] = []
+    loop = asyncio.get_running_loop()
+    with tempfile.TemporaryDirectory(prefix="mothstall-scale-") as folder:
+        async with Keepers(Path(folder)) as keepers:
+            say(f"{callers} callers write")
+            stores = [Store(keepers.operator, f"c{i}", "tool", loop=loop) for i in range(callers)]
+            over = loop.time() + 1e9
+
+            async def work(at: int, store: Store, token: int) -> None:
+                number = 0
+                while loop.time() < over:
+                    number += 1
+                    began = loop.time()
+                    row = st.Write(f"rate/{at}", token, f"rate/{at}/{number % 8}", number.to_bytes(8, "big"))
+                    if why := (await store.change(row, 10.0)).refused:
+                        raise Unfinished(why)
+                    took.append(loop.time() - began)
+
+            try:
+                tokens = []
+                for i, store in enumerate(stores):
+                    done = await store.change(st.Take(f"rate/{i}", f"c{i}", 3_600_000), 10.0)
+                    tokens.append(done.token)
+                over, began = loop.time() + seconds, loop.time()
+                before = _cpu(keepers)
+                await asyncio.gather(
+                    *(work(i, s, t) for i, (s, t) in enumerate(zip(stores, tokens, strict=True)))
+                )
+                span, used = loop.time() - began, _cpu(keepers)
+            except NoContact as why:
+                raise Unfinished(str(why)) from why
+            finally:
+                await asyncio.gather(*(store.close() for store in stores))
+    return {
+        "rate": (len(took) / span, "1/s"), "took_median": (statistics.median(took), "s"),
+        "took_p99": (quantile(took, 0.99), "s"),
+        "keeper_cpu_most": (max(used[name] - before[name] for name in used) / span, "cores"),
+    }  # fmt: skip
+
+
 async def catch_up(missed: int, say: Say, *, seed: int) -> Values:
     """A follower that missed so many changes starts again."""
     with tempfile.TemporaryDirectory(prefix="mothstall-scale-") as folder:
@@ -498,6 +541,10 @@
         "proxies", (200, 400, 800, 1200, 1600), "joining at one instant",
         lambda size, seed, say: asyncio.run(join_only(size, say, seed=seed, limit_s=20.0)), {}, LEAVES_OUT,
     ),
+    "control/commits": Series(
+        "callers", (16, 64, 256, 512), "writes of so many callers at once",
+        lambda size, seed, say: asyncio.run(commit_rate(size, say, seed=seed)),
+    ),
     "control/catch-up": Series(
         "changes", (1250, 2500, 5000, 10_000), "a keeper that missed so many changes",
         lambda size, seed, say: asyncio.run(catch_up(size, say, seed=seed)),
