The next call to discovery begins 3.5 s after news could be missed, at the proxy's turn

Cause: after a failed call the pause went up to 1.5 times the herd's spread (0.8 of ask-within with 200 proxies), 1.5 x 8 s and 2 s for a call that hangs, where a change counts as told after 6 s; a first call waited up to that spread as well. Further ways found by walking every order of two and of three failures on a given clock: an answer that trickles on a watch held it for its whole wait (61 s with 220 proxies), a move into a service that is coming up began with such a wait, and where the list is pushed a slow agent was heard by one call in 32 and the pause of a long grace had no bound.

Now the module is told how long ago news could first be missed (BackendList.took_ns), the next call begins within 3.5 s of that and takes 2 s at most; turns by the clock follow from the position, so that the fleet's calls interleave. An answer that has begun is owed whole in 2 s; where the list is pushed one call at a time goes on beside its followers. test_told walks the orders, all of it fails on the text before; test_a_push_that_is_slow holds for the constants as they are, no longer for a patched one (PATIENT_EACH is gone).

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -48,7 +48,8 @@
 MEMBER_RATE = 6.0  # requests a second from this proxy for which one more member is worth measuring
 GOLDEN = 0.6180339887498949  # its multiples spread any run of positions evenly over a ring
 PRIOR, FEW = 6.0, 2.0  # requests that an even part weighs in a pace; roots of a small mean in a burst
-HERD_NS = NS // 10  # between two proxies' first calls to discovery
+HERD_NS, ASK_NS = NS // 10, 11 * NS // 4  # between two proxies' calls to discovery; between one's turns
+HEARD_NS, BARE_NS = 7 * NS // 2, NS // 2  # most from a failed call's begin to the next, and to a first list's
 SLOW_GAIN, SLOW_NS = 0.3, 8 * NS  # weight of one answer in how slow a member is, and how soon that fades
 SLOW_MOST, SLOW_POWER = 4.0, -6  # the turns it keeps: that power of what is over the usual noise of answers
 STAY_MOST, DUE_MOST = 8.0, 2.0  # a plan's refusals owed before any request is taken; turns a zone is behind
@@ -152,7 +153,7 @@
         self.ring: list[Backend] = []  # the list in order of hashed id
         self.members: list[Backend] = []  # those of the list that this proxy sends to
         self.point = settings.position * GOLDEN % 1.0  # where on a ring they begin
-        self.size, self.rate, self.sick, self.asked_at, self.asks_failed, self.herd = 0, 0.0, 0, -1, 0, 0
+        self.size, self.rate, self.sick, self.ask_due, self.asks_failed = 0, 0.0, 0, 0, 0
         self.groups: tuple[list[Backend], list[Backend]] = ([], [])  # B, P
         self.requests: dict[int, Request] = {}
         # Guards against starting sums that all proxies spend at once: they are drawn at random.
@@ -263,10 +264,7 @@
         self.now = self.slot_at = now
         self._at(now + T_NS // 10, self._close_slot)
         if not self.cfg.discovery_push:
-            # Guards against a herd at boot: discovery takes one call after the other.
-            self.herd = min(self.cfg.ask_within_ns * 4 // 5, HERD_NS * (self.cfg.proxies - 1))
-            self.asked_at, self.asks_failed = now, 1
-            self._at(now + int(self.herd * self.point), self._check_discovery)
+            self._ask_in_turn(now + int(ASK_NS * self.point / 2))
 
     def _at(self, due: int, what: Callable[[], object]) -> None:
         self.seq += 1
@@ -276,14 +274,13 @@
 
     def _on_list(self, ev: io.BackendList) -> None:
         if ev.scope == Scope.FAILED:
-            # The old list stands; ask again after a jittered pause that grows with each failure.
-            self.watching, self.asks_failed = False, self.asks_failed + 1
-            pause = max(self.herd // 2, (NS // 4) << min(self.asks_failed, 5))
-            pause = min(max(self.cfg.ask_within_ns // 3, self.herd), pause)
-            self._at(self.now + int(pause * (0.5 + self.rng.random())), self._check_discovery)
-            return
+            # The old list stands. From the failed call's begin 3.5 s to the next, which takes 2 s: under 6 s.
+            self.watching, self.asks_failed = False, min(3, self.asks_failed + 1)
+            return self._ask_in_turn(self.now - ev.took_ns + HEARD_NS)
         if ev.scope != Scope.CACHED:
             self.watching, self.asks_failed = True, 0
+        elif not (ev.entries or self.cfg.discovery_push):
+            self._ask_in_turn(self.now + int(BARE_NS * self.point))
         if ev.version < self.version:
             return  # a stale word must not bring back what has left
         self.version = ev.version
@@ -306,15 +303,12 @@
 
     def _on_entry(self, entry: io.Entry) -> None:
         old = self.backends.get(entry.backend)
-        if entry.health != Health.READY:
-            if old:
-                self._drop(old)
-            return
-        if old and old.started == entry.started_ns:
+        if old and (entry.health != Health.READY or old.started != entry.started_ns):
+            self._drop(old)  # a new start under the same id is a new, cold backend
+        elif old:
             old.zone, old.cell, old.weight = entry.zone, entry.cell, usable(entry.weight)
+        if entry.health != Health.READY or entry.backend in self.backends:
             return
-        if old:
-            self._drop(old)  # a new start under the same id is a new, cold backend
         # Room follows the list both ways: a backend that comes brings what one that leaves would take.
         self.room *= 1.0 + 1.0 / max(1, len(self.backends))
         b = self.backends[entry.backend] = Backend(entry, self.now, self.rng.random())
@@ -371,12 +365,19 @@
             self._turn_anywhere(int(b.priority))
 
     def _check_discovery(self) -> None:
-        """Guards against silence: with no subscription, never let ask-within pass without a call."""
-        silent = self.now - self.asked_at >= self.cfg.ask_within_ns // 2
-        if (self.asks_failed or silent) and not self.watching:
-            self.asked_at = self.now
+        if self.now >= self.ask_due and not self.watching:  # guards against silence: a call with no word
             self.acts.append(io.Subscribe(True))
-            self._at(self.now + self.cfg.ask_within_ns // 2, self._check_discovery)
+            self.ask_due = self.now + self.cfg.ask_within_ns // 2
+            self._at(self.ask_due, self._check_discovery)
+
+    def _ask_in_turn(self, latest: int) -> None:
+        """Guards against calls that meet at discovery's return: turns by the clock interleave."""
+        every = min(max(HERD_NS * self.cfg.proxies, ASK_NS >> (3 - self.asks_failed)), ASK_NS)
+        every, turn = min(every, max(HERD_NS, self.cfg.ask_within_ns // 2)), int(ASK_NS * self.point)
+        self.ask_due = self.now + every - (self.now - turn) % every
+        if self.ask_due > latest:  # then, by eighths, nearer to its turn each time
+            self.ask_due = max(self.now, latest - (latest - turn) % (every // 8))
+        self._at(self.ask_due, self._check_discovery)
 
     # The two groups
 
--- a/mothstall/interface.py
+++ b/mothstall/interface.py
@@ -126,6 +126,7 @@
     scope: Scope
     version: int
     entries: list[Entry]
+    took_ns: int = 0  # of a failed call: how long ago it began
 
 
 @dataclass(slots=True)
--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -288,7 +288,7 @@
         if update is None:
             if self._entries:
                 self.listed.set()  # what was known before has to do
-            return io.BackendList(message.scope, self._version, [])
+            return io.BackendList(message.scope, self._version, [], int(message.took_s * io.NS))
         self.counters.add("list_updates")
         hold(update.version >= self._version, "versions never go backward", self.counters)
         self._version = update.version
--- a/mothstall/net/discovery.py
+++ b/mothstall/net/discovery.py
@@ -6,10 +6,14 @@
 import json
 import logging
 from collections.abc import Callable
+from contextvars import ContextVar
 from dataclasses import dataclass
-from enum import Enum
+from functools import partial
+from typing import Any
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection as ClientConnection
 from yarl import URL
 
 from mothstall.config import Address, Names
@@ -29,18 +33,49 @@
 # Where the list is pushed what the agent has binds at once. Parts of a drain's grace: what a first call may
 # take, and the pause before the next one after a second failure in a row.
 CALL_PART, PAUSE_PART = 0.5, 0.25
-LEAST_CALL_S, LEAST_PAUSE_S = 0.2, 0.05
-PATIENT_EACH = 32  # of so many such calls in a row that failed one takes its whole time: a slow agent
+LEAST_CALL_S, LEAST_PAUSE_S, MOST_PAUSE_S = 0.2, 0.05, 1.0
 SPREAD_S, SPREAD_MOST_S = 0.01, 0.5  # after a silence that all share, for each proxy and at most
 
 
 SKIP_AUTO = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
+# What a call, in whose context it is set, wants to be called with the first byte that comes for it.
+_on_first_byte: ContextVar[Callable[[], None] | None] = ContextVar("_on_first_byte", default=None)
+
+
+class Connection(ResponseHandler):
+    """One connection, that tells of an answer's first byte: aiohttp tells of a whole head at the soonest."""
+
+    on_first_byte: Callable[[], None] | None = None
+
+    def data_received(self, data: bytes) -> None:
+        tell, self.on_first_byte = self.on_first_byte, None
+        if tell:
+            tell()
+        super().data_received(data)
+
+
+class Connector(aiohttp.TCPConnector):
+    def __init__(self) -> None:
+        super().__init__(limit=0, use_dns_cache=False, happy_eyeballs_delay=None)
+        # Which class a connection is of has no public switch.
+        make: Any = partial(Connection, loop=self._loop)
+        self._factory = make
+
+    async def connect(
+        self, req: aiohttp.ClientRequest, traces: list[Any], timeout: aiohttp.ClientTimeout
+    ) -> ClientConnection:
+        connection = await super().connect(req, traces, timeout)
+        if isinstance(connection.protocol, Connection):
+            connection.protocol.on_first_byte = _on_first_byte.get()
+        return connection
+
+
 def make_session() -> aiohttp.ClientSession:
     """A client that sends what it is given, once."""
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False, happy_eyeballs_delay=None),
+        connector=Connector(),
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=SKIP_AUTO,
         auto_decompress=False,
@@ -86,11 +121,12 @@
     address: Address
 
 
-class Lost(Enum):
-    """How a call ended that brought no list."""
+@dataclass(slots=True, frozen=True)
+class Lost:
+    """A call that brought no list. From `since` (the loop's clock, s) on, news may have been missed by it."""
 
-    SILENT = 0  # nothing came in its time
-    FAILED = 1
+    silent: bool  # nothing came in its time
+    since: float
 
 
 @dataclass(slots=True)
@@ -99,6 +135,7 @@
 
     scope: Scope
     update: protocol.ListUpdate | None
+    took_s: float = 0.0  # of a failed call: how long ago it began
 
 
 class Discovery(Actor[Watch | Fetch | Move]):
@@ -123,12 +160,13 @@
         # All proxies together end about one wait a second, as one service answers them all.
         self._wait_s = min(WAIT_MOST_S, max(WAIT_S, float(proxies)))
         self._first_s = min(CALL_S, max(LEAST_CALL_S, CALL_PART * grace_s)) if push else CALL_S
-        self._pause_s = max(LEAST_PAUSE_S, PAUSE_PART * grace_s)
+        self._pause_s = min(MOST_PAUSE_S, max(LEAST_PAUSE_S, PAUSE_PART * grace_s))
         self._spread_s = min(SPREAD_MOST_S, SPREAD_S * proxies) * (position % proxies) / proxies
         self._session = make_session()
         self._watch: asyncio.Task[None] | None = None
         # The call that is out at an earlier address: its news still counts, but nothing follows it.
         self._former: asyncio.Task[None] | None = None
+        self._late: asyncio.Task[protocol.ListUpdate | Lost] | None = None  # goes on beside its followers
         self._turn, self._moved_until = 0, 0.0
         self._asking = False  # a watch has begun and nothing has come back yet
         self._fetches: set[asyncio.Task[None]] = set()
@@ -156,10 +194,10 @@
             self.tell(Watch(True))
 
     def _drop(self) -> None:
-        for task in (self._watch, self._former):
+        for task in (self._watch, self._former, self._late):
             if task:
                 task.cancel()
-        self._watch, self._former, self._asking = None, None, False
+        self._watch, self._former, self._late, self._asking = None, None, None, False
 
     def _move(self, address: Address) -> None:
         """Begins at the new address at once; the call that is out at the old one may still bring its news.
@@ -179,7 +217,7 @@
         self._watch = self.loop.create_task(self._follow(self._turn, address, first=self._asking))
 
     async def stop(self) -> None:
-        for task in (self._watch, self._former, *self._fetches):
+        for task in (self._watch, self._former, self._late, *self._fetches):
             if task:
                 task.cancel()
         await self._session.close()
@@ -189,26 +227,31 @@
         failed = 0  # calls in a row
         while turn == self._turn:
             wait_ms = 1 if first else int(self._wait_s * 1000)
-            patient = failed > 0 and failed % PATIENT_EACH == 0
-            most_s = (CALL_S if patient else self._first_s) if first else self._wait_s + GRACE_S
-            came = await self._call(address, f"?since={self._version}&timeout_ms={wait_ms}", most_s)
+            query = f"?since={self._version}&timeout_ms={wait_ms}"
+            if first and self._first_s < CALL_S:
+                came = await self._call_briefly(address, query)
+            else:
+                most_s = CALL_S if first else self._wait_s + GRACE_S
+                came = await self._call(address, query, most_s, waits=not first)
             update = None if isinstance(came, Lost) else came
             if turn != self._turn:
                 # The watch at the new address is the one that counts, and its failures with it.
                 if update and (update.members or update.full):
                     self._report(Told(Scope.FULL if update.full else Scope.DELTA, update))
                 return
-            if update is None and self.loop.time() < self._moved_until:
+            if isinstance(came, Lost) and self.loop.time() < self._moved_until:
+                # Guards against a wait into the silence of a service that is still coming up.
+                first = True
                 await asyncio.sleep(MOVE_PAUSE_S)
                 continue
-            if came is Lost.SILENT and not first:
+            if isinstance(came, Lost) and came.silent and not first:
                 # Guards against a pause behind a silence: what was missed counts as told 2 s after the wait.
                 self._asking = first = True
                 await asyncio.sleep(self._spread_s)
                 continue
             self._asking = False
-            if update is None:
-                self._report(Told(Scope.FAILED, None))
+            if isinstance(came, Lost):
+                self._report(Told(Scope.FAILED, None, self.loop.time() - came.since))
                 if not self._push:
                     return
                 # Guards against a drain that the agent has and nobody has read: its grace is soon over.
@@ -216,33 +259,75 @@
                 failed, first = failed + 1, True
                 continue
             failed = 0
-            if first or update.members or update.full:
-                self._report(Told(Scope.FULL if update.full else Scope.DELTA, update))
+            if first or came.members or came.full:
+                self._report(Told(Scope.FULL if came.full else Scope.DELTA, came))
             first = False
 
+    async def _call_briefly(self, address: Address, query: str) -> protocol.ListUpdate | Lost:
+        """A call that the next one follows after `_first_s`; one such at a time goes on beside its followers.
+
+        Guards against an agent that is slow, as a drain's grace leaves a call too little time. Worst sum: one
+        has its whole 2 s, the next that has them begins a pause later (1 s), and its answer takes 2 s.
+        """
+        call = self.loop.create_task(self._call(address, query, CALL_S))
+        began, late = self.loop.time(), self._late
+        until = began + self._first_s
+        try:
+            while not call.done() and (left := until - self.loop.time()) > 0:
+                pending = {task for task in (call, late) if task and not task.done()}
+                await asyncio.wait(pending, timeout=left, return_when=asyncio.FIRST_COMPLETED)
+                if late and late.done():
+                    self._late = None
+                    if not late.cancelled() and not isinstance(heard := late.result(), Lost):
+                        return heard
+                    late = None
+            if call.done():
+                return call.result()
+            if self._late is None:
+                self._late = call
+            return Lost(True, began)
+        finally:
+            if call is not self._late:
+                call.cancel()
+
     async def _fetch(self) -> None:
-        update, address = None, None
-        while update is None and address != self._address:  # once more if the service moved meanwhile
+        came: protocol.ListUpdate | Lost | None = None
+        address = None
+        while not isinstance(came, protocol.ListUpdate) and address != self._address:  # it may have moved
             address = self._address
             came = await self._call(address, "", CALL_S)
-            update = None if isinstance(came, Lost) else came
-        scope = Scope.FAILED if update is None else Scope.FULL if update.full else Scope.DELTA
-        self._report(Told(scope, update))
-
-    async def _call(self, address: Address, query: str, most_s: float) -> protocol.ListUpdate | Lost:
+        if isinstance(came, protocol.ListUpdate):
+            self._report(Told(Scope.FULL if came.full else Scope.DELTA, came))
+        elif came is not None:
+            self._report(Told(Scope.FAILED, None, self.loop.time() - came.since))
+
+    async def _call(
+        self, address: Address, query: str, most_s: float, waits: bool = False
+    ) -> protocol.ListUpdate | Lost:
+        """One call of `most_s` at most; `waits`, if it may be answered only once there is news."""
         self.counters.add("discovery_calls")
         why: object
-        lost, until = Lost.FAILED, self.loop.time() + most_s
+        began = self.loop.time()
+        heard: float | None = None  # when an answer's first byte came
+        silent = False
+        limit = asyncio.timeout(most_s)
+
+        def first_byte() -> None:
+            # Guards against news that trickles for as long as the wait would have been.
+            nonlocal heard
+            heard = self.loop.time()
+            if (when := limit.when()) is not None and when > heard + CALL_S:
+                limit.reschedule(heard + CALL_S)
+
+        _on_first_byte.set(first_byte if waits else None)
         try:
-            async with (
-                asyncio.timeout(most_s),
-                self._session.get(
+            async with limit:
+                async with self._session.get(
                     URL(f"http://{address}{protocol.LIST_PATH}{query}", encoded=True),
                     allow_redirects=False,
                     timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
-                ) as response,
-            ):
-                body = await read_whole(response, MOST_LIST)
+                ) as response:
+                    body = await read_whole(response, MOST_LIST)
                 if response.status == 200:
                     update = protocol.read_list(json.loads(body), self._names)
                     if update.version < self._version:
@@ -255,7 +340,7 @@
             why = err
         except (TimeoutError, aiohttp.ClientError, OSError) as err:
             why = f"{type(err).__name__}: {err}"
-            lost = Lost.SILENT if isinstance(err, TimeoutError) and self.loop.time() >= until else lost
+            silent = limit.expired() and heard is None
         except Exception as err:
             # Guards against a watch that ends unnoticed: whatever went wrong, the call has failed.
             self.counters.add("faults")
@@ -263,4 +348,7 @@
             why = err
         self.counters.add("discovery_failures")
         log.info("discovery call failed", extra={"kv": {"why": why}})
-        return lost
+        now = self.loop.time()
+        # A wait that breaks off late was a watch until then; one that breaks off early may never have begun.
+        watched = waits and not silent and now - began > CALL_S + GRACE_S
+        return Lost(silent, (now if heard is None else heard) if watched else began)
--- /dev/null
+++ b/tests/given_clock.py
@@ -0,0 +1,218 @@
+"""A proxy's way to discovery on a given clock: module, decider, discovery's actor; a world of one service."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import selectors
+from collections.abc import AsyncIterator, Callable, Coroutine
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any, cast
+
+import aiohttp
+
+from mothstall import config
+from mothstall.interface import NS, Scope
+from mothstall.net import discovery, protocol
+from mothstall.net.clock import Clock
+from mothstall.net.counters import Counters
+from mothstall.net.decider import Decider
+from mothstall.net.discovery import Discovery, Told
+from mothstall.net.figures import Figures
+from tests.peers import Directory, tree_of
+
+START_S = 1_000.0
+ROW = {"id": "s-0", "host_port": "127.0.0.1:9", "locality": "east", "flavor": "std", "cell": 0,
+       "phase": "SERVING", "size": 1.0, "up_since_ms": 0}  # fmt: skip
+
+
+class _Jump(selectors.SelectSelector):
+    """Instead of waiting, moves the clock on."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = START_S
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        assert timeout is not None, "everything waits, and nothing is due"
+        self.now += max(0.0, timeout)
+        return super().select(0)
+
+
+class GivenLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self.jump = _Jump()
+        super().__init__(self.jump)
+        self._clock_resolution = 1e-10
+
+    def time(self) -> float:
+        return self.jump.now
+
+
+def run(main: Coroutine[Any, Any, None]) -> None:
+    with asyncio.Runner(loop_factory=GivenLoop) as runner:
+        runner.run(main)
+
+
+class GivenClock(Clock):
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__()
+        self._loop, self._offset = loop, 0
+
+    def now(self) -> int:
+        return round(self._loop.time() * NS)  # no timer may come early by a rounding
+
+
+@dataclass
+class Call:
+    began: float
+    waits: bool
+    how: str
+    deaf: float  # from when on it could not have brought news
+
+
+@dataclass
+class Service:
+    """What the address of discovery does with each call: `how(call's number, waits)` names it."""
+
+    how: Callable[[int, bool], str]
+    calls: list[Call] = field(default_factory=list)
+    after: float = 0.01  # how long a good answer takes
+    holds: float = 4.0  # a watch that was open is ended after so long
+    revision: int = 1
+
+    async def answer(self, call: Call, sock_connect: float) -> AsyncIterator[bytes]:
+        """Status and body in pieces; the first one is the status."""
+        first_byte = discovery._on_first_byte.get() or (lambda: None)
+        now = asyncio.get_running_loop().time
+        match call.how:
+            case "good":
+                if call.waits:
+                    await asyncio.sleep(1e6)
+                await asyncio.sleep(self.after)
+                yield b"200"
+                self.revision += 1
+                yield json.dumps({"revision": self.revision, "complete": True, "members": [ROW]}).encode()
+            case "refused":
+                raise aiohttp.ClientConnectionError("refused")
+            case "reset":
+                await asyncio.sleep(0.5)
+                raise aiohttp.ServerDisconnectedError
+            case "reset late":  # of a watch that was open until then
+                await asyncio.sleep(self.holds if call.waits else 1.9)
+                call.deaf = now() if call.waits else call.began
+                raise aiohttp.ServerDisconnectedError
+            case "dial hangs":
+                await asyncio.sleep(sock_connect)
+                raise aiohttp.ConnectionTimeoutError
+            case "no answer":
+                await asyncio.sleep(1e6)
+            case "503":
+                first_byte()
+                yield b"503"
+                yield b""
+            case "503 late":
+                await asyncio.sleep(1.95)
+                first_byte()
+                yield b"503"
+                yield b""
+            case "garbage":
+                first_byte()
+                yield b"200"
+                yield b"{"
+            case "older":
+                first_byte()
+                yield b"200"
+                yield b'{"revision": 0, "complete": true, "members": []}'
+            case "half":
+                await asyncio.sleep(self.holds if call.waits else 0.3)
+                call.deaf = now() if call.waits else call.began
+                first_byte()
+                yield b"200"
+                await asyncio.sleep(1.5)
+                raise aiohttp.ClientPayloadError("cut")
+            case "trickles":
+                await asyncio.sleep(self.holds if call.waits else 0.3)
+                call.deaf = now() if call.waits else call.began
+                first_byte()
+                await asyncio.sleep(1e6)
+            case other:
+                raise AssertionError(other)
+
+
+FAILURES = (
+    "refused", "reset", "reset late", "dial hangs", "no answer", "503", "503 late", "garbage", "older",
+    "half", "trickles",
+)  # fmt: skip
+
+
+class _Get:
+    """`session.get(...)` of the service."""
+
+    def __init__(self, service: Service, url: str, sock_connect: float) -> None:
+        self._service, self._sock_connect = service, sock_connect
+        self._waits = "timeout_ms=" in url and "timeout_ms=1&" not in url + "&"
+
+    async def __aenter__(self) -> Any:
+        service, now = self._service, asyncio.get_running_loop().time()
+        how = service.how(len(service.calls), self._waits)
+        service.calls.append(Call(now, self._waits, how, now))
+        pieces = service.answer(service.calls[-1], self._sock_connect)
+        status = int(await anext(pieces))
+        content = SimpleNamespace(iter_any=lambda: pieces)
+        return SimpleNamespace(
+            status=status, headers={"Transfer-Encoding": "chunked"}, content_length=None, content=content
+        )
+
+    async def __aexit__(self, *_: object) -> None:
+        pass
+
+
+class Asker:
+    """One proxy's part that asks discovery."""
+
+    def __init__(self, service: Service, *, known: bool = True, **changes: Any) -> None:
+        loop = asyncio.get_running_loop()
+        directory = cast(Directory, SimpleNamespace(port=9, revision=1))
+        tree = tree_of(directory, [ROW] if known else [], **changes)
+        read = config.from_tree(tree)
+        counters, clock = Counters(), GivenClock(loop)
+        self.decider = Decider(
+            read, loop=loop, counters=counters, clock=clock,
+            figures=Figures(read.names.classes, counters),
+            make_backend=lambda _, member: cast(Any, SimpleNamespace(ident=member.id, tell=lambda _: None)),
+        )  # fmt: skip
+        self.told: list[tuple[float, Scope]] = []
+
+        def report(told: Told) -> None:
+            self.told.append((loop.time(), told.scope))
+            self.decider.tell(told)
+
+        known_list = protocol.ListUpdate(0, True, [])
+        if read.known is not None:
+            known_list = protocol.read_list(read.known, read.names)
+        self.discovery = Discovery(
+            read.discovery, known_list.version, read.names, push=read.settings.discovery_push,
+            proxies=read.settings.proxies, position=read.settings.position,
+            grace_s=read.settings.drain_grace_ns / NS, loop=loop, counters=counters, report=report,
+        )  # fmt: skip
+        self._real = self.discovery._session
+        self.discovery._session = cast(
+            Any,
+            SimpleNamespace(
+                get=lambda url, timeout, **_: _Get(service, str(url), timeout.sock_connect),
+                close=self._real.close,
+            ),
+        )
+        self.decider.attach(self.discovery)
+        report(Told(Scope.CACHED, known_list))
+        self.discovery.start()
+
+    async def stop(self) -> None:
+        await self.discovery.stop()
+
+
+def orders(kinds: tuple[str, ...], length: int) -> list[tuple[str, ...]]:
+    return list(itertools.product(kinds, repeat=length))
--- a/tests/test_net_watch.py
+++ b/tests/test_net_watch.py
@@ -186,9 +186,8 @@
     asyncio.run(run())
 
 
-def test_a_push_that_is_slow_is_heard_in_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_push_that_is_slow_is_heard_in_the_end() -> None:
     """Its answers take longer than the short calls of a drain's grace."""
-    monkeypatch.setattr(discovery, "PATIENT_EACH", 3)
 
     async def run() -> None:
         async with rig(serves, serves, listed=False, discovery="push") as r:
--- /dev/null
+++ b/tests/test_told.py
@@ -0,0 +1,150 @@
+"""A change counts as told 6 s after discovery had it and could be reached, however calls failed before."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import pairwise
+from typing import Any
+
+import pytest
+
+from mothstall import config
+from mothstall.interface import NS, Scope
+from mothstall.net import discovery
+from mothstall.net.discovery import Move
+from tests.given_clock import FAILURES, Asker, Call, Service, orders, run
+
+TOLD_S, ANSWER_S, MARGIN_S = 6.0, discovery.CALL_S, 0.4
+MOST_DEAF_S = TOLD_S - ANSWER_S - MARGIN_S  # from when news could be missed to the next call's begin
+FLEETS = [(1, 0), (5, 3), (30, 17), (220, 131)]
+
+
+def deaf_spans(calls: list[Call], wait_s: float) -> list[tuple[float, Call]]:
+    """From when each call could miss news to the next one's begin, less what a silent wait is granted."""
+    spans = []
+    for call, follower in pairwise(calls):
+        silent = call.waits and call.how == "no answer"
+        spans.append((follower.began - call.deaf - (wait_s if silent else 0.0), call))
+    return spans
+
+
+async def play(order: tuple[str, ...], *, good_first: bool, seconds: float = 40.0, **changes: Any) -> None:
+    """The calls fail in this order, over and over; before that a watch may have been on."""
+
+    def how(number: int, waits: bool) -> str:
+        if good_first and number == 0:
+            return "good"
+        return order[(number - good_first) % len(order)]
+
+    service = Service(how)
+    asker = Asker(service, **changes)
+    wait_s = asker.discovery._wait_s
+    await asyncio.sleep(seconds + (wait_s if good_first else 0.0))
+    await asker.stop()
+    spans = deaf_spans(service.calls, wait_s)
+    assert len(spans) >= 6
+    longest, call = max(spans, key=lambda row: row[0])
+    assert longest <= MOST_DEAF_S, (order, good_first, changes, longest, call)
+
+
+def fleet(proxies: int, position: int) -> dict[str, Any]:
+    return {"replicas-of-me": proxies, "position": position, "contract--ask-within-ns": 12 * NS}
+
+
+@pytest.mark.parametrize("good_first", [False, True])
+@pytest.mark.parametrize(("proxies", "position"), FLEETS)
+def test_every_order_of_two_failures(proxies: int, position: int, good_first: bool) -> None:
+    for order in orders(FAILURES, 2):
+        run(play(order, good_first=good_first, **fleet(proxies, position)))
+
+
+@pytest.mark.parametrize("good_first", [False, True])
+def test_every_order_of_three_failures(good_first: bool) -> None:
+    for order in orders(FAILURES, 3):
+        run(play(order, good_first=good_first, seconds=25.0, **fleet(220, 87)))
+
+
+@pytest.mark.parametrize("grace_ms", [0, 200, 500, 2_000, 20_000])
+def test_every_order_of_failures_where_the_list_is_pushed(grace_ms: int) -> None:
+    """What the agent has is heard by a call that had its whole time: a slow agent needs it."""
+
+    async def push(order: tuple[str, ...]) -> None:
+        service = Service(lambda number, _: order[number % len(order)])
+        changes = fleet(30, 17) | {"contract--stop_sending_within_ns": grace_ms * NS // 1000}
+        asker = Asker(service, discovery="push", **changes)
+        await asyncio.sleep(15.0)
+        service.how, service.after = (lambda number, waits: "good"), 1.8
+        back, told = asyncio.get_running_loop().time(), len(asker.told)
+        await asyncio.sleep(TOLD_S - MARGIN_S)
+        await asker.stop()
+        heard = [at - back for at, scope in asker.told[told:] if scope in (Scope.FULL, Scope.DELTA)]
+        assert heard, (order, grace_ms)
+
+    for order in orders(FAILURES, 2):
+        run(push(order))
+
+
+@pytest.mark.parametrize("at_s", [0.5, 1.0, 2.5, 7.0])
+def test_every_order_of_failures_around_a_move(at_s: float) -> None:
+    """The service moves in the middle of them, and the new address begins with failures as well."""
+
+    async def moves(order: tuple[str, ...]) -> None:
+        service = Service(lambda number, _: "good" if number == 0 else order[number % len(order)])
+        asker = Asker(service, **fleet(220, 131))
+        await asyncio.sleep(at_s)
+        asker.discovery.tell(Move(config.Address("127.0.0.1", 8)))
+        await asyncio.sleep(asker.discovery._wait_s + 30.0)
+        await asker.stop()
+        assert asker.told[-1][0] > asyncio.get_running_loop().time() - 10.0  # it has not given up
+        spans = deaf_spans(service.calls, asker.discovery._wait_s)
+        longest, call = max(spans, key=lambda row: row[0])
+        assert longest <= MOST_DEAF_S, (order, longest, call)
+
+    for order in orders(FAILURES, 2):
+        run(moves(order))
+
+
+@pytest.mark.parametrize(("known", "most_s"), [(True, 1.5), (False, 0.5)])
+@pytest.mark.parametrize(("proxies", "position"), FLEETS)
+def test_a_start_asks_soon_and_goes_on_while_discovery_is_down(
+    proxies: int, position: int, known: bool, most_s: float
+) -> None:
+    async def start(how: str) -> None:
+        service = Service(lambda number, _: how if number < 4 else "good")
+        began = asyncio.get_running_loop().time()
+        asker = Asker(service, known=known, **fleet(proxies, position))
+        await asyncio.sleep(30.0)
+        await asker.stop()
+        assert service.calls[0].began - began <= most_s
+        spans = deaf_spans(service.calls[:5], 0.0)
+        assert max(spans, key=lambda row: row[0])[0] <= MOST_DEAF_S
+        assert asker.told[-1][1] == Scope.FULL and asker.decider.listed.is_set()
+
+    for how in FAILURES:
+        if how != "older" or known:
+            run(start(how))
+
+
+@pytest.mark.parametrize("proxies", [30, 220])
+def test_turns_of_the_fleet_interleave_when_discovery_returns(proxies: int) -> None:
+    """Whenever each one's calls failed: no tenth of a second gets more than half as much again."""
+
+    async def back() -> None:
+        service = Service(lambda number, _: "no answer")
+        asked = []
+        for position in range(proxies):
+            asked.append(Asker(service, **fleet(proxies, position)))
+            if position % 7 == 0:
+                await asyncio.sleep(0.013)
+        await asyncio.sleep(20.0)
+        now = asyncio.get_running_loop().time()
+        for asker in asked:
+            await asker.stop()
+        times = [call.began for call in service.calls if call.began > now - 9.0]
+        tenths = [0] * 90
+        for at in times:
+            tenths[min(89, int((at - now + 9.0) * 10))] += 1
+        assert sum(tenths) >= 2 * proxies
+        assert max(tenths) <= 1.5 * sum(tenths) / 90 + 1
+
+    run(back())
