Calls to discovery last 2.25 s, longer than its queue; first calls come at the proxy's turn

Seen in a model on a given clock (220 proxies, a discovery that takes up calls in turn, 25 a second, and gives up itself what has stood for 2 s): with calls of 2 s most of what it took up at the edge was given up by its caller as it was answered.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -49,7 +49,7 @@
 GOLDEN = 0.6180339887498949  # its multiples spread any run of positions evenly over a ring
 PRIOR, FEW = 6.0, 2.0  # requests that an even part weighs in a pace; roots of a small mean in a burst
 HERD_NS, ASK_NS = NS // 10, 11 * NS // 4  # between two proxies' calls to discovery; between one's turns
-HEARD_NS, BARE_NS = 7 * NS // 2, NS // 2  # most from a failed call's begin to the next, and to a first list's
+HEARD_NS, BARE_NS = 13 * NS // 4, NS  # most from a failed call's begin to the next, and to a first list's
 SLOW_GAIN, SLOW_NS = 0.3, 8 * NS  # weight of one answer in how slow a member is, and how soon that fades
 SLOW_MOST, SLOW_POWER = 4.0, -6  # the turns it keeps: that power of what is over the usual noise of answers
 STAY_MOST, DUE_MOST = 8.0, 2.0  # a plan's refusals owed before any request is taken; turns a zone is behind
@@ -264,7 +264,7 @@
         self.now = self.slot_at = now
         self._at(now + T_NS // 10, self._close_slot)
         if not self.cfg.discovery_push:
-            self._ask_in_turn(now + int(ASK_NS * self.point / 2))
+            self._ask_in_turn(now + ASK_NS)
 
     def _at(self, due: int, what: Callable[[], object]) -> None:
         self.seq += 1
@@ -274,7 +274,7 @@
 
     def _on_list(self, ev: io.BackendList) -> None:
         if ev.scope == Scope.FAILED:
-            # The old list stands. From the failed call's begin 3.5 s to the next, which takes 2 s: under 6 s.
+            # The old list stands. From a failed call's begin 3.25 s to the next, which takes 2.25: under 6 s.
             self.watching, self.asks_failed = False, min(3, self.asks_failed + 1)
             return self._ask_in_turn(self.now - ev.took_ns + HEARD_NS)
         if ev.scope != Scope.CACHED:
--- a/mothstall/net/discovery.py
+++ b/mothstall/net/discovery.py
@@ -25,7 +25,9 @@
 log = logging.getLogger("mothstall.discovery")
 
 WAIT_S, WAIT_MOST_S = 5.0, 60.0  # how long one watch call waits for news, at least and at most
-CALL_S = 2.0  # how long a call that does not wait may take
+# How long a call that does not wait may take. Discovery itself gives up what has stood in its queue for 2 s:
+# what it took up just before that is not to be work for nobody.
+CALL_S = 2.25
 GRACE_S = 1.2  # the same for one that waits, beyond its wait: its news counts as told 2 s after that
 CONNECT_S = 1.0
 MOST_LIST = 8 * 1024 * 1024
@@ -267,7 +269,7 @@
         """A call that the next one follows after `_first_s`; one such at a time goes on beside its followers.
 
         Guards against an agent that is slow, as a drain's grace leaves a call too little time. Worst sum: one
-        has its whole 2 s, the next that has them begins a pause later (1 s), and its answer takes 2 s.
+        has its 2.25 s, the next that has them begins a pause later (1 s), its answer takes 2.25: under 6 s.
         """
         call = self.loop.create_task(self._call(address, query, CALL_S))
         began, late = self.loop.time(), self._late
