--- a/tests/test_net_watch.py
+++ b/tests/test_net_watch.py
@@ -80,6 +80,26 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("begun", [b"H", b"HTTP/1.1 200 OK\r\nContent-", answer(b"{" * 90)[:-80]])
+def test_news_that_trickles_on_a_watch_is_asked_for_anew_long_before_its_wait_is_over(
+    monkeypatch: pytest.MonkeyPatch, mode: str, begun: bytes
+) -> None:
+    """From the first byte on an answer has as long as one that need not wait."""
+    monkeypatch.setattr(discovery, "WAIT_S", 60.0)
+
+    async def run() -> None:
+        async with rig(serves, serves, discovery=mode) as r:
+            await watched(r)
+            r.directory.revision += 1
+            r.directory.changes[r.directory.revision] = [r.backends[0].row("DRAINING")]
+            for writer in r.directory.writers:
+                writer.write(begun)  # and nothing more: no news is told on this watch
+            await r.until(lambda: drains(r), 12.0)
+
+    asyncio.run(run())
+
+
 def test_a_push_that_is_down_is_asked_often_enough_for_a_drains_grace(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
