--- a/mothstall/net/discovery.py
+++ b/mothstall/net/discovery.py
@@ -276,22 +276,32 @@
         until = began + self._first_s
         try:
             while not call.done() and (left := until - self.loop.time()) > 0:
-                pending = {task for task in (call, late) if task and not task.done()}
-                await asyncio.wait(pending, timeout=left, return_when=asyncio.FIRST_COMPLETED)
                 if late and late.done():
-                    self._late = None
                     if not late.cancelled() and not isinstance(heard := late.result(), Lost):
-                        return heard
+                        return heard  # the agent is there: on to a watch
                     late = None
+                await asyncio.wait(
+                    {call, late} if late else {call}, timeout=left, return_when=asyncio.FIRST_COMPLETED
+                )
             if call.done():
                 return call.result()
             if self._late is None:
                 self._late = call
+                call.add_done_callback(self._heard_late)
+            else:
+                self.counters.add("discovery_failures")
             return Lost(True, began)
         finally:
             if call is not self._late:
                 call.cancel()
 
+    def _heard_late(self, call: asyncio.Task[protocol.ListUpdate | Lost]) -> None:
+        """Guards against news that is held up by a pause between its followers."""
+        if self._late is call:
+            self._late = None
+        if not call.cancelled() and not isinstance(came := call.result(), Lost):
+            self._report(Told(Scope.FULL if came.full else Scope.DELTA, came))
+
     async def _fetch(self) -> None:
         came: protocol.ListUpdate | Lost | None = None
         address = None
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -64,7 +64,7 @@
         run(play(order, good_first=good_first, seconds=25.0, **fleet(220, 87)))
 
 
-@pytest.mark.parametrize("grace_ms", [0, 200, 500, 2_000, 20_000])
+@pytest.mark.parametrize("grace_ms", [0, 200, 500, 2_000, 4_000, 20_000])
 def test_every_order_of_failures_where_the_list_is_pushed(grace_ms: int) -> None:
     """What the agent has is heard by a call that had its whole time: a slow agent needs it."""
 
@@ -73,12 +73,16 @@
         changes = fleet(30, 17) | {"contract--stop_sending_within_ns": grace_ms * NS // 1000}
         asker = Asker(service, discovery="push", **changes)
         await asyncio.sleep(15.0)
-        service.how, service.after = (lambda number, waits: "good"), 1.8
+        service.how, service.after = (lambda number, waits: "good"), 2.2
         back, told = asyncio.get_running_loop().time(), len(asker.told)
         await asyncio.sleep(TOLD_S - MARGIN_S)
-        await asker.stop()
         heard = [at - back for at, scope in asker.told[told:] if scope in (Scope.FULL, Scope.DELTA)]
         assert heard, (order, grace_ms)
+        # Watches that end bring nothing old back.
+        service.how, service.after = (lambda number, waits: "reset late" if waits else "good"), 0.01
+        await asyncio.sleep(10.0)
+        await asker.stop()
+        assert asker.decider.counters.values["faults"] == 0
 
     for order in orders(FAILURES, 2):
         run(push(order))
