--- a/tests/given_clock.py
+++ b/tests/given_clock.py
@@ -142,6 +142,30 @@
                 raise AssertionError(other)
 
 
+@dataclass
+class Queue(Service):
+    """Takes up so many calls a second, in turn, gives up what has stood for 2 s; silent until it is back."""
+
+    a_second: float = 1000.0
+    back: bool = False
+    busy_until: float = 0.0
+
+    async def answer(self, call: Call, sock_connect: float) -> AsyncIterator[bytes]:
+        now = asyncio.get_running_loop().time()
+        if call.waits or not self.back:
+            await asyncio.sleep(1e6)
+        begins = max(self.busy_until, now)
+        if begins - now > 2.0:
+            await asyncio.sleep(2.0)
+            yield b"503"
+            yield b""
+            return
+        self.busy_until = begins + 1.0 / self.a_second
+        await asyncio.sleep(self.busy_until - now)
+        async for piece in super().answer(Call(now, False, "good", now), sock_connect):
+            yield piece
+
+
 FAILURES = (
     "refused", "reset", "reset late", "dial hangs", "no answer", "503", "503 late", "garbage", "older",
     "half", "trickles",
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -12,7 +12,7 @@
 from mothstall.interface import NS, Scope
 from mothstall.net import discovery
 from mothstall.net.discovery import Move
-from tests.given_clock import FAILURES, Asker, Call, Service, orders, run
+from tests.given_clock import FAILURES, Asker, Call, Queue, Service, orders, run
 
 TOLD_S, ANSWER_S, MARGIN_S = 6.0, discovery.CALL_S, 0.4
 MOST_DEAF_S = TOLD_S - ANSWER_S - MARGIN_S  # from when news could be missed to the next call's begin
@@ -152,3 +152,25 @@
         assert max(tenths) <= 1.5 * sum(tenths) / 90 + 1
 
     run(back())
+
+
+@pytest.mark.parametrize("a_second", [25.0, 40.0, 60.0, 1000.0])
+def test_a_queue_of_220_calls_is_worked_off_as_fast_as_discovery_can(a_second: float) -> None:
+    """No call that it takes up is given up by its caller before the answer, or the queue would never end."""
+
+    async def back() -> None:
+        loop, proxies = asyncio.get_running_loop(), 220
+        service = Queue(lambda number, _: "good", a_second=a_second)
+        asked = [Asker(service, **fleet(proxies, position)) for position in range(proxies)]
+        await asyncio.sleep(9.0)
+        service.back, returned = True, loop.time()
+        await asyncio.sleep(20.0)
+        first = [
+            min((at for at, scope in asker.told if scope is not Scope.FAILED and at >= returned), default=1e9)
+            for asker in asked
+        ]
+        for asker in asked:
+            await asker.stop()
+        assert max(first) - returned <= max(MOST_DEAF_S, 1.1 * proxies / a_second)
+
+    run(back())
