A pushed list's call that is given up early counts as failed then, and once

A start with a silent agent is ready with the first failed call, and the count of failures has to say so by then (test_a_start_with_a_silent_agent asks for it).

--- a/mothstall/net/discovery.py
+++ b/mothstall/net/discovery.py
@@ -288,8 +288,7 @@
             if self._late is None:
                 self._late = call
                 call.add_done_callback(self._heard_late)
-            else:
-                self.counters.add("discovery_failures")
+            self.counters.add("discovery_failures")
             return Lost(True, began)
         finally:
             if call is not self._late:
@@ -358,7 +357,8 @@
             self.counters.add("faults")
             log.exception("discovery fault")
             why = err
-        self.counters.add("discovery_failures")
+        if asyncio.current_task() is not self._late:  # which has been counted
+            self.counters.add("discovery_failures")
         log.info("discovery call failed", extra={"kv": {"why": why}})
         now = self.loop.time()
         # A wait that breaks off late was a watch until then; one that breaks off early may never have begun.
