A start without the system's certificates, a web framework and collections

Processor time from exec to ready was some 285 ms, of which aiohttp's import took 100: it makes two TLS contexts that read all certificates of the system, and the proxy speaks no TLS. aiohttp.web brought the whole framework for one class; the collector looked again and again at modules that stay; argparse was built for no word.

--- a/mothstall/cli.py
+++ b/mothstall/cli.py
@@ -2,19 +2,22 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
+import contextlib
+import gc
 import os
 import signal
 import sys
-from collections.abc import Callable, Mapping, Sequence
-from dataclasses import replace
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from mothstall import __version__
 from mothstall.config import LOG_LEVELS, Config, ConfigError, load
 
 if TYPE_CHECKING:
+    import argparse
+
     from mothstall.fleet.operator import Operator
 
 # Groups of commands by the module that holds them, and the list of libraries that it needs.
@@ -31,7 +34,19 @@
 }
 
 
+@dataclass(slots=True)
+class _Serve:
+    """What the command line means that holds no word: the proxy, and all else by the environment."""
+
+    command: str = "serve"
+    config: str | None = None
+    operator: str | None = None
+    log_level: str | None = None
+
+
 def _parser() -> argparse.ArgumentParser:
+    import argparse
+
     parser = argparse.ArgumentParser(prog="mothstall", description="A load-balancing proxy for HTTP fleets.")
     commands = parser.add_subparsers(dest="command", metavar="COMMAND")
     serve = commands.add_parser("serve", help="run the proxy (the default)")
@@ -58,9 +73,12 @@
 
 def main(argv: Sequence[str] | None = None, env: Mapping[str, str] = os.environ) -> int:
     words = list(sys.argv[1:] if argv is None else argv)
+    if words and words[0] != "serve":
+        gc.enable()  # `python -m mothstall` starts without
     if words and words[0] in _GROUPS:
         return _group(words)
-    args = _parser().parse_args(words or ["serve"])
+    # Restarted proxies are to be ready soon: without a word there is nothing to parse.
+    args = _parser().parse_args(words) if words else _Serve()
     if args.command == "version":
         print(f"mothstall {__version__}")
         return 0
@@ -119,11 +137,34 @@
     return found
 
 
+@contextlib.contextmanager
+def _without_certificates() -> Iterator[None]:
+    """Within it OpenSSL finds no certificates of the system's by itself.
+
+    Guards against a start that reads them all: aiohttp makes two TLS contexts as it is imported, which cost a
+    fifth of the processor time from exec to ready, and the proxy speaks no TLS. A call over TLS on such a
+    context would trust nobody, and fail.
+    """
+    before = {key: os.environ.get(key) for key in ("SSL_CERT_FILE", "SSL_CERT_DIR")}
+    os.environ.update(dict.fromkeys(before, os.devnull))
+    try:
+        yield
+    finally:
+        for key, value in before.items():
+            if value is None:
+                del os.environ[key]
+            else:
+                os.environ[key] = value
+
+
 def _serve(config: Config, reread: Callable[[], Config], operator: Operator | None = None) -> int:
-    from mothstall.net import logs
-    from mothstall.net.clock import Poll
-    from mothstall.net.proxy import run
+    with _without_certificates():
+        from mothstall.net import logs
+        from mothstall.net.clock import Poll
+        from mothstall.net.proxy import run
 
+    # All that is loaded stays: no collection looks at it again, nor for what little garbage loading leaves.
+    gc.freeze()
     logs.set_up(config.log_level)
     try:
         poll = Poll()
--- a/mothstall/lab/bench.py
+++ b/mothstall/lab/bench.py
@@ -402,12 +402,12 @@
     }
 
 
-def revision() -> str:
-    """The commit, and a mark where the proxy's own files differ from it."""
+def revision(root: Path = ROOT) -> str:
+    """The commit of a checkout, and a mark where the proxy's own files differ from it."""
 
     def git(*words: str) -> str:
         asked = subprocess.run(
-            ["git", "-C", str(ROOT), *words], capture_output=True, text=True, check=False, timeout=30
+            ["git", "-C", str(root), *words], capture_output=True, text=True, check=False, timeout=30
         )
         return asked.stdout.strip() if asked.returncode == 0 else ""
 
--- a/mothstall/lab/command.py
+++ b/mothstall/lab/command.py
@@ -52,6 +52,12 @@
     bench.add_argument(
         "--profile", action="store_true", help="where the time of a saturated proxy goes instead"
     )
+    bench.add_argument(
+        "--start", action="store_true", help="what a start costs instead, from exec to ready"
+    )
+    bench.add_argument("--sizes", type=int, nargs="+", help="with --start: backends; default: 200 2000 20000")
+    bench.add_argument("--repeats", type=int, default=9, help="with --start; default: 9")
+    bench.add_argument("--beside", metavar="FOLDER", help="with --start: another checkout, started in turn")
     bench.add_argument("--json", metavar="FILE", help="figures as JSON; - for standard output")
     commands.add_parser("fleet", help="keepers and proxies as processes; `lab fleet --help`", add_help=False)
     return parser
@@ -165,6 +171,8 @@
 def _bench(args: argparse.Namespace) -> int:
     from mothstall.lab import bench
 
+    if args.start:
+        return _bench_start(args)
     rates = bench.RATES if args.rates is None else tuple(args.rates)
     if not 1.0 <= args.seconds <= 120 or any(not 1 <= rate <= 100_000 for rate in rates):
         raise scenario.ScenarioError("--seconds must be 1 to 120, --rates 1 to 100000")
@@ -191,6 +199,28 @@
     return 0
 
 
+def _bench_start(args: argparse.Namespace) -> int:
+    from mothstall.lab import bench, start
+
+    sizes = start.SIZES if args.sizes is None else tuple(sorted(set(args.sizes)))
+    beside = Path(args.beside).resolve() if args.beside else None
+    if not 1 <= args.repeats <= 99 or any(not 1 <= size <= 200_000 for size in sizes):
+        raise scenario.ScenarioError("--repeats must be 1 to 99, --sizes 1 to 200000")
+    if beside and not (beside / "mothstall" / "__main__.py").is_file():
+        raise scenario.ScenarioError(f"--beside {beside}: no checkout of mothstall")
+    tree = start.run(sizes, args.repeats, beside, lambda what: print(f"measuring: {what}", file=sys.stderr))
+    if args.json:
+        _write_json(args.json, tree)
+    if args.json != "-":
+        print(start.text(tree))
+    if args.keep:
+        try:
+            print(f"kept in {bench.keep(tree, Path(args.keep))}", file=sys.stderr)
+        except OSError as why:
+            raise scenario.ScenarioError(f"--keep {args.keep}: {why.strerror}") from why
+    return 0
+
+
 def _write_report(result: runs.Result, where: str) -> None:
     from mothstall.lab import report
 
--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -17,8 +17,9 @@
 from collections import deque
 from collections.abc import Callable
 from enum import IntEnum
+from typing import TYPE_CHECKING
 
-from aiohttp import web
+from aiohttp import web_server  # the whole of aiohttp.web is a framework, which every start would load
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import RawRequestMessage
@@ -37,6 +38,9 @@
 from mothstall.net.phases import SILENT_S, Phase, Phases
 from mothstall.net.relay import READ_MOST, Grants, Stream
 
+if TYPE_CHECKING:
+    from aiohttp import web
+
 log = logging.getLogger("mothstall.frontend")
 # What aiohttp itself has to say of connections is counted here, not logged.
 quiet = logging.getLogger("mothstall.frontend.aiohttp")
@@ -753,7 +757,7 @@
                 transport.abort()
 
 
-class Server(web.Server):
+class Server(web_server.Server):
     """aiohttp's table of connections, with connections of our own."""
 
     def __init__(self, front: Frontend) -> None:
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -352,9 +352,9 @@
     proxy.loop.add_signal_handler(signal.SIGHUP, read_again, proxy, reread)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     await proxy.start()
-    gc.collect()
     gc.freeze()
     gc.set_threshold(50_000, 20, 50)  # a request leaves no cycles behind
+    gc.enable()
     tidy(proxy.loop)
     await over.wait()
     log.info("draining")
