Tests of starts: what is loaded by then, and twenty at once whatever discovery does

A child tells what it loaded by the time it was ready and in its first requests (nothing), that no certificate of the system's was read, and that garbage is collected again; on the text before it fails. Twenty processes, asked and pushed, with discovery silent, refusing and slow, with and without a known list, are ready under a generous limit; where discovery has to come first none is ready before. The bench of starts has its test.

--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -13,7 +13,7 @@
 import pytest
 from rich.console import Console
 
-from mothstall.lab import bench, command, compare, policies, scenario
+from mothstall.lab import bench, command, compare, policies, scenario, start
 from mothstall.lab.compare import difference
 from mothstall.lab.live import Board
 from mothstall.lab.virtual import Virtual
@@ -114,6 +114,9 @@
         ["compare", "module", "--seeds", "0"],
         ["compare", "module", "--scenario", "nothing"],
         ["bench", "--seconds", "0"],
+        ["bench", "--start", "--repeats", "0"],
+        ["bench", "--start", "--sizes", "0"],
+        ["bench", "--start", "--beside", "/nowhere"],
         ["run", "steady", "--driver", "sockets", "--policy", "random"],
         ["run", "steady", "--seconds", "1", "--json", "/no/such/folder/x.json"],
     ):
@@ -123,6 +126,27 @@
     assert set(json.loads(capsys.readouterr().out)["scenarios"]) == set(scenario.names())
 
 
+def test_the_bench_of_starts_tells_where_the_time_goes_and_keeps_its_figures(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    words = ["--sizes", "40", "5", "--repeats", "1", "--beside", str(policies.ROOT), "--keep", str(tmp_path)]
+    assert command.main(["bench", "--start", *words]) == 0
+    shown = capsys.readouterr().out
+    (path,) = tmp_path.glob("*.json")
+    tree = json.loads(path.read_text(encoding="utf-8"))
+    assert bench.last(tmp_path) is None  # what a start costs is nothing to hold a load against
+    assert set(tree["start"]) == {"this", "beside"}
+    for found in tree["start"].values():
+        assert list(found["pieces_ms"]) == [*(name for name, _, _ in start.PIECES), start.LAST_PIECE]
+        assert all(ms > 0 for ms in found["pieces_ms"].values())
+        assert [(row["way"], row["backends"]) for row in found["starts"]] == [
+            ("asked", 5), ("asked", 40), ("known", 5), ("known", 40),
+        ]  # fmt: skip
+        assert all(len(row["cpu_ms_all"]) == 1 and row["cpu_ms"] > 0 for row in found["starts"])
+        assert set(found["us_a_backend"]) == {"asked", "known"}
+    assert "exec to ready, known, 40" in shown and "aiohttp" in shown
+
+
 def test_the_bench_measures_a_real_proxy_and_keeps_its_figures(tmp_path: Path) -> None:
     said: list[str] = []
     tree = bench.run(1.0, (100,), said.append)
--- /dev/null
+++ b/tests/test_net_start.py
@@ -0,0 +1,277 @@
+"""What a start needs, and that many started at once are ready whatever discovery does."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import json
+import os
+import re
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from mothstall.cli import main
+from tests.peers import Client, Directory, StandIn, serves, tree_of
+
+ROOT = Path(__file__).parent.parent
+MANY = 20
+LIMIT_S = 60.0  # for a state to come about, on a busy machine
+SLOW_S = 1.5  # what a slow discovery takes to answer, in the 2 s that a call may take
+PORT = re.compile(rb"event=listening .*port=(\d+)")
+# A certificate that the system is told to trust: of nobody, its key is not kept.
+TRUSTED = """-----BEGIN CERTIFICATE-----
+MIIBeTCCAR+gAwIBAgIUXV9Ij0EWe55sG1o4kZB1CkbGSeEwCgYIKoZIzj0EAwIw
+ETEPMA0GA1UEAwwGbm9ib2R5MCAXDTI2MTIwMjA0MjMyMVoYDzIxMjYxMTA4MDQy
+MzIxWjARMQ8wDQYDVQQDDAZub2JvZHkwWTATBgcqhkjOPQIBBggqhkjOPQMBBwNC
+AAQqvMmQbzKXjDEkUbBSK61UaWoPjcFwKOf2P/Iy6sAWVl50+Zi/9xyeiKq4yUuB
+4Fgq6adDtZaIcK9gIT9gX+Q2o1MwUTAdBgNVHQ4EFgQUc4wajQ1UDR51Wm5Gy82g
+aqaXo7AwHwYDVR0jBBgwFoAUc4wajQ1UDR51Wm5Gy82gaqaXo7AwDwYDVR0TAQH/
+BAUwAwEB/zAKBggqhkjOPQQDAgNIADBFAiEA3x9ddfBFEUlSvLwPYcXH3fGV9qBX
+rR/r4sNnNw8rvzECIHCBKsE98Vivib0OoTVjZu7hOPLFIftS34vZYfO4WRVk
+-----END CERTIFICATE-----
+"""
+# The program, in a process that tells on standard output what it loaded: by the time that it was ready (asked
+# over the address that it is told on standard input), and from then on.
+TELLS = """
+import json, os, runpy, sys, threading
+loaded, late = [], []
+def hook(event, args):
+    if event == "import" and loaded:
+        late.append(args[0])
+def watch():
+    sys.stdin.readline()
+    loaded.extend(sys.modules)
+threading.Thread(target=watch, daemon=True).start()
+sys.addaudithook(hook)
+sys.path[0] = ""
+try:
+    runpy.run_module("mothstall", run_name="__main__", alter_sys=True)
+finally:
+    import gc
+    import aiohttp.connector
+    print(json.dumps({
+        "loaded": loaded, "late": late, "collects": gc.isenabled(), "frozen": gc.get_freeze_count(),
+        "trusted": aiohttp.connector._SSL_CONTEXT_VERIFIED.cert_store_stats()["x509_ca"],
+        "file": os.environ.get("SSL_CERT_FILE"), "dir": os.environ.get("SSL_CERT_DIR"),
+    }))
+"""
+# Not before a proxy is ready, nor in its requests: what it never uses, and what only some of them use.
+NEEDLESS = {
+    "argparse", "aiohttp.web", "aiohttp.web_app", "aiohttp.web_fileresponse", "aiohttp.web_runner",
+    "aiohttp.web_urldispatcher", "aiohttp.web_ws", "aiohttp.pytest_plugin", "aiohttp.test_utils",
+    "msgspec", "numpy", "rich", "matplotlib", "hdrh", "sqlite3", "cryptography", "xxhash", "unittest",
+    "mothstall.operate", "mothstall.lab", "mothstall.fleet", "mothstall.keeper", "mothstall.store",
+    "mothstall.simhost", "mothstall.simwire", "mothstall.net.together", "mothstall.net.handover",
+    "mothstall.net.admin", "mothstall.net.passage",
+}  # fmt: skip
+
+
+class Process:
+    """The program, started; `tells`: in the way of TELLS."""
+
+    def __init__(self, config: Path, tells: bool = False, **env: str) -> None:
+        self._words = ("-c", TELLS) if tells else ("-m", "mothstall")
+        clean = {key: value for key, value in os.environ.items() if not key.startswith(("LB_", "SSL_"))}
+        self._env = {**clean, "LB_CONFIG": str(config), **env}
+        self.port = 0
+
+    async def start(self) -> None:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-O", "-B", *self._words, env=self._env, cwd=ROOT, stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        self._log = asyncio.create_task(self._follow())
+
+    async def _follow(self) -> None:
+        assert self.process.stderr
+        async for line in self.process.stderr:
+            if found := PORT.search(line):
+                self.port = int(found[1])
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+
+    async def ready(self) -> bool:
+        """Whether it answers that it is; False also as long as it does not listen."""
+        if not self.port:
+            return False
+        client = await self.client()
+        client.writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        status = (await client.read()).status
+        client.close()
+        return status == 200
+
+    async def until_ready(self) -> None:
+        while not await self.ready():
+            assert self.process.returncode is None
+            await asyncio.sleep(0.05)
+
+    async def stop(self) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self._log
+
+
+class Whole(Directory):
+    """Tells whoever has nothing yet the whole list; `delay_s`: how long it takes to answer."""
+
+    delay_s = 0.0
+
+    async def _reply(self, target: str) -> bytes:
+        if self.held is not None:
+            await self.held.wait()
+        await asyncio.sleep(self.delay_s)
+        return await super()._reply("/" if "since=0&" in target else target)
+
+
+@contextlib.asynccontextmanager
+async def many(folder: Path, directory: Directory, known: bool, mode: str) -> AsyncIterator[list[Process]]:
+    """Twenty proxies of one fleet, started at once."""
+    processes = []
+    for position in range(MANY):
+        tree = tree_of(directory, directory.members, discovery=mode, position=position, replicas_of_me=MANY)
+        if not known:
+            del tree["known"]
+        path = folder / f"{position}.json"
+        path.write_text(json.dumps(tree))
+        processes.append(Process(path))
+    try:
+        await asyncio.gather(*(process.start() for process in processes))
+        yield processes
+    finally:
+        await asyncio.gather(*(process.stop() for process in processes))
+
+
+async def listen(processes: list[Process]) -> None:
+    while not all(process.port for process in processes):
+        assert all(process.process.returncode is None for process in processes)
+        await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("mode", ["ask", "push"])
+@pytest.mark.parametrize("state", ["silent", "refusing", "slow"])
+def test_many_that_know_a_list_are_ready_without_discovery(tmp_path: Path, state: str, mode: str) -> None:
+    async def run() -> None:
+        stand_in = StandIn(serves)
+        await stand_in.start()
+        directory = Whole([stand_in.row()])
+        directory.delay_s = SLOW_S if state == "slow" else 0.0
+        directory.held = asyncio.Event() if state == "silent" else None
+        await directory.start()
+        if state == "refusing":
+            await directory.stop()
+        async with asyncio.timeout(LIMIT_S), many(tmp_path, directory, True, mode) as all_:
+            await asyncio.gather(*(process.until_ready() for process in all_))
+            for process in all_:
+                assert (await (await process.client()).ask()).status == 200
+        await directory.stop()
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("mode", ["ask", "push"])
+@pytest.mark.parametrize("state", ["silent", "refusing"])
+def test_many_that_know_nothing_are_ready_once_discovery_is_back(
+    tmp_path: Path, state: str, mode: str
+) -> None:
+    async def run() -> None:
+        stand_in = StandIn(serves)
+        await stand_in.start()
+        directory = Whole([stand_in.row()])
+        directory.held = asyncio.Event()
+        await directory.start()
+        if state == "refusing":
+            await directory.stop()
+        async with (
+            asyncio.timeout(LIMIT_S),
+            many(tmp_path, directory, False, mode) as all_,
+        ):
+            await listen(all_)
+            await asyncio.sleep(1.0)  # calls fail meanwhile
+            assert not any([await process.ready() for process in all_])
+            directory.held.set()
+            if state == "refusing":
+                await directory.start()
+            await asyncio.gather(*(process.until_ready() for process in all_))
+            for process in all_:
+                assert (await (await process.client()).ask()).status == 200
+        await directory.stop()
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_many_that_know_nothing_are_ready_by_a_slow_discovery(tmp_path: Path, mode: str) -> None:
+    async def run() -> None:
+        stand_in = StandIn(serves)
+        await stand_in.start()
+        directory = Whole([stand_in.row()])
+        directory.delay_s = SLOW_S
+        await directory.start()
+        async with (
+            asyncio.timeout(LIMIT_S),
+            many(tmp_path, directory, False, mode) as all_,
+        ):
+            await asyncio.gather(*(process.until_ready() for process in all_))
+            for process in all_:
+                assert (await (await process.client()).ask()).status == 200
+        await directory.stop()
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
+def test_a_start_loads_what_a_proxy_needs_and_its_first_request_nothing(tmp_path: Path) -> None:
+    async def run() -> dict[str, Any]:
+        stand_in = StandIn(serves)
+        await stand_in.start()
+        directory = Whole([stand_in.row()])
+        await directory.start()
+        tree = tree_of(directory, directory.members, discovery="push")
+        del tree["known"]
+        path, trusted = tmp_path / "config.json", tmp_path / "trusted.pem"
+        path.write_text(json.dumps(tree))
+        trusted.write_text(TRUSTED)
+        process = Process(path, tells=True, SSL_CERT_FILE=str(trusted))
+        await process.start()
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                await process.until_ready()
+                assert process.process.stdin and process.process.stdout
+                process.process.stdin.write(b"ready\n")
+                await asyncio.sleep(0.3)  # its thread looks at what is loaded
+                client = await process.client()
+                assert (await client.ask()).status == 200
+                assert (await client.ask("order", body=b"a body")).status == 200
+                process.process.terminate()
+                told: dict[str, Any] = json.loads(await process.process.stdout.read())
+        finally:
+            await process.stop()
+            await directory.stop()
+            await stand_in.stop()
+        assert told["file"] == str(trusted) and told["dir"] is None
+        return told
+
+    told = asyncio.run(run())
+    assert "mothstall.net.frontend" in told["loaded"]
+    assert sorted(NEEDLESS & set(told["loaded"])) == []
+    assert told["late"] == []  # a first request waits for no import
+    assert told["trusted"] == 0  # no certificate of the system's was read
+    assert told["collects"] and told["frozen"] > 10_000
+
+
+def test_other_commands_collect_garbage(capsys: pytest.CaptureFixture[str]) -> None:
+    gc.disable()
+    try:
+        assert main(["version"]) == 0
+        assert gc.isenabled()
+    finally:
+        gc.enable()
