Cold turns stand in one row over the fleet, and follow the latest pace

Not dice alone: where many backends turn cold at once proxies widen, what a warm one does for each proxy halves, and the mean of 10 s still told the old pace (Sum 31 requests a second where 18 were served); probes opened a connection from each proxy to each cold backend; a restarted process drew a new part, and those where nobody had looked were saved whole. Changed: first turns by place (position, members, start), none drawn afresh by a process younger than the backend; the pace is bounded by 1.25 times the latest answers'; probes go where a send has been; what nobody looked for lapses after fall-ns.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -37,7 +37,7 @@
 ROOM_LOSS, ROOM_GAIN, CROWDED = 0.2, 0.1, 1 / 3  # room, late and early answer; where it settles: so many late
 LEAST_SEEN = 10  # requests that a latency must rest on before backends move by it
 SHARED_FREE, OWN = 0.2, 0.5  # of the usual latency: noise in what classes share; less shared is a class's own
-COLD_PART = 0.45  # the part used of what would push a cold backend over
+COLD_PART, COLD_LATE = 0.45, 1.25  # used of what pushes a cold backend over; bound of the pace, by the latest
 EJECT_AT, OWN_FAIL = 2.0, 0.4  # run of failures that ejects; what silence of a class of its own adds to it
 FAIL_KEEP, FAIL_LEAST = 0.5, 0.2  # part of a run of failures that an answer leaves, and what counts as none
 EJECT_NS, EJECT_MAX_NS = NS // 2, 8 * NS
@@ -61,15 +61,13 @@
     def __init__(self, entry: io.Entry, now: int, token: float) -> None:
         self.id, self.zone, self.cell, self.kind = entry.backend, entry.zone, entry.cell, entry.kind
         self.weight, self.credit = usable(entry.weight), 1.0  # credit: what is gathered for its next turn
-        self.started = entry.started_ns
-        self.priority = self.member = False
-        self.in_flight = self.arrivals = self.done = self.busy_ns = 0
-        self.busy_since = self.progress = now
+        self.started, self.tokens, self.limit = entry.started_ns, token, ROOM_START
+        self.priority = self.member = self.touched = False
+        self.in_flight = self.arrivals = self.done = self.busy_ns = self.cut_at = 0
+        self.busy_since = self.progress = self.tokens_at = now
         self.util, self.queue, self.told_at, self.asked = -1.0, 0.0, -1, False  # queue: as a probe was told
         self.est1, self.est2, self.x, self.u, self.b = -1.0, -1.0, 0.0, 0.0, 0.0  # below 0: nothing measured
         self.marks: deque[tuple[int, int, int, bool]] = deque()  # slots of the last T
-        self.limit, self.cut_at = ROOM_START, 0
-        self.tokens, self.tokens_at, self.touched = token, now, False
         self.slow, self.rest_until, self.rests = 1.0, 0, 1.0  # last answers over the calmest mean; full until
         self.fails, self.out_until, self.backoff, self.probing = 0.0, 0, EJECT_NS, False
 
@@ -171,7 +169,7 @@
         self.spare = math.inf  # the part of the room that requests beyond a share may use
         self.part = 1.0 / settings.proxies  # this proxy's part of all traffic, as its typical tenant shows
         self.opening, self.room = True, 0.0  # until the first late answer room grows fast; attempts out
-        self.virtual = self.warm_rate = self.b_low = self.near_due = self.seen_ns = 0.0
+        self.virtual = self.warm_rate = self.b_low = self.near_due = self.seen_ns = self.lately = 0.0
         self.usual, self.crowd, self.noise = 0.0, 1.0, 0.25  # latency, ns; part crowded; how far one lies off
         self.budget = self.budget_cap = RETRY_CAP
         self.grain = self.heaviest = 1.0  # backends for each proxy, one at most; the greatest listed weight
@@ -182,7 +180,7 @@
         self.latency, self.e = (Latency(), Latency()), T_NS / (T_NS // 10)
         self.slots: deque[int] = deque()
         self.heap: list[tuple[int, int, Callable[[], object]]] = []
-        self.slot_at = self.seq = self.timer_at = self.nudge_at = self.sent = 0
+        self.slot_at = self.seq = self.timer_at = self.nudge_at = self.sent = self.began = 0
         self.thin = self.watching = self.made_way = False  # thin: each proxy sees too little of a backend
         self.mildest = min(c.effect for c in settings.classes)
         self.advice, self.due = io.Shares((), 0.0, 0.0, 0), [0.0]  # of a plan; what each zone is behind by it
@@ -250,7 +248,7 @@
 
     def _on_before(self, ev: io.Predecessor) -> None:
         """Guards against two processes that count as two proxies: one goes on where the other stood."""
-        self.usual, self.warm_rate, self.opening = ev.usual_ns, ev.warm_rate, False
+        self.usual, self.warm_rate, self.lately, self.opening = ev.usual_ns, ev.warm_rate, ev.warm_rate, False
         self.room, self.budget = max(self.room, ev.room), min(self.budget_cap, ev.budget)
         self.calm = [list(row) for row in ev.calm] if len(ev.calm) == len(self.calm) else self.calm
         for k in ev.known:
@@ -260,7 +258,7 @@
                 b.est1 = b.est2 = ev.warm_rate or -1.0  # what was served here before is not of all clients
 
     def _begin(self, now: int) -> None:
-        self.now = self.slot_at = now
+        self.now = self.slot_at = self.began = now
         self._at(now + T_NS // 10, self._close_slot)
         if not self.cfg.discovery_push:
             # Guards against a herd at boot: discovery takes one call after the other.
@@ -306,18 +304,19 @@
 
     def _on_entry(self, entry: io.Entry) -> None:
         old = self.backends.get(entry.backend)
-        if entry.health != Health.READY:
-            if old:
-                self._drop(old)
-            return
-        if old and old.started == entry.started_ns:
+        if old and old.started == entry.started_ns and entry.health == Health.READY:
             old.zone, old.cell, old.weight = entry.zone, entry.cell, usable(entry.weight)
             return
         if old:
             self._drop(old)  # a new start under the same id is a new, cold backend
+        if entry.health != Health.READY:
+            return
         # Room follows the list both ways: a backend that comes brings what one that leaves would take.
         self.room *= 1.0 + 1.0 / max(1, len(self.backends))
-        b = self.backends[entry.backend] = Backend(entry, self.now, self.rng.random())
+        # Guards against parts drawn freely, or begun anew by a new process: all have a place each in one row.
+        at, draw = self.point * max(1.0, len(self.backends) / max(1, self.size)), self.rng.random()
+        turn = (stable_hash(entry.backend + entry.started_ns) / 2**64 - at + draw / self.cfg.proxies) % 1.0
+        b = self.backends[entry.backend] = Backend(entry, self.now, turn * (entry.started_ns >= self.began))
         b.limit = ROOM_START if self._warmth(b) >= 1 else 1.0
 
     def _drop(self, b: Backend) -> None:
@@ -486,15 +485,18 @@
         for calm in self.calm:
             calm[1] *= 1.0 + CALM_RISE * span / NS
         self.least = [x * (1.0 + CALM_RISE * span / NS) for x in self.least]
-        claims = [self._claim(i) for i in range(len(self.flows))]
-        best = max(range(len(claims)), key=lambda i: (claims[i], -i))
+        best = max(range(len(self.flows)), key=lambda i: (self._claim(i), -i))
         # A near tie must not swap the priority profile back and forth.
-        if len(self.slots) == 1 or claims[best] > 1.25 * claims[self.priority]:
+        if len(self.slots) == 1 or self._claim(best) > 1.25 * self._claim(self.priority):
             self.priority = best
-        warm = [b.est1 for b in self.members if self._warmth(b) >= 1 and not b.out_until]
+        warm = [b for b in self.members if self._warmth(b) >= 1 and not b.out_until]
         pace = self.sent * NS / span
         if warm:
-            self.warm_rate = sum(warm) / len(warm)
+            # Guards against a mean of 10 s where many turn cold at once: each proxy gets less of the others.
+            seen = sum(b.x for b in warm) * span / NS
+            gain = seen / (seen + LEAST_SEEN) if self.lately else 1.0
+            self.lately += gain * (seen * NS / span / len(warm) - self.lately)
+            self.warm_rate = min(sum(b.est1 for b in warm) / len(warm), COLD_LATE * self.lately)
         elif self.members:
             # Guards against a fleet cold as a whole: what its own budget lets through must not shrink it.
             self.warm_rate = max(self.warm_rate, pace / len(self.members))
@@ -505,8 +507,7 @@
 
     def _warmth(self, b: Backend) -> float:
         """The part of its capacity that the settings' cold rule promises."""
-        age = self.now - b.started
-        if not b.started or age >= self.cfg.cold_ns:
+        if not b.started or (age := self.now - b.started) >= self.cfg.cold_ns:
             return 1.0
         return self.cfg.cold_from + (1 - self.cfg.cold_from) * max(0, age) / self.cfg.cold_ns
 
@@ -542,7 +543,8 @@
             return
         self.probes = min(2.0, self.probes + PROBE_POINTS / max(self.cfg.probe_fee, PROBE_POINTS))
         for b in (group[at + 1 :] + group[:at]) if self.probes >= 1.0 else ():
-            if self.probes >= 1.0 and not b.asked and self.now - b.told_at >= PROBE_NS and not b.out_until:
+            idle = not (b.asked or b.out_until) and b.touched  # a probe makes no new connection
+            if self.probes >= 1.0 and idle and self.now - b.told_at >= PROBE_NS:
                 self.probes, b.asked = self.probes - 1.0, True
                 self.acts.append(io.Probe(b.id))
 
@@ -577,10 +579,11 @@
         return self.usual > 0 and quiet > patience
 
     def _cold_turn(self, b: Backend, warmth: float) -> bool:
-        """Guards against pushing a cold backend over: its turns are dealt out evenly over time."""
+        """Guards against pushing a cold backend over: dealt out evenly over time, lapsing if unused."""
         # Guards against two processes of one proxy that each spend the whole budget.
         rate = 0.0 if self.made_way else COLD_PART * self.cfg.fall_multiple * self.warm_rate * warmth
-        b.tokens, b.tokens_at = min(1.0, b.tokens + (self.now - b.tokens_at) * rate / NS), self.now
+        span = min(self.now - b.tokens_at, self.cfg.fall_ns)
+        b.tokens, b.tokens_at = min(1.0, b.tokens + span * rate / NS), self.now
         return b.tokens >= 1.0
 
     def _may_go(self, req: Request, b: Backend) -> bool:
@@ -725,21 +728,18 @@
 
     def _send(self, req: Request, b: Backend) -> None:
         now, trial, timeout = self.now, bool(b.out_until), req.deadline - self.now
-        if trial:
-            b.probing = True
-            if req.cls.effect == Effect.SAFE and self.usual:
-                timeout = min(timeout, int(4 * self.usual) + self.cfg.connect_timeout_ns)
-        if self._warmth(b) < 1:
-            b.tokens -= 1.0 if b.touched else 1.5  # the first send also costs a handshake
+        b.probing = b.probing or trial
+        if trial and req.cls.effect == Effect.SAFE and self.usual:
+            timeout = min(timeout, int(4 * self.usual) + self.cfg.connect_timeout_ns)
+        b.tokens -= 1.0 if b.touched else 1.5  # of a cold one; the first also costs a handshake
         b.touched, b.busy_since = True, b.busy_since if b.in_flight else now
         b.in_flight, self.in_flight = b.in_flight + 1, self.in_flight + 1
-        b.arrivals, self.sent = b.arrivals + 1, self.sent + 1
+        b.arrivals, self.sent, req.out = b.arrivals + 1, self.sent + 1, req.out + 1
         if self.sent > 2 * len(self.members) + LEAST_SEEN and len(self.members) < len(self.backends):
             # Guards against a proxy turned hot crowding its few members until the slot ends.
             self.rate = max(self.rate, self.sent * NS / max(NS, now - self.slot_at))
             self._choose_members()
         req.attempts.append(Attempt(b, now, trial))
-        req.out += 1
         by = req.ran_at + req.cls.window_ns if req.ran_on and req.cls.effect == Effect.KEYED else 0
         req.ran_on, req.ran_at = (req.ran_on, req.ran_at) if req.ran_on else (b, now)
         if b.zone < len(self.due) and self._advised():
