--- a/mothstall/lab/coldsum.py
+++ b/mothstall/lab/coldsum.py
@@ -117,7 +117,8 @@
             "cold_ns": rng.randrange(14, 24) * NS, "fall_multiple": rng.choice((1.5, 2.5, 2.5, 4.0)),
             "fall_ns": rng.choice((NS, 2 * NS, 2 * NS)), "max_attempts": 4, "parallel_attempts": True,
             "may_cancel": True, "may_probe": True, "retry_after": True, "max_retry_after_ns": NS,
-            "connect_timeout_ns": 120 * MS, "tick_ns": 5 * MS, "cross_zone_fee": 0.0, "probe_fee": 0.03, "warm_keys": False,
+            "connect_timeout_ns": 120 * MS, "tick_ns": 5 * MS,
+            "cross_zone_fee": 0.0, "probe_fee": 0.03, "warm_keys": False,
             "load_names": ("util", "queue"), "load_by_probes": rng.random() < 0.3,
         }  # fmt: skip
         # Positions may be any numbers: in half of the fleets they have gaps, or begin far off.
