Simulator's wire: the end of a client goes before what would begin an attempt for it

Cause: a batch was taken in its order, so that an attempt's end ahead of a cancel began a repeat, and a request that came and was cancelled in one batch began its first. Both were withdrawn at once, but had begun.

Change: simhost.leavers_first. Two tests in test_wire, red on the text before.

--- a/mothstall/simhost/host.py
+++ b/mothstall/simhost/host.py
@@ -5,11 +5,27 @@
 import traceback
 
 from mothstall.choice import Balancer
-from mothstall.interface import Action, Event
+from mothstall.interface import Action, ClientLeft, Event, RequestArrived
 from mothstall.settings import SettingsError, parse
 from mothstall.simwire import codec
 
 
+def leavers_first(events: list[Event]) -> list[Event]:
+    """A batch in which the end of a client goes before all that would begin an attempt for it.
+
+    Guards against a repeat for who left in the batch in which its attempt ended, and against a first attempt
+    for who came and left in one: of that one the module hears nothing.
+    """
+    left = {ev.request for ev in events if type(ev) is ClientLeft}
+    if not left:
+        return events
+    came = {ev.request for ev in events if type(ev) is RequestArrived} & left
+    rest = [ev for ev in events if type(ev) is not ClientLeft]
+    if came:
+        rest = [ev for ev in rest if not (type(ev) is RequestArrived and ev.request in came)]
+    return [*(ClientLeft(request) for request in sorted(left - came)), *rest]
+
+
 class Host:
     def __init__(self) -> None:
         self.instances: dict[int, Balancer] = {}
@@ -35,7 +51,8 @@
                 pending.setdefault(inst, []).append(event)
         for inst, events in pending.items():
             try:
-                actions.extend((inst, action) for action in self.instances[inst].handle(now, events))
+                acts = self.instances[inst].handle(now, leavers_first(events))
+                actions.extend((inst, action) for action in acts)
             except Exception as why:
                 # A broken instance must not take the others with it; the day is told which and why.
                 place = traceback.extract_tb(why.__traceback__)[-1]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -251,3 +251,39 @@
     done = run(raw)
     assert done.returncode == 2
     assert done.stderr.startswith(b"mothstall: bad input: ") and done.stderr.count(b"\n") == 1
+
+
+def _asked() -> tuple[Host, list[bytes], str]:
+    """An instance with one list; the record of a request, and its number."""
+    host = Host()
+    host.batch(0, codec.decode(frame(0, boot(), endpoints())[4:])[1])
+    return host, [REQUEST], "000e30025d3a91c4"
+
+
+def _acts(host: Host, now: int, *records: bytes) -> bytes:
+    at, rows = codec.decode(frame(now, *records)[4:])
+    return host.batch(at, rows)
+
+
+def test_a_client_that_leaves_in_the_batch_in_which_it_came_is_sent_on_to_nobody() -> None:
+    host, (request,), number = _asked()
+    left = bytes.fromhex("50" "0003" + number)
+    assert bytes.fromhex("28" "0003" + number) in _acts(_asked()[0], 1000, request)  # else it is
+    assert bytes.fromhex(number) not in _acts(host, 1000, request, left)
+    assert not host.instances[3].requests
+
+
+def test_a_client_that_leaves_in_the_batch_in_which_its_attempt_ends_is_sent_on_to_nobody() -> None:
+    refused = bytes.fromhex(
+        "5a" "0003" "000e30025d3a91c4" "00" "03124a07" "0209" "00000000000003e8" "00" "00"
+    )
+    for leaves in (False, True):
+        host, (request,), number = _asked()
+        second = struct.pack(">IHBHBfQ", 0x03124A08, 0, 0, 0, 1, 1.0, 0)
+        _acts(host, 10, struct.pack(">BHBII", 10, 3, 3, 42, 1) + second)
+        sent = _acts(host, 1000, request)
+        at = sent.index(bytes.fromhex("28" "0003" + number)) + 11
+        ended = refused.replace(bytes.fromhex("03124a07"), sent[at : at + 4])
+        left = [bytes.fromhex("50" "0003" + number)] if leaves else []
+        again = bytes.fromhex("28" "0003" + number) in _acts(host, 2000, ended, *left)
+        assert again is not leaves
