Gone is gone: each attempt asks for its client first; idle ones make way by a lingering close

Found by reading, forced over loopback sockets: (1) whatever kept a client's end unread (a dial of 1.5 s, a wait for room, a repeat after a silence, an order between two actors, a process that stood still under 0.1 s) let an attempt begin after it; the poll at take-up with its 0.1 s came on top of dial and batch. (3) The last byte of a held-up body went on before the end behind it was read. (4) An attempt told its backend the time of its order, not of its first byte: up to the dial more than was left. (5) A request sent ahead counted from its take-up. (6) A connection that was closed a moment ago, or with bytes unsent, held its descriptor and was not counted: a burst at the edge took as many above the budget as it closed. (7) The door's callers could take 33 descriptors of a reserve of 32.

Change: backend._wanted asks Connection.waits as an attempt is to begin, and the kernel once 20 ms have passed since its request came. What cannot be held is read and dropped with no pause, 16 MiB at most. Frontend._ease lets idle ones linger ahead of the edge. test_net_relay: swallowing takes settings, no check changed.

--- a/mothstall/net/admin.py
+++ b/mothstall/net/admin.py
@@ -125,9 +125,9 @@
                 sock, _peer = self._listener.accept()
             except OSError:
                 return
-            if len(self._callers) >= MOST_CALLERS:
-                # Guards against callers that hold on with no whole call: the longest of them makes way.
-                self._end(next(iter(self._callers)))
+            if len(self._callers) + len(self._lingering) >= MOST_CALLERS:
+                # Guards against callers that hold on, answered or with no whole call: the longest makes way.
+                self._end(next(iter(self._lingering or self._callers)))
             sock.setblocking(False)
             # Guards against an answer that the kernel holds back, and that goes with a reset.
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -189,8 +189,6 @@
         except OSError:
             self._end(caller)
             return
-        if len(self._lingering) >= MOST_CALLERS:
-            self._end(next(iter(self._lingering)))
         self._lingering[caller] = None
 
     def _end(self, caller: _Caller) -> None:
--- a/mothstall/net/backend.py
+++ b/mothstall/net/backend.py
@@ -31,6 +31,7 @@
 from mothstall.net.clock import Clock
 from mothstall.net.counters import Counters
 from mothstall.net.figures import Figures
+from mothstall.net.listener import LOOK_NS
 from mothstall.net.relay import READ_MOST, Grants, Stream
 
 log = logging.getLogger("mothstall.backend")
@@ -65,7 +66,7 @@
 
 @dataclass(slots=True)
 class Withhold:
-    """Nobody waits for this attempt any more: unless its connection is up it never goes out."""
+    """Nobody waits for this attempt any more: unless it was handed on whole it never is."""
 
     request: int
     attempt: int
@@ -625,7 +626,7 @@
                     self._call_off(attempt, Result.CANCELLED)
             elif isinstance(order, Withhold):
                 attempt = self._in_flight.get((order.request, order.attempt))
-                if attempt is not None and attempt.link is None:
+                if attempt is not None and not attempt.written():
                     self._call_off(attempt, Result.CANCELLED)
             elif isinstance(order, SendProbe):
                 self._start(None)
@@ -737,7 +738,6 @@
         attempt = _Attempt(order, now, due)
         if order:
             self._in_flight[order.request, order.attempt] = attempt
-            attempt.raw = protocol.request_bytes(order.inbound, due_ns - now)
         else:
             self._probes.add(attempt)
             self.counters.add("probes")
@@ -753,7 +753,7 @@
                 self._write(attempt, link)
                 return
             link.drop()
-        if not self._pool.room():
+        if not self._wanted(attempt, now) or not self._pool.room():
             self._end(attempt, Result.NOT_SENT)
             return
         self._pool.open += 1
@@ -794,13 +794,30 @@
             self._write(attempt, link)
 
     def _write(self, attempt: _Attempt, link: Link) -> None:
-        if attempt.by is not None and self.loop.time() >= attempt.by:
+        now = self._clock.now()
+        late = attempt.by is not None and self.loop.time() >= attempt.by
+        if attempt.order is not None and attempt.order.inbound.stream is None:
+            late = late or now >= attempt.order.due_ns  # the timer that ends it waits behind this turn
+        if late or not self._wanted(attempt, now):
             self.release(link, keep=True)
             self._end(attempt, Result.NOT_SENT)
             return
+        if attempt.order is not None:
+            # Guards against a backend that is told more time than is left once its connection is up.
+            attempt.raw = protocol.request_bytes(attempt.order.inbound, attempt.order.due_ns - now)
         attempt.link = link
         link.begin(attempt, attempt.raw)
 
+    def _wanted(self, attempt: _Attempt, now: int) -> bool:
+        """Guards against an attempt that begins for a client that has gone, seen or not seen yet.
+
+        What is on its way between the actors, waits for its connection or was held up by this process may be
+        of a client that left meanwhile: after LOOK_NS its socket is asked.
+        """
+        if attempt.order is None or (client := attempt.order.inbound.client) is None:
+            return True
+        return client.waits(attempt.order.inbound, now - attempt.order.inbound.came_ns > LOOK_NS)
+
     def _window_over(self, attempt: _Attempt) -> None:
         """Guards against a repeat that comes after the first is forgotten: its effect would happen twice."""
         if not attempt.written():
--- a/mothstall/net/frontend.py
+++ b/mothstall/net/frontend.py
@@ -33,7 +33,7 @@
 from mothstall.net.counters import Counters
 from mothstall.net.decider import PLAIN, Arrived, Left, Message, Passed, Reply
 from mothstall.net.figures import Outcome
-from mothstall.net.listener import hung_up, inherited, listening, unsent
+from mothstall.net.listener import LOOK_NS, hung_up, inherited, listening, unsent
 from mothstall.net.phases import SILENT_S, Phase, Phases
 from mothstall.net.relay import READ_MOST, Grants, Stream
 
@@ -49,12 +49,15 @@
 UNREAD_S = 5.0  # for an answer that the client does not read
 LINGER_S, LINGER_BYTES = 1.0, 256 * 1024  # a lingering close reads what still comes so long and so far
 AHEAD_MOST = 1024 * 1024  # read behind an open request, and held until its turn; for all: Frontend.ahead_most
-LATE_NS = 100_000_000  # what waited so long to be read may be of a client that has left meanwhile
+# Read and dropped behind an open request, in all and at once: more than two kernels hold between them.
+AWAY_MOST, AWAY_READ = 16 * 1024 * 1024, 1024 * 1024
 PENALTY_S = 1.0  # between a bad request that was turned away and the next one of its connection
 SWEEP_S = 0.1
 ACCEPT_PAUSE_S = 0.01
 EDGE_PART = 0.5  # of the clients' connections: from there on an answer is the last of its connection
+SPARE_PART, SPARE_LEAST = 1 / 16, 4  # of the clients' connections: so many are free, or on their way out
 PATIENCE_S = 0.1  # so long newcomers wait at the edge before connections idle for a moment make way
+GRACE_S = 0.05  # a lingering close gets so long at the edge, if newcomers need not wait longer for it
 SHED_SILENT_S, SHED_PART_S, SHED_IDLE_S, SHED_ANY_S = 0.1, 0.5, 2.0, 0.05
 STOP_S = 0.05  # for what is still at work when the time to stop is over
 
@@ -116,7 +119,8 @@
         self._late = False  # what comes first may have waited for long in the listener's backlog
         self._inbound: protocol.Inbound | None = None
         self._ahead = False  # what came last came behind an open request: the parser may hold some of it
-        self._pipelined: deque[bytes] = deque()  # came behind an open request, not parsed yet
+        # What came behind an open request, not parsed yet, and since when each piece may have been there.
+        self._pipelined: deque[tuple[bytes, int]] = deque()
         self._pipelined_bytes = 0  # bytes of it
         self._more = False  # the parser stopped at as many messages as may wait, and may hold more
         self._payload: StreamReader | None = None
@@ -235,6 +239,24 @@
         """Whether something behind the last request may have been read already."""
         return self._ahead or bool(self._messages) or bool(self._pipelined) or self._bad is not None
 
+    def make_way(self) -> None:
+        """Ends a connection on which nothing is open, by a lingering close; part of a request is refused."""
+        if self.state in (State.HEAD, State.BODY):
+            self._refuse(503, "no room")
+        else:
+            self.linger()
+
+    def end(self) -> None:
+        """At once, whatever its client has still to take: its descriptor is needed."""
+        self._front.leave(self)
+        if self.transport is not None:
+            self.transport.abort()
+            self.transport = None
+
+    def unread(self) -> bool:
+        """Whether its client has still to take some of an answer."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     def let_go(self) -> None:
         """Another process holds the connection now: only our copy of its descriptor is closed."""
         self._front.leave(self)
@@ -260,14 +282,14 @@
         if self._pipelined or state in WAITS:
             self._keep_ahead(data)
         else:
-            self._receive(data)
+            self._receive(data, self._front.clock.came())
 
-    def _receive(self, data: bytes) -> None:
+    def _receive(self, data: bytes, came_ns: int) -> None:
         state = self.state
         if state == State.SILENT or state == State.IDLE:
             # The first request may have come with its connection, and waited as long to be taken in.
             if state == State.IDLE or self._front.loop.time() - self.since > SHED_SILENT_S:
-                self._came_ns = self._front.clock.came()
+                self._came_ns = came_ns
             since = self.since
             self._enter(State.HEAD)
             if state == State.SILENT:
@@ -276,29 +298,45 @@
 
     def _throw_away(self, data: bytes) -> None:
         self._spill += len(data)
-        if self._spill > LINGER_BYTES:
+        if self.state == State.BUSY:
+            # Read on with no pause. Guards against an attempt for a client whose end comes behind all that.
+            if self._spill > AWAY_MOST:
+                self._end_open(400, "too much was sent ahead of an answer")
+        elif self._spill > LINGER_BYTES:
             # Guards against 60 MB read at once to be thrown away.
             self._pause_transport_reading()
 
     def _keep_ahead(self, data: bytes) -> None:
         """What comes behind an open request waits unparsed, so that its client's leaving is always seen."""
         front = self._front
-        self._pipelined.append(data)
+        self._pipelined.append((data, front.clock.came()))
         self._pipelined_bytes += len(data)
         front.ahead += len(data)
         if self.state in WAITS and (self._pipelined_bytes > AHEAD_MOST or front.ahead > front.ahead_most):
             # Guards against a client whose leaving would hide behind what it sent at once: it is read on.
             self._forget_ahead()
-            self._bad = (400, "too much was sent ahead of an answer")
+            self._drop_what_comes(400, "too much was sent ahead of an answer")
+
+    def _drop_what_comes(self, status: int, why: str) -> None:
+        """What came behind the open request cannot be taken: that is told behind its answer."""
+        self._bad, self._spill = (status, why), 0
+        if self.transport is not None:
+            self.transport.max_size = AWAY_READ  # type: ignore[attr-defined]
+
+    def _end_open(self, status: int, why: str) -> None:
+        """The error is the answer to the open request too; nothing is sent on for it any more."""
+        self._front.left(self._number, self._inbound)
+        self._enter(State.BODY)
+        self._refuse(status, why)
 
     def _take_ahead(self) -> None:
         """What came behind an open request, a piece in a turn of the loop, once that has its answer."""
         if not self._pipelined or self._messages or self._held_up or self.state in WAITS or self._closing():
             return
-        data = self._pipelined.popleft()
+        data, came_ns = self._pipelined.popleft()
         self._pipelined_bytes -= len(data)
         self._front.ahead -= len(data)
-        self._receive(data)
+        self._receive(data, came_ns)
         if self._pipelined:
             self._loop.call_soon(self._take_ahead)
 
@@ -331,9 +369,8 @@
         message, payload = self._messages.popleft()
         if self._parser is not None:
             self._parser.message_consumed()
-        if self.state == State.IDLE:
-            self._came_ns = self._front.clock.came()
-        late, self._late = self._late or self._front.clock.now() - self._came_ns > LATE_NS, False
+        # One that was sent ahead waited behind the others, and its time counts from when it came, too.
+        late, self._late = self._late or self._front.clock.now() - self._came_ns > LOOK_NS, False
         if late and hung_up(self.transport):
             # Guards against a request that waited unread longer than its client: this process stood still, or
             # had no descriptor for it.
@@ -390,6 +427,11 @@
             return
         # Taken out at once: aiohttp's reader stops its parser at so many bytes, or chunks of any size.
         data, whole = payload.read_nowait(), payload.is_eof()
+        if whole and self._upload is not None and hung_up(self.transport):
+            # Guards against the last byte of a body that was held up, behind which its client has gone.
+            self._leave()
+            self.force_close()
+            return
         self._got += len(data)
         if self._got - self._mark >= UPLOAD_LEAST and self.state != State.BODY:
             self._mark, self.since = self._got, self._front.loop.time()
@@ -461,6 +503,16 @@
         """The backend takes nothing more of it; the answer to the request follows."""
         self.pause()
 
+    def waits(self, inbound: protocol.Inbound, look: bool) -> bool:
+        """Whether the client still waits for its answer, as far as we know, or the kernel if need be."""
+        if self._inbound is not inbound or self.state not in (State.BUSY, State.UPLOAD) or self._closing():
+            return False
+        if look and hung_up(self.transport):
+            self._leave()
+            self.force_close()
+            return False
+        return True
+
     def _ask(self) -> None:
         assert self._inbound is not None
         number = self._front.arrived(self, self._inbound, self._came_ns)
@@ -599,7 +651,7 @@
     def _refuse(self, status: int, why: str) -> None:
         """An error and the end of the connection, such that the client gets to see the error."""
         if self.state == State.BUSY:
-            self._bad = (status, why)  # its open request is answered first
+            self._drop_what_comes(status, why)  # its open request is answered first
             return
         self._bad = self._inbound = self._payload = None
         if self.transport is None:
@@ -620,6 +672,7 @@
             return
         self._forget_ahead()
         self._bad, self._spill, self._held_up = None, 0, False
+        transport.max_size = READ_MOST  # type: ignore[attr-defined]
         self._enter(state)
         self._resume_transport_reading()
         try:
@@ -631,9 +684,6 @@
         """Guards against clients that owe something for ever: silence, half a request, answers unread."""
         age, state = now - self.since, self.state
         if state == State.BUSY:
-            if self._bad is not None and self._spill:
-                self._spill = 0
-                self._resume_transport_reading()  # a while on: its client may have left behind all that
             return
         if state == State.RELAY:
             self._check_relay(now)
@@ -803,9 +853,11 @@
         # Connections by state, in the order in which they came into it.
         self._states: tuple[dict[Connection, None], ...] = tuple({} for _ in State)
         self._open: set[bytes] = set()  # the ids of requests that have no answer yet
+        self._spare = max(SPARE_LEAST, int(most * SPARE_PART))
         self._listener: socket.socket | None = None
         self._taking: set[asyncio.Task[None]] = set()
         self._waiting_since: float | None = None  # since when newcomers wait for room
+        self._ended = False  # some were, as the room was looked at last
         self._sweeper: asyncio.TimerHandle | None = None
         self.port = 0
 
@@ -825,7 +877,8 @@
         while self._listener:
             if not at_the_end and not self._room():
                 self._waiting_since = self._waiting_since or self.loop.time()
-                self._pause()
+                # Descriptors of what was ended just now are back after this turn of the loop.
+                self._pause(0.0 if self._ended else ACCEPT_PAUSE_S)
                 return
             try:
                 sock, _peer = self._listener.accept()
@@ -834,8 +887,8 @@
                 return
             except OSError as why:
                 log.warning("accept failed", extra={"kv": {"why": why}})
-                self._shed()
-                self._pause()
+                self._end_one()
+                self._pause(ACCEPT_PAUSE_S)
                 return
             self.counters.add("connections")
             sock.setblocking(False)
@@ -853,10 +906,10 @@
         self._taking.add(task)
         task.add_done_callback(self._taking.discard)
 
-    def _pause(self) -> None:
+    def _pause(self, seconds: float) -> None:
         if self._listener:
             self.loop.remove_reader(self._listener)
-            self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
+            self.loop.call_later(seconds, self._resume)
 
     def _resume(self) -> None:
         if self._listener and not self.phases.made_way:
@@ -924,32 +977,60 @@
                 self.hand_over(connection)
 
     def _room(self) -> bool:
-        """Guards against running out of descriptors: others make way, or newcomers wait."""
-        most = self._most - len(self._taking)
-        if len(self._table) < most:
-            return True
-        # Those that were closed a moment ago are still in the table.
-        return sum(c.transport is not None for c in self._table) < most or self._shed()
+        """Guards against running out of descriptors: others make way, or newcomers wait.
+
+        What was closed a moment ago still holds its descriptor, and counts until it is gone.
+        """
+        held, self._ended = len(self._table) + len(self._taking), False
+        if held >= self._most - self._spare:
+            self._ease(held)
+        return held < self._most
 
-    def _shed(self) -> bool:
-        """Closes one connection: first those that never sent a request, a served one only after 2 s.
+    def _ease(self, held: int) -> None:
+        """Sees to it that a number of connections is free or on its way out before the next newcomers come.
 
-        Guards against bad clients that hoard connections, and against closing a usual one at work.
+        Linear in that number. Guards against bad clients that hoard connections, against closing a usual one
+        at work, and against a close over bytes that cross it, which its client would see as a reset.
         """
         now = self.loop.time()
-        ages = [(State.REFUSED, 0.0), (State.LINGERING, 0.0), (State.SILENT, SHED_SILENT_S)]
-        ages += [(State.HELD, 0.0)]
+        hurried = self._waiting_since is not None and now - self._waiting_since > PATIENCE_S
+        out = [self._states[state] for state in (State.REFUSED, State.LINGERING)]
+        most = held - (self._most - self._spare) - sum(map(len, out))
+        for connection in self._idlest(now, hurried, most):
+            self.counters.add("connections_shed")
+            connection.make_way()
+        if held < self._most:
+            return
+        leaving = sorted(itertools.chain(*out), key=Connection.unread)
+        for connection in leaving[: self._spare]:
+            age = now - connection.since
+            if age >= (ACCEPT_PAUSE_S if hurried else GRACE_S) and (hurried or not connection.unread()):
+                connection.end()
+                self._ended = True
+
+    def _idlest(self, now: float, hurried: bool, most: int) -> list[Connection]:
+        """Who makes way first: who never sent a request; a served one only after 2 s, unless hurried."""
+        ages = [(State.SILENT, SHED_SILENT_S), (State.HELD, 0.0)]
         ages += [(State.IDLE, SHED_IDLE_S), (State.HEAD, SHED_PART_S), (State.BODY, SHED_PART_S)]
-        if self._waiting_since is not None and now - self._waiting_since > PATIENCE_S:
+        if hurried:
             ages += [(s, SHED_ANY_S) for s in (State.SILENT, State.HEAD, State.BODY, State.IDLE)]
+        found: dict[Connection, None] = {}
         for state, age in ages:
-            oldest = next(iter(self._states[state]), None)
-            if oldest is not None and now - oldest.since >= age:
-                self.leave(oldest)
-                oldest.force_close()
+            for connection in self._states[state]:
+                if len(found) >= most:
+                    return list(found)
+                if now - connection.since < age:
+                    break  # the others came into this state later
+                found[connection] = None
+        return list(found)
+
+    def _end_one(self) -> None:
+        """For want of a descriptor, in spite of the budget: one is closed at once."""
+        for state in (State.REFUSED, State.LINGERING, State.SILENT, State.HELD, State.IDLE):
+            if (oldest := next(iter(self._states[state]), None)) is not None:
                 self.counters.add("connections_shed")
-                return True
-        return False
+                oldest.end()
+                return
 
     def at_the_edge(self) -> bool:
         """Whether an answer is the last of its connection: at a drain, or to make room for newcomers.
@@ -1002,6 +1083,7 @@
         if inbound.txn in self._open:
             return None
         self._open.add(inbound.txn)
+        inbound.client, inbound.came_ns = connection, came_ns
         number = next(self._ids)
         connection.open_as(number, state)
         latest = self.phases.latest(self.loop.time())
--- a/mothstall/net/listener.py
+++ b/mothstall/net/listener.py
@@ -12,6 +12,7 @@
 from mothstall.config import Address
 
 BIND_TRIES, BIND_PAUSE_S = 30, 0.05
+LOOK_NS = 20_000_000  # after so long a client may have left unseen: its socket is asked before it is served
 
 
 async def listening(key: str, address: Address, backlog: int) -> socket.socket:
--- a/mothstall/net/protocol.py
+++ b/mothstall/net/protocol.py
@@ -10,7 +10,7 @@
 import re
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from mothstall.config import Address, Names, parse_address
 from mothstall.interface import Effect, Entry, Health, Result
@@ -49,6 +49,13 @@
     """Words of a client or a peer that cannot be read; the message says which."""
 
 
+class Client(Protocol):
+    """Who waits for the answer to a request."""
+
+    def waits(self, inbound: Inbound, look: bool) -> bool:
+        """Whether it still does; `look`: its end may be there and not be read yet."""
+
+
 @dataclass(slots=True)
 class Inbound:
     """One client request: what decisions need of it, and what goes on as the bytes that came."""
@@ -63,6 +70,8 @@
     stream: Stream | None = None  # a long body, in place of `body`
     length: int | None = None  # of the stream, where it is known
     cost_ns: int = 0  # expected work, where it is told
+    client: Client | None = None
+    came_ns: int = 0  # Unix time since when it may have been there; its client's end was not seen by then
 
 
 @dataclass(slots=True)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -147,6 +147,8 @@
         self.calls: list[str] = []
         self.raw: bytes | None = None  # said instead of any list
         self.indent: int | None = None
+        self.whole = False  # whole lists also on a watch
+        self.piece = 0  # bytes written at once; 0: all
         self.hangs = False
         self.held: asyncio.Event | None = None  # answers wait for it
         self.news = asyncio.Event()
@@ -180,7 +182,10 @@
                 line, _, _ = await read_message(reader)
                 target = line.split()[1].decode()
                 self.calls.append(target)
-                writer.write(await self._reply(target))
+                raw = await self._reply(target)
+                for at in range(0, len(raw), self.piece or len(raw) or 1):
+                    writer.write(raw[at : at + (self.piece or len(raw))])
+                    await asyncio.sleep(0)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
@@ -203,6 +208,8 @@
                 await asyncio.wait_for(self.news.wait(), int(query["timeout_ms"]) / 1000)
             except TimeoutError:
                 return self._list(False, [])
+        if self.whole:
+            return self._list(True, self.members)
         rows = [row for version in sorted(self.changes) if version > since for row in self.changes[version]]
         return self._list(False, rows)
 
--- a/tests/test_net_relay.py
+++ b/tests/test_net_relay.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import pytest
 from hypothesis import given, settings
@@ -350,8 +351,8 @@
 
 
 @asynccontextmanager
-async def swallowing() -> AsyncIterator[tuple[Rig, Swallows]]:
-    async with rig(listed=False, operators="127.0.0.1:0") as r:
+async def swallowing(**changes: Any) -> AsyncIterator[tuple[Rig, Swallows]]:
+    async with rig(listed=False, operators="127.0.0.1:0", **changes) as r:
         taker = Swallows()
         await taker.start()
         r.directory.tell(taker.row())
