--- /dev/null
+++ b/tests/test_net_page.py
@@ -0,0 +1,123 @@
+"""Sentences of the standing test that no other file forces: whole lists, forms and pieces, half a line."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+
+from tests.peers import Client, Seen, answer, request_bytes, rig, serves, serves_after
+from tests.test_net_watch import MODES, watched
+
+
+@pytest.mark.parametrize("mode", MODES)
+def test_what_a_whole_list_does_not_name_is_gone_also_where_it_still_answers(mode: str) -> None:
+    async def run() -> None:
+        go = asyncio.Event()
+        async with rig(serves_after(go), serves, discovery=mode) as r:
+            left, stays = r.backends
+            await watched(r)
+            client, asked = await r.client(), None
+            while not left.seen:  # until one is out there
+                asked = asyncio.create_task(client.ask(remaining="3900m"))
+                await r.until(lambda: bool(left.seen) or asked.done())  # noqa: B023
+            r.directory.members, r.directory.whole = [stays.row()], True
+            r.directory.tell()
+            await r.until(lambda: r.proxy._decider.listed_count() == 1)
+            go.set()
+            assert asked is not None and (await asked).status == 200  # what is out ends as it does
+            await r.until(lambda: left.ended == left.opened)  # and no connection is kept
+            seen = len(left.seen)
+            assert [(await client.ask()).status for _ in range(20)] == [200] * 20
+            assert len(left.seen) == seen
+            client.close()
+
+    asyncio.run(run())
+
+
+def forms() -> list[tuple[str, bytes, bytes]]:
+    """Name, a request as it is written, and the body that its backend has to get."""
+    body = b"x" * 300
+    chunked = request_bytes("order", drop=("Content-Length",), Transfer_Encoding="chunked")
+    plain = request_bytes("order", body=body)
+    return [
+        ("a length", plain, body),
+        ("chunks", chunked + b"64\r\n" + b"x" * 100 + b"\r\nC8\r\n" + b"x" * 200 + b"\r\n0\r\n\r\n", body),
+        ("extensions and trailers", chunked + b"12c;a=b\r\n" + body + b"\r\n0\r\nX-Sum: 1\r\n\r\n", body),
+        ("no body", request_bytes("order"), b""),
+        ("names in capitals", plain.replace(b"X-Lane:", b"X-LANE:").replace(b"X-Txn:", b"x-TXN:"), body),
+        ("space round values", plain.replace(b"X-Lane: ", b"X-Lane: \t "), body),
+        ("no space", plain.replace(b"X-Lane: ", b"X-Lane:"), body),
+        ("in microseconds", plain.replace(b": 800m", b": 800000u"), body),
+        ("a fraction", plain.replace(b": 800m", b": 800.5m"), body),
+        ("the word to keep alive", plain.replace(b"Host", b"Connection: keep-alive\r\nHost"), body),
+    ]
+
+
+@pytest.mark.parametrize("piece", [1, 7, 10_000])
+def test_requests_in_pieces_and_in_all_forms_reach_their_backend_whole(piece: int) -> None:
+    async def run() -> None:
+        async with rig(reads) as r:
+            client = await r.client()
+            for name, raw, _ in forms():
+                for at in range(0, len(raw), piece):
+                    client.writer.write(raw[at : at + piece])
+                    await asyncio.sleep(0)
+                reply = await client.read()
+                assert reply.status == 200, (name, reply)
+            assert [s.body for s in r.backends[0].seen] == [body for _, _, body in forms()]
+            client.close()
+
+    async def reads(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer())
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("form", ["a length", "chunks"])
+@pytest.mark.parametrize("piece", [1, 50])
+@pytest.mark.parametrize("mode", MODES)
+def test_lists_in_pieces_and_in_both_framings_are_read(mode: str, piece: int, form: str) -> None:
+    async def run() -> None:
+        async with rig(serves, serves, discovery=mode) as r:
+            await watched(r)
+            plain = r.directory._list
+
+            def framed(full: bool, rows: list[dict[str, Any]]) -> bytes:
+                if form == "a length":
+                    return plain(full, rows)
+                tree = {"revision": r.directory.revision, "complete": full, "members": rows}
+                raw = json.dumps(tree).encode()
+                parts = b"".join(b"%x\r\n%b\r\n" % (len(raw[i : i + 9]), raw[i : i + 9])
+                                 for i in range(0, len(raw), 9))  # fmt: skip
+                return b"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n" + parts + b"0\r\n\r\n"
+
+            r.directory._list = framed  # type: ignore[method-assign]
+            r.directory.piece = piece
+            r.directory.tell(r.backends[0].row("DRAINING"))
+            await r.until(lambda: r.proxy._decider.out_of_rotation() == 1, 8.0)
+            seen = len(r.backends[0].seen)
+            for _ in range(10):
+                assert (await r.ask()).status == 200
+            assert len(r.backends[0].seen) == seen
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("said", [b"H", b"HTTP/1.1 200 O", b"\r\n", b"HTTP/1.1 408 Late\r\n\r\n"])
+def test_half_a_line_on_a_resting_connection_to_a_backend_goes_to_nobody(said: bytes) -> None:
+    async def run() -> None:
+        async with rig(serves) as r:
+            backend = r.backends[0]
+            client: Client = await r.client()
+            assert (await client.ask()).status == 200
+            (writer,) = backend.writers
+            writer.write(said)
+            await r.until(lambda: backend.ended == 1)
+            assert (await client.ask()).status == 200
+            assert [s.connection for s in backend.seen] == [1, 2]
+            client.close()
+
+    asyncio.run(run())
