Nothing per request, slot or changed row goes through all tenants or backends twice

Cause: _claim summed over all tenants for each tenant at every slot's end (4,000 tenants: 285 to 465 ms a slot), a request's tenant and class were looked up by going through all names, any waiting request made each other one go through all tenants, each changed row sorted and hashed the whole list, each slot copied it three times. An actor's mailbox and idle connections, a backend's marks and a tenant's queue were a deque each (760 bytes when empty), and the list stayed a second time as JSON.

Change: one sum a slot; indexes of names; only the profiles that wait are asked; few changed rows find their places by bisection (more than one in 64: sorted as before, by kept hashes); a slice instead of the rotated copy; lists for short queues; run empties known. Names: queued, place, class_index, tenant_index.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -9,6 +9,7 @@
 import heapq
 import math
 import random
+from bisect import bisect_left
 from collections import deque
 from collections.abc import Callable
 from functools import partial
@@ -61,13 +62,13 @@
     def __init__(self, entry: io.Entry, now: int, token: float) -> None:
         self.id, self.zone, self.cell, self.kind = entry.backend, entry.zone, entry.cell, entry.kind
         self.weight, self.credit = usable(entry.weight), 1.0  # credit: what is gathered for its next turn
-        self.started = entry.started_ns
+        self.started, self.place = entry.started_ns, (stable_hash(entry.backend), entry.backend)
         self.priority = self.member = False
         self.in_flight = self.arrivals = self.done = self.busy_ns = 0
         self.busy_since = self.progress = now
         self.util, self.queue, self.told_at, self.asked = -1.0, 0.0, -1, False  # queue: as a probe was told
         self.est1, self.est2, self.x, self.u, self.b = -1.0, -1.0, 0.0, 0.0, 0.0  # below 0: nothing measured
-        self.marks: deque[tuple[int, int, int, bool]] = deque()  # slots of the last T
+        self.marks: list[tuple[int, int, int, bool]] = []  # slots of the last T
         self.limit, self.cut_at = ROOM_START, 0
         self.tokens, self.tokens_at, self.touched = token, now, False
         self.slow, self.rest_until, self.rests = 1.0, 0, 1.0  # last answers over the calmest mean; full until
@@ -82,8 +83,7 @@
 
 class Request:
     def __init__(self, ev: io.RequestArrived, cls: io.RequestClass, flow: Flow, prio: bool, now: int) -> None:
-        self.cls_index = ev.cls
-        self.id, self.cls, self.flow, self.priority = ev.request, cls, flow, prio
+        self.id, self.cls_index, self.cls, self.flow, self.priority = ev.request, ev.cls, cls, flow, prio
         self.arrived, self.deadline = now, now + ev.left_ns
         self.aim, self.cost = max(1, cls.aim_ns), ev.cost_ns
         self.attempts: list[Attempt] = []
@@ -96,9 +96,9 @@
 class Flow:
     """The requests of one profile: of a tenant where tenants are told, else of a class."""
 
-    def __init__(self, weight: float, quota: float, first: float) -> None:
-        self.weight, self.quota = max(weight, 1e-6), quota
-        self.queue: deque[Request] = deque()
+    def __init__(self, number: int, weight: float, quota: float, first: float) -> None:
+        self.number, self.weight, self.quota = number, max(weight, 1e-6), quota
+        self.queue: list[Request] = []
         self.served, self.tag, self.rate, self.seen, self.good = 0, 0.0, 0.0, 0.0, 0.0
         self.tokens, self.tokens_at = first, 0  # what the flow may still ask inside its share
 
@@ -121,8 +121,7 @@
 
     def close(self, now: int) -> float:
         """Guards against moves on a single late answer: what is too little to judge by is carried on."""
-        seen = self.count + self.open
-        if seen < LEAST_SEEN:
+        if (seen := self.count + self.open) < LEAST_SEEN:
             return 0.0
         ratio = (self.total + now * self.inv - self.since) / seen
         self.total, self.count = 0.0, 0
@@ -157,10 +156,10 @@
         self.requests: dict[int, Request] = {}
         # Guards against starting sums that all proxies spend at once: they are drawn at random.
         first = self.rng.random()
-        self.flows = [Flow(t.share, t.allowance_per_s, first) for t in settings.tenants] or [
-            Flow(c.worth, c.worth, first) for c in settings.classes
-        ]
-        self.priority = max(range(len(self.flows)), key=lambda i: (self._claim(i), -i))
+        rows = [(t.share, t.allowance_per_s) for t in settings.tenants]
+        rows = rows or [(c.worth, c.worth) for c in settings.classes]
+        self.flows, self.queued = [Flow(i, *row, first) for i, row in enumerate(rows)], dict[int, Flow]()
+        self.priority = max(range(len(self.flows)), key=lambda i: (self._claim(i, 0.0), -i))
         self.turn, self.ratio, self.version, self.in_flight, self.waiting = [0, 0], [0.0, 0.0], -1, 0, 0
         self.calm = [[0.0, 0.0, 0.0] for _ in settings.classes]  # a class's mean latency, the calmest, count
         self.most_worth = max(c.worth for c in settings.classes)
@@ -208,8 +207,7 @@
             self.on[type(ev)](ev)
         while self.heap and self.heap[0][0] <= self.now:
             heapq.heappop(self.heap)[2]()
-        if self.waiting:
-            self._serve_waiting()
+        self._serve_waiting()
         if self.heap and (not self.timer_at or self.heap[0][0] < self.timer_at):
             self.timer_at = max(self.heap[0][0], self.now + 1)
             self.acts.append(io.SetTimer(self.timer_at, self.timer_at))
@@ -292,9 +290,14 @@
             for b in [b for b in self.backends.values() if b.id not in listed]:
                 self._drop(b)
         first = not self.backends
+        few = ev.scope == Scope.DELTA and 64 * len(ev.entries) <= len(self.ring)
         for entry in ev.entries:
             self._on_entry(entry)
-        rows = self.ring = sorted(self.backends.values(), key=lambda b: (stable_hash(b.id), b.id))
+            if few:  # each finds its place; more than one in 64 are sorted anew
+                at = bisect_left(self.ring, (stable_hash(n := entry.backend), n), key=lambda b: b.place)
+                old = at < len(self.ring) and self.ring[at].id == n
+                self.ring[at : at + old] = [b for b in [self.backends.get(n)] if b]
+        rows = self.ring = self.ring if few else sorted(self.backends.values(), key=lambda b: b.place)
         self.grain = min(1.0, len(rows) / self.cfg.proxies)
         self.heaviest = max((b.weight for b in rows), default=1.0)
         self.thin = len(rows) < THIN * self.cfg.proxies
@@ -338,9 +341,9 @@
             self.size = math.ceil(size)
         chosen: list[Backend] = []
         far = {z for z, part in enumerate(self.advice.parts) if not part and self._advised() and self.thin}
-        ring = [b for b in self.ring if b.zone not in far] or self.ring
-        start, well = int(self.point * len(ring)), 0
-        for b in (ring[start:] + ring[:start])[: 2 * self.size]:
+        ring = ([b for b in self.ring if b.zone not in far] if far else self.ring) or self.ring
+        start, most, well = int(self.point * len(ring)), min(2 * self.size, len(ring)), 0
+        for b in ring[start : start + most] + ring[: max(0, start + most - len(ring))]:
             if well >= self.size:
                 break
             chosen.append(b)
@@ -380,17 +383,15 @@
 
     # The two groups
 
-    def _claim(self, i: int) -> float:
+    def _claim(self, i: int, seen: float) -> float:
         """Quota for each part of the traffic; without tenants the worth of the class."""
         flow = self.flows[i]
-        if not self.cfg.tenants:
-            return flow.quota
-        seen = sum(f.seen for f in self.flows)
-        return flow.quota / max(flow.seen / seen if seen > 0 else self.cfg.tenants[i].share, 1e-3)
+        part = max(flow.seen / seen if seen > 0 else flow.weight, 1e-3)
+        return flow.quota / part if self.cfg.tenants else flow.quota
 
     def _split(self) -> None:
         """Start: the priority profile's part of the requests, of the backends in order of hashed id."""
-        order = sorted(self.members, key=lambda b: (stable_hash(b.id), b.id))
+        order = sorted(self.members, key=lambda b: b.place)
         flow = self.flows[self.priority]
         seen = sum(f.seen for f in self.flows)
         share = flow.seen / seen if seen > 0 else flow.weight / sum(f.weight for f in self.flows)
@@ -410,8 +411,7 @@
 
     def _move(self, side: int) -> None:
         """(9) and (10): the backend of largest distance on the other side joins this one."""
-        source = self.groups[1 - side]
-        if len(source) < 2:
+        if len(source := self.groups[1 - side]) < 2:
             return
         b = max(source, key=lambda m: (math.hypot(max(0.0, m.est1), max(0.0, m.est2)), -m.id))
         source.remove(b)
@@ -451,7 +451,7 @@
         now, marks = self.now, b.marks
         marks.append((now, span, b.arrivals, False))
         while marks[0][0] <= now - T_NS:
-            marks.popleft()
+            marks.pop(0)
         mean = sum(m[2] for m in marks) / sum(m[1] for m in marks)
         if b.arrivals / span > mean:
             marks[-1] = (now, span, b.arrivals, True)
@@ -486,7 +486,9 @@
         for calm in self.calm:
             calm[1] *= 1.0 + CALM_RISE * span / NS
         self.least = [x * (1.0 + CALM_RISE * span / NS) for x in self.least]
-        claims = [self._claim(i) for i in range(len(self.flows))]
+        self.queued = {i: f for i, f in self.queued.items() if f.queue}
+        seen = sum(f.seen for f in self.flows)
+        claims = [self._claim(i, seen) for i in range(len(self.flows))]
         best = max(range(len(claims)), key=lambda i: (claims[i], -i))
         # A near tie must not swap the priority profile back and forth.
         if len(self.slots) == 1 or claims[best] > 1.25 * claims[self.priority]:
@@ -585,8 +587,7 @@
 
     def _may_go(self, req: Request, b: Backend) -> bool:
         """The rule on repeats: where an earlier attempt may have run, who may still get another."""
-        ran = req.ran_on
-        if ran is None or req.cls.effect == Effect.SAFE:
+        if (ran := req.ran_on) is None or req.cls.effect == Effect.SAFE:
             return True
         if req.cls.effect == Effect.UNSAFE or self.now >= req.ran_at + req.cls.window_ns:
             return False
@@ -668,7 +669,7 @@
             return self._give_up(req)
         if not flow.queue:
             flow.tag = max(flow.tag, self.virtual)
-            first = not self.waiting or flow.tag <= min(f.tag for f in self.flows if f.queue)
+            first = not self.waiting or flow.tag <= min(f.tag for f in self.queued.values() if f.queue)
             if first and ev.left_ns >= self.usual / 2 and (b := self._pick(req)):
                 self._admit(req, b)
                 return
@@ -681,10 +682,9 @@
         rate = max(SHARE_SLACK * self.part, 1.0 / self.cfg.proxies) * flow.quota
         gathered = flow.tokens + (self.now - flow.tokens_at) * rate / NS
         flow.tokens, flow.tokens_at = min(max(1.0 + FEW * self.thin, rate), gathered), self.now
-        if flow.tokens < 1.0:
-            return True
-        flow.tokens -= 1.0
-        return False
+        beyond = flow.tokens < 1.0
+        flow.tokens -= not beyond
+        return beyond
 
     def _hold(self, req: Request) -> None:
         """Wait briefly for room where room is near; else refuse at once, not late."""
@@ -695,6 +695,7 @@
             self._give_up(req)
             return
         flow.queue.append(req)
+        self.queued[flow.number] = flow
         req.waiting, self.waiting = until, self.waiting + 1
         # Guards against the end of an earlier wait, while this one lasts.
         self._at(until, lambda: self._give_up(req) if req.waiting == until else None)
@@ -702,13 +703,13 @@
     def _serve_waiting(self) -> None:
         """Under pressure room goes to the profile furthest behind its share."""
         while self.waiting:
-            for flow in sorted((f for f in self.flows if f.queue), key=lambda f: f.tag):
+            for flow in sorted((f for f in self.queued.values() if f.queue), key=lambda f: (f.tag, f.number)):
                 req = flow.queue[0]
                 if b := self._pick(req):
                     break
             if b is None:
                 break
-            flow.queue.popleft()
+            flow.queue.pop(0)
             req.waiting, self.waiting = 0, self.waiting - 1
             self._admit(req, b)
         # Guards against nudges that breed: at most one is due, and it does nothing by itself.
@@ -845,8 +846,7 @@
 
     def _again(self, req: Request, result: Result) -> None:
         """Another try where the class allows it, the time suffices and the budget pays for it."""
-        left = req.deadline - self.now
-        free = result in io.NEVER_RAN
+        left, free = req.deadline - self.now, result in io.NEVER_RAN
         spent = len(req.attempts) >= self.cfg.max_attempts or (not free and self.budget < 1)
         # What is beyond a share takes no second turn.
         spent = spent or (req.beyond and bool(self.cfg.tenants) and self.thin)
--- a/mothstall/config.py
+++ b/mothstall/config.py
@@ -42,6 +42,13 @@
     deadlines_ns: tuple[int, ...] = ()
     # The name in `X-Labels` of a request's expected work in ns; empty: none is read. No part of the settings.
     cost_label: str = field(default="", compare=False)
+    # Guards against a look through all names for each request: their indexes.
+    class_index: Mapping[str, int] = field(init=False, repr=False, compare=False)
+    tenant_index: Mapping[str, int] = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        for key, words in (("class_index", self.classes), ("tenant_index", self.tenants)):
+            object.__setattr__(self, key, {word: i for i, word in enumerate(words)})
 
 
 @dataclass(frozen=True, slots=True)
--- a/mothstall/net/actor.py
+++ b/mothstall/net/actor.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from collections import deque
 from typing import Generic, TypeVar
 
 from mothstall.net.checks import hold
@@ -21,7 +20,7 @@
 
     def __init__(self, name: str, loop: asyncio.AbstractEventLoop, counters: Counters) -> None:
         self.name, self.loop, self.counters = name, loop, counters
-        self._mail: deque[M] = deque()
+        self._mail: list[M] = []
         self._due = False
 
     def tell(self, message: M) -> None:
@@ -32,8 +31,7 @@
             self.loop.call_soon(self._drain)
 
     def _drain(self) -> None:
-        batch = list(self._mail)
-        self._mail.clear()
+        batch, self._mail = self._mail, []
         self._due = False
         try:
             self.receive(batch)
--- a/mothstall/net/backend.py
+++ b/mothstall/net/backend.py
@@ -13,7 +13,6 @@
 import contextlib
 import errno
 import logging
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -171,7 +170,7 @@
         """A backend said more than it was asked."""
         self._wary_until = self.loop.time() + WARY_S
 
-    def take_idle(self, idle: deque[Link]) -> Link | None:
+    def take_idle(self, idle: list[Link]) -> Link | None:
         """Out of a backend's idle connections the one to use next: the latest, rested if backends stray.
 
         Guards against a second answer, some milliseconds late, that the next request would take for its own.
@@ -612,7 +611,7 @@
         self._connect_s = connect_timeout_ns / NS
         # Guards against a successor at the same address: a link of an earlier life is never used again.
         self.life = 0
-        self._idle: deque[Link] = deque()  # the latest to fall idle is used first, so that the others end
+        self._idle: list[Link] = []  # the latest to fall idle is used first, so that the others end
         self._in_flight: dict[tuple[int, int], _Attempt] = {}
         self._probes: set[_Attempt] = set()
 
--- a/mothstall/net/protocol.py
+++ b/mothstall/net/protocol.py
@@ -117,13 +117,12 @@
     if not _ID.fullmatch(found.get(TXN, b"")):
         raise Unreadable("X-Txn is missing or unreadable")
     lane = found.get(LANE, b"").decode("utf-8", "replace")
-    if lane not in names.classes:
+    if (cls := names.class_index.get(lane, -1)) < 0:
         raise Unreadable("X-Lane names no class")
     if not target.startswith("/") or "#" in target:
         raise Unreadable("the request's target is unreadable")
     if target[1:].partition("?")[0].partition("/")[0] != lane:
         raise Unreadable("the path is not that of X-Lane")
-    cls = names.classes.index(lane)
     if cls < len(names.effects):
         safe = names.effects[cls] == Effect.SAFE
         if method != ("GET" if safe else "POST"):
@@ -141,7 +140,7 @@
         head=b"".join(lines),
         body=body,
         cls=cls,
-        tenant=names.tenants.index(org) if org in names.tenants else len(names.tenants),
+        tenant=names.tenant_index.get(org, len(names.tenants)),
         left_ns=left,
         repeated=found.get(RESENT, b"") == b"1",
         cost_ns=_cost_ns(found.get(LABELS, b""), names.cost_label) if names.cost_label else 0,
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -342,8 +342,13 @@
     poll: Poll | None = None,
     operator: Operator | None = None,
 ) -> None:
-    """Serves until SIGTERM or SIGINT, then drains. SIGHUP reads the file again, SIGUSR1 prints counters."""
+    """Serves until SIGTERM or SIGINT, then drains. SIGHUP reads the file again, SIGUSR1 prints counters.
+
+    `known` is read once and emptied.
+    """
     proxy = Proxy(config, poll, operator)
+    if isinstance(config.known, dict):
+        config.known.clear()  # guards against a second copy of the list, as JSON, while the process lives
     proxy.loop.set_exception_handler(proxy.note_fault)
     over = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import math
+import random
+from collections.abc import Iterator
+from typing import Any
 
 import pytest
 
@@ -236,3 +239,81 @@
         for i in range(200):
             drive.serve(i % 3)
     assert one.log == two.log
+
+
+# What must not grow with all that is known
+
+
+class Counted(list[Any]):
+    """A list that counts how often it is gone through."""
+
+    passes = 0
+
+    def __iter__(self) -> Iterator[Any]:
+        self.passes += 1
+        return super().__iter__()
+
+
+def test_a_few_changed_rows_find_their_places_in_the_ring() -> None:
+    rng, drive = random.Random(3), Drive(400)
+    listed = set(range(1, 401))
+    for version in range(2, 300):
+        gone = rng.sample(sorted(listed), rng.randrange(3))
+        come = [rng.randrange(1, 10_000) for _ in range(rng.randrange(4))]
+        rows = [entry(n, health=rng.choice((Health.GONE, Health.DRAINING))) for n in gone]
+        rows += [entry(n, started=version) for n in come]
+        drive.feed(io.BackendList(Scope.DELTA, version, rows))
+        listed = listed - set(gone) | set(come)
+        assert [b.id for b in drive.balancer.ring] == sorted(listed, key=lambda n: (stable_hash(n), n))
+        assert all(drive.balancer.backends[b.id] is b for b in drive.balancer.ring)
+
+
+def test_a_few_changed_rows_hash_no_others(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against the whole list sorted for each row that changes."""
+    drive = Drive(400)
+    asked: list[int] = []
+
+    def hashed(number: int) -> int:
+        asked.append(number)
+        return stable_hash(number)
+
+    monkeypatch.setattr("mothstall.choice.stable_hash", hashed)
+    drive.feed(io.BackendList(Scope.DELTA, 2, [entry(7, health=Health.GONE), entry(900, started=5)]))
+    assert set(asked) == {7, 900}
+
+
+def test_members_are_the_run_of_the_ring_from_this_proxys_place_on() -> None:
+    for position in range(9):
+        drive = Drive(60, proxies=60, position=position)
+        b = drive.balancer
+        start = int(b.point * 60)
+        turned = b.ring[start:] + b.ring[:start]
+        assert {m.id for m in b.members} == {m.id for m in turned[: b.size]}
+
+
+def test_a_slots_end_goes_through_the_profiles_a_few_times_and_not_for_each() -> None:
+    """Guards against tenants squared at each slot's end."""
+    drive = Drive(4, tenants=tuple(io.Tenant(0.02, 2.0) for _ in range(50)))
+    flows = drive.balancer.flows = Counted(drive.balancer.flows)
+    drive.wait(T_NS // 10 + 1)
+    assert 0 < flows.passes < 10
+
+
+def test_a_request_goes_through_no_profiles_but_those_that_wait() -> None:
+    """Guards against a look at all tenants for each request, while a few of them wait."""
+    drive = Drive(1, tenants=tuple(io.Tenant(0.02, 1e3) for _ in range(50)))
+    drive.serve()
+    drive.balancer.room = 0.0
+    for flow in drive.balancer.flows:
+        flow.rate = 1e6
+    flows = drive.balancer.flows = Counted(drive.balancer.flows)
+    for tenant in (0, 1, 0, 2):
+        drive.ask(tenant=tenant)
+    assert drive.balancer.waiting == 4
+    assert {f.number for f in drive.balancer.queued.values()} == {0, 1, 2}
+    assert flows.passes == 0
+    drive.balancer.room = 1e3
+    drive.wait(20_000_000)
+    assert drive.balancer.waiting == 0
+    drive.wait(T_NS)
+    assert not drive.balancer.queued
--- a/tests/test_net_protocol.py
+++ b/tests/test_net_protocol.py
@@ -105,3 +105,25 @@
     assert [protocol.result_of(s, marked) for s in (503, 504)] == [Result.REJECTED] * 2
     for status, headers in ((503, {}), (504, {}), (500, marked), (429, marked), (302, {}), (204, {})):
         assert protocol.result_of(status, headers) == Result.ERROR
+
+
+class Unsearched(tuple[str, ...]):
+    """Names that nobody may look through."""
+
+    __slots__ = ()
+
+    def __contains__(self, item: object) -> bool:
+        raise AssertionError("looked through")
+
+    def index(self, *_: Any) -> int:
+        raise AssertionError("looked through")
+
+
+def test_no_request_looks_through_all_names_of_classes_and_tenants() -> None:
+    names = Names(Unsearched(("search", "pay")), Unsearched(("acme", "zenith")), ("east",), ("std",))
+    rows = [(b"X-Txn", b"1"), (b"X-Lane", b"pay"), (b"X-Remaining", b"480m")]
+    for org, number in ((b"acme", 0), (b"zenith", 1), (b"nobody", 2), (b"", 2)):
+        inbound = protocol.read_request("POST", "/pay", [*rows, (b"X-Org", org)], b"x", names)
+        assert (inbound.cls, inbound.tenant) == (1, number)
+    with pytest.raises(protocol.Unreadable, match="X-Lane"):
+        protocol.read_request("POST", "/pay", [(b"X-Txn", b"1"), (b"X-Lane", b"no")], b"x", names)
