--- a/mothstall/lab/bench.py
+++ b/mothstall/lab/bench.py
@@ -68,7 +68,7 @@
             self.transport.write(ANSWER * whole)
 
 
-def _serve_boxes(pipe: Connection) -> None:
+def serve_boxes(pipe: Connection) -> None:
     async def main() -> None:
         loop = asyncio.get_running_loop()
         servers = [await loop.create_server(_InstantBox, "127.0.0.1", 0) for _ in range(BOXES)]
@@ -83,10 +83,10 @@
         pipe.recv()
 
 
-class _Asker(asyncio.Protocol):
+class Asker(asyncio.Protocol):
     """One connection of a client: one request at a time."""
 
-    def __init__(self, done: Callable[[_Asker, bool], object]) -> None:
+    def __init__(self, done: Callable[[Asker, bool], object]) -> None:
         self.done, self.begun, self.data = done, 0.0, b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -122,12 +122,12 @@
         loop, rng = asyncio.get_running_loop(), random.Random(worker)
         histogram = HdrHistogram(1, TOP_US, 3)
         numbers = iter(range(1 + worker * 10_000_000_000, 1 << 62))
-        idle: list[_Asker] = []
+        idle: list[Asker] = []
         counts = {"good": 0, "bad": 0, "late_us": 0}
         begin = loop.time() + WARM_S
         end = begin + seconds
 
-        def done(asker: _Asker, good: bool) -> None:
+        def done(asker: Asker, good: bool) -> None:
             now, begun, asker.begun = loop.time(), asker.begun, 0.0
             if begin <= now < end:
                 counts["good" if good else "bad"] += 1
@@ -139,8 +139,8 @@
             elif now < end:
                 asker.ask(next(numbers), now)
 
-        async def connect() -> _Asker:
-            _, made = await loop.create_connection(lambda: _Asker(done), "127.0.0.1", port)
+        async def connect() -> Asker:
+            _, made = await loop.create_connection(lambda: Asker(done), "127.0.0.1", port)
             return made
 
         askers = [await connect() for _ in range(held)]
@@ -203,7 +203,7 @@
     loop = asyncio.get_running_loop()
     context = multiprocessing.get_context("spawn")
     mine, theirs = context.Pipe()
-    boxes = context.Process(target=_serve_boxes, args=(theirs,), daemon=True)
+    boxes = context.Process(target=serve_boxes, args=(theirs,), daemon=True)
     boxes.start()
     rows = []
     with tempfile.TemporaryDirectory(prefix="mothstall-bench-") as folder:
