--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -10,7 +10,7 @@
 import math
 import random
 from bisect import bisect_left
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -149,6 +149,7 @@
         self.acts: list[io.Action] = []
         self.backends: dict[int, Backend] = {}
         self.ring: list[Backend] = []  # the list in order of hashed id
+        self.weights = Counter[float]()  # how many of the list have each weight
         self.members: list[Backend] = []  # those of the list that this proxy sends to
         self.point = settings.position * GOLDEN % 1.0  # where on a ring they begin
         self.size, self.rate, self.sick, self.asked_at, self.asks_failed, self.herd = 0, 0.0, 0, -1, 0, 0
@@ -299,7 +300,8 @@
                 self.ring[at : at + old] = [b for b in [self.backends.get(n)] if b]
         rows = self.ring = self.ring if few else sorted(self.backends.values(), key=lambda b: b.place)
         self.grain = min(1.0, len(rows) / self.cfg.proxies)
-        self.heaviest = max((b.weight for b in rows), default=1.0)
+        self.weights = +self.weights
+        self.heaviest = max(self.weights, default=1.0)
         self.thin = len(rows) < THIN * self.cfg.proxies
         self._choose_members()
         if first:
@@ -309,24 +311,26 @@
 
     def _on_entry(self, entry: io.Entry) -> None:
         old = self.backends.get(entry.backend)
-        if entry.health != Health.READY:
-            if old:
-                self._drop(old)
-            return
-        if old and old.started == entry.started_ns:
+        if old and entry.health == Health.READY and old.started == entry.started_ns:
+            self.weights[old.weight] -= 1
             old.zone, old.cell, old.weight = entry.zone, entry.cell, usable(entry.weight)
+            self.weights[old.weight] += 1
             return
         if old:
             self._drop(old)  # a new start under the same id is a new, cold backend
+        if entry.health != Health.READY:
+            return
         # Room follows the list both ways: a backend that comes brings what one that leaves would take.
         self.room *= 1.0 + 1.0 / max(1, len(self.backends))
         b = self.backends[entry.backend] = Backend(entry, self.now, self.rng.random())
         b.limit = ROOM_START if self._warmth(b) >= 1 else 1.0
+        self.weights[b.weight] += 1
 
     def _drop(self, b: Backend) -> None:
         # Guards against the room of the whole fleet falling on what is left of it.
         self.room = max(self.grain, self.room * (1.0 - 1.0 / len(self.backends)))
         self.backends.pop(b.id, None)
+        self.weights[b.weight] -= 1
         self.sick -= b.fails > 0
         self._leave(b)
 
@@ -704,8 +708,7 @@
         """Under pressure room goes to the profile furthest behind its share."""
         while self.waiting:
             for flow in sorted((f for f in self.queued.values() if f.queue), key=lambda f: (f.tag, f.number)):
-                req = flow.queue[0]
-                if b := self._pick(req):
+                if b := self._pick(req := flow.queue[0]):
                     break
             if b is None:
                 break
@@ -734,13 +737,12 @@
             b.tokens -= 1.0 if b.touched else 1.5  # the first send also costs a handshake
         b.touched, b.busy_since = True, b.busy_since if b.in_flight else now
         b.in_flight, self.in_flight = b.in_flight + 1, self.in_flight + 1
-        b.arrivals, self.sent = b.arrivals + 1, self.sent + 1
+        b.arrivals, self.sent, req.out = b.arrivals + 1, self.sent + 1, req.out + 1
         if self.sent > 2 * len(self.members) + LEAST_SEEN and len(self.members) < len(self.backends):
             # Guards against a proxy turned hot crowding its few members until the slot ends.
             self.rate = max(self.rate, self.sent * NS / max(NS, now - self.slot_at))
             self._choose_members()
         req.attempts.append(Attempt(b, now, trial))
-        req.out += 1
         by = req.ran_at + req.cls.window_ns if req.ran_on and req.cls.effect == Effect.KEYED else 0
         req.ran_on, req.ran_at = (req.ran_on, req.ran_at) if req.ran_on else (b, now)
         if b.zone < len(self.due) and self._advised():
@@ -823,9 +825,8 @@
 
     def _on_ended(self, ev: io.AttemptEnded) -> None:
         req = self.requests.get(ev.request)
-        if req is None or ev.attempt >= len(req.attempts) or not req.attempts[ev.attempt].out:
+        if req is None or ev.attempt >= len(req.attempts) or not (a := req.attempts[ev.attempt]).out:
             return
-        a = req.attempts[ev.attempt]
         a.out, req.out = False, req.out - 1
         self._learn(a, req, ev)
         if ev.result in io.NEVER_RAN:
@@ -867,8 +868,7 @@
         if not a.held:
             self._no_longer_out(b)
         b.probing = b.probing and not a.trial
-        if (util := self._report(ev.load, "util")) >= 0:
-            b.util = min(1.0, util)
+        b.util = min(1.0, util) if (util := self._report(ev.load, "util")) >= 0 else b.util
         # Guards against requests with little time left: silence no longer than usual tells nothing of anyone.
         sure = (now - a.sent) / (1.5 * self.usual) if self.usual else 1.0
         if (result := ev.result) == Result.OK:
--- a/mothstall/lab/scale/path.py
+++ b/mothstall/lab/scale/path.py
@@ -1,7 +1,9 @@
 """Plays of the proxy's own path at several sizes: what a request, a start and a list's change cost.
 
 Each play is `play(seed, repeat, say) -> points`; `PLAYS` names them. One call plays every size once, so that
-repeats of a command lie apart in time; sizes come in an order that the seed and the repeat draw.
+repeats of a command lie apart in time; sizes come in an order that the seed and the repeat draw. A play at
+several rates, or of several changes, gives a series of points for each: `request/backends/70` is at 70
+requests a second, `list/backends/170` the change of 170 rows.
 
 | group | real | left out |
 | --- | --- | --- |
@@ -161,7 +163,7 @@
         series=series, axes=axes, repeat=repeat, seed=seed, revision=_revision(), cores=os.cpu_count() or 1,
         values={name: (round(number, 6), unit) for name, (number, unit) in values.items()},
         beside=BESIDE, leaves_out=LEFT_OUT[series.partition("/")[0]],
-        command=f"mothstall lab scale run {series}",
+        command=f"mothstall lab scale run {'/'.join(series.split('/')[:2])}",
     )  # fmt: skip
 
 
@@ -370,7 +372,7 @@
                     values = await _load(started, *ways)
                     values["memory"] = (started.proxy.memory()["VmRSS"], "MB")
                     axes = {axis: float(size), "rate": float(rate)}
-                    found.append(_point(series, axes, repeat, seed, values))
+                    found.append(_point(f"{series}/{rate}", axes, repeat, seed, values))
             finally:
                 await started.proxy.stop()
                 discovery.close()
@@ -463,7 +465,7 @@
             for name, (cpu, stall) in takes.items():
                 values[f"{name}_cpu"], values[f"{name}_stall"] = (cpu * 1e3, "ms"), (stall * 1e3, "ms")
             at = {axis: float(size), "changed": float(count)}
-            found.append(_point(f"list/{axis}", at, repeat, seed, values))
+            found.append(_point(f"list/{axis}/{count}", at, repeat, seed, values))
     finally:
         await proxy.stop(0.0)
     return found
--- a/tests/lab/scale/test_path.py
+++ b/tests/lab/scale/test_path.py
@@ -59,6 +59,7 @@
 
 def test_a_changed_list_is_taken_in_and_comes_back_whole() -> None:
     rows = said(path.list_change("backends", 1, 1, quiet, sizes=(300,)))
+    assert [point.series for point in rows] == ["list/backends/1", f"list/backends/{path.RACK}"]
     assert [point.axes for point in rows] == [
         {"backends": 300.0, "changed": 1.0},
         {"backends": 300.0, "changed": float(path.RACK)},
@@ -69,7 +70,7 @@
 @pytest.mark.processes
 def test_a_request_is_measured_through_a_real_proxy_and_straight() -> None:
     (point,) = said(path.request("backends", 1, 1, quiet, sizes=(40,), seconds={70: 1.0}))
-    assert point.axes == {"backends": 40.0, "rate": 70.0}
+    assert (point.series, point.axes) == ("request/backends/70", {"backends": 40.0, "rate": 70.0})
     values = {name: number for name, (number, _) in point.values.items()}
     assert values["answers"] > 20 and values["bad"] <= values["answers"] / 10
     assert values["added_p50"] == pytest.approx(values["through_p50"] - values["straight_p50"], abs=0.01)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -317,3 +317,20 @@
     assert drive.balancer.waiting == 0
     drive.wait(T_NS)
     assert not drive.balancer.queued
+
+
+def test_the_greatest_weight_is_that_of_the_rows_that_are_listed() -> None:
+    rng, drive, listed = random.Random(5), Drive(100), dict.fromkeys(range(1, 101), 1.0)
+    for version in range(2, 200):
+        number, weight = rng.randrange(1, 120), rng.choice((0.5, 1.0, 2.0, 3.5))
+        health = rng.choice((Health.READY, Health.READY, Health.GONE))
+        started = rng.choice((0, version))
+        drive.feed(
+            io.BackendList(Scope.DELTA, version, [io.Entry(number, 0, 0, 0, health, weight, started)])
+        )
+        listed.pop(number, None)
+        if health == Health.READY:
+            listed[number] = weight
+        assert drive.balancer.heaviest == max(listed.values())
+    drive.feed(io.BackendList(Scope.FULL, 500, [entry(7)]))
+    assert drive.balancer.heaviest == 1.0 and dict(drive.balancer.weights) == {1.0: 1}
