--- a/mothstall/lab/scale/path.py
+++ b/mothstall/lab/scale/path.py
@@ -432,33 +432,39 @@
     return longest
 
 
-async def _take_in(proxy: Proxy, version: int, members: list[dict[str, Any]]) -> tuple[float, float]:
-    """Seconds of processor time to take a change in, and of the longest stretch that the loop was held."""
-    body = json.dumps({"revision": version, "complete": False, "members": members}).encode()
+async def _take_in(proxy: Proxy, body: bytes) -> tuple[float, float]:
+    """Seconds of processor time to take an answer in, and of the longest stretch that the loop was held."""
     gc.collect()
     cpu, began = time.process_time(), time.perf_counter()
     update = protocol.read_list(json.loads(body), proxy.config.names)
     read = time.perf_counter() - began
-    proxy._decider.tell(Told(Scope.DELTA, update))
+    proxy._decider.tell(Told(Scope.FULL if update.full else Scope.DELTA, update))
     stall = max(read, await _settle(proxy))
     return time.process_time() - cpu, stall
 
 
+def _answer(version: int, members: list[dict[str, Any]], whole: bool = False) -> bytes:
+    """Discovery's answer."""
+    return json.dumps({"revision": version, "complete": whole, "members": members}).encode()
+
+
 async def _changes(axis: str, size: int, repeat: int, seed: int) -> list[Point]:
     proxy = Proxy(configuration.from_tree(proxy_tree(size, 0, 1, (1,), 1, seed)))
     await _settle(proxy)
     found, version = [], 1
     drawn = random.Random(seed * 1000 + repeat)
+    anew: set[int] = set()  # those that have come back
     try:
         for count in (1, RACK, ZONE):
             if count > size:
                 continue
             gone = drawn.sample(range(size), count)
+            anew |= set(gone)
             takes: dict[str, tuple[float, float]] = {}
             for name, phase, up in (("gone", "DELETED", 0), ("back", "SERVING", 1)):
                 version += 1
                 changed = [row(i, (1,), phase, up * 1_000) for i in gone]
-                takes[name] = await _take_in(proxy, version, changed)
+                takes[name] = await _take_in(proxy, _answer(version, changed))
             if proxy._decider.listed_count() != size:
                 raise Unfinished("the list is not what it was")
             values = {}
@@ -466,13 +472,19 @@
                 values[f"{name}_cpu"], values[f"{name}_stall"] = (cpu * 1e3, "ms"), (stall * 1e3, "ms")
             at = {axis: float(size), "changed": float(count)}
             found.append(_point(f"list/{axis}/{count}", at, repeat, seed, values))
+        # The whole list once more, nothing changed: what an answer to a first call, or after a gap, costs.
+        rows = [row(i, (1,), up_since_ms=1_000 * (i in anew)) for i in range(size)]
+        body = _answer(version + 1, rows, whole=True)
+        cpu, stall = await _take_in(proxy, body)
+        whole = {"cpu": (cpu * 1e3, "ms"), "stall": (stall * 1e3, "ms"), "size": (len(body) / 1e6, "MB")}
+        found.append(_point(f"list/{axis}/whole", {axis: float(size)}, repeat, seed, whole))
     finally:
         await proxy.stop(0.0)
     return found
 
 
 def list_change(axis: str, seed: int, repeat: int, say: Say, sizes: Sequence[int] = ()) -> list[Point]:
-    """One row, a rack's and a zone's leave the list and come back. Raises Unfinished."""
+    """One row, a rack's and a zone's leave the list and come back; then the whole list. Raises Unfinished."""
     series, found = f"list/{axis}", []
     for size in order(sizes or SIZES[series], seed, repeat):
         say(f"{series}: {size:,}, repeat {repeat}")
--- a/tests/lab/scale/test_path.py
+++ b/tests/lab/scale/test_path.py
@@ -58,7 +58,8 @@
 
 
 def test_a_changed_list_is_taken_in_and_comes_back_whole() -> None:
-    rows = said(path.list_change("backends", 1, 1, quiet, sizes=(300,)))
+    *rows, whole = said(path.list_change("backends", 1, 1, quiet, sizes=(300,)))
+    assert whole.series == "list/backends/whole" and whole.values["size"][0] > 0
     assert [point.series for point in rows] == ["list/backends/1", f"list/backends/{path.RACK}"]
     assert [point.axes for point in rows] == [
         {"backends": 300.0, "changed": 1.0},
