Collections of garbage leave a long list alone: it is frozen once it has come

Ruled out: slots' ends (turn/backends), the list's changes (there were none).

Change: run lets the list in before it freezes; after 2,000 more rows all is unfrozen, collected, and frozen anew. The two tests fail on the text before.

--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -128,6 +128,7 @@
         self._backends: dict[int, peer.Backend] = {}
         self._entries: dict[int, io.Entry] = {}
         self._version = 0
+        self.rows_taken = 0  # of lists and their changes, ever
         self._discovery: Discovery | None = None
         self.listed = asyncio.Event()
         self.watch: Callable[[peer.Ended, int], None] | None = None  # ends of attempts, by class
@@ -292,6 +293,7 @@
         self.counters.add("list_updates")
         hold(update.version >= self._version, "versions never go backward", self.counters)
         self._version = update.version
+        self.rows_taken += len(update.members)
         if message.scope != Scope.DELTA:
             listed = {m.entry.backend for m in update.members}
             for number in [n for n in self._backends if n not in listed]:
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -40,6 +40,7 @@
 BACKEND_PART = 0.3  # of the other descriptors
 AHEAD_PART = 1 / 16  # of the memory limit, for what clients send ahead of answers
 TIDY_S = 2.0  # between two collections of garbage
+FROZEN_ROWS = 2_000  # of the list, of which each costs some 3 us at every collection unless it is frozen
 LISTED_S = 4.0  # how long a new process waits for a list before it takes clients over
 LONGEST_MOST_S = 3.0  # a process may be killed 0.7 s after the longest deadline, which counts as this at most
 END_S = 0.3  # after that deadline all is over
@@ -170,6 +171,10 @@
             report=self._decider.tell,
         )
 
+    def rows_taken(self) -> int:
+        """How many rows of lists and their changes have come so far."""
+        return self._decider.rows_taken
+
     def note_fault(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """For the event loop's exception handler: logged and counted, and the proxy goes on."""
         self.counters.add("faults")
@@ -357,10 +362,11 @@
     proxy.loop.add_signal_handler(signal.SIGHUP, read_again, proxy, reread)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     await proxy.start()
+    await asyncio.sleep(0)  # the list that it begins with is taken in, and frozen like all else
     gc.collect()
     gc.freeze()
     gc.set_threshold(50_000, 20, 50)  # a request leaves no cycles behind
-    tidy(proxy.loop)
+    tidy(proxy.loop, proxy.rows_taken, proxy.rows_taken())
     await over.wait()
     log.info("draining")
     await proxy.stop()
@@ -371,13 +377,20 @@
         signal.signal(number, signal.SIG_IGN)
 
 
-def tidy(loop: asyncio.AbstractEventLoop) -> None:
+def tidy(loop: asyncio.AbstractEventLoop, rows: Callable[[], int] = lambda: 0, frozen: int = 0) -> None:
     """Guards against memory that grows with connections ever seen: asyncio's transports hold themselves.
 
-    What was there at the start is frozen, so that a collection takes a few milliseconds at most.
+    What was there at the start is frozen, so that a collection takes a few milliseconds at most. `rows` tells
+    how many rows of lists have come, `frozen` how many had when what there is was frozen last: guards against
+    collections that go through the whole list each time. What was frozen and is garbage goes at the next one.
     """
+    came = rows()
+    if anew := came - frozen >= FROZEN_ROWS:
+        gc.unfreeze()
     gc.collect()
-    loop.call_later(TIDY_S, tidy, loop)
+    if anew:
+        gc.freeze()
+    loop.call_later(TIDY_S, tidy, loop, rows, came if anew else frozen)
 
 
 def read_again(proxy: Proxy, reread: Callable[[], Config]) -> None:
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -337,6 +337,77 @@
         gc.enable()
 
 
+def test_collections_leave_a_long_list_alone_once_it_has_come() -> None:
+    """Guards against each of them going through all that was listed after the start."""
+    import gc
+    import weakref
+
+    from mothstall.net import proxy
+
+    class Node:
+        """Rubbish that only a collection takes away."""
+
+        def __init__(self) -> None:
+            self.itself = self
+
+    class Loop:
+        def __init__(self) -> None:
+            self.next: tuple[Any, ...] = ()
+
+        def call_later(self, _: float, call: Any, *words: Any) -> None:
+            self.next = (call, *words)
+
+    rows, loop = [0], Loop()
+    proxy.tidy(loop, lambda: rows[0], 0)  # type: ignore[arg-type]
+
+    def again() -> None:
+        call, *words = loop.next
+        call(*words)
+
+    try:
+        before = gc.get_freeze_count()
+        rows[0] = proxy.FROZEN_ROWS - 1
+        again()
+        assert gc.get_freeze_count() <= before
+        node = Node()
+        gone = weakref.ref(node)
+        rows[0] += 1
+        again()
+        assert gc.get_freeze_count() > before
+        held = gc.get_freeze_count()
+        del node
+        again()
+        assert gone() is not None and gc.get_freeze_count() <= held
+        rows[0] += proxy.FROZEN_ROWS
+        again()
+        assert gone() is None
+    finally:
+        gc.unfreeze()
+
+
+def test_the_list_of_the_start_is_frozen_with_all_else(tmp_path: Path) -> None:
+    from mothstall.lab.scale.path import proxy_tree
+
+    code = (
+        "import gc, os, signal, sys\n"
+        "from mothstall import choice, cli\n"
+        "freeze = gc.freeze\n"
+        "def told():\n"
+        "    print(sum(isinstance(o, choice.Backend) for o in gc.get_objects()), flush=True)\n"
+        "    freeze()\n"
+        "    os.kill(os.getpid(), signal.SIGTERM)\n"
+        "gc.freeze = told\n"
+        "sys.exit(cli.main(['serve', '--config', sys.argv[1]]))\n"
+    )
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(proxy_tree(5, 0, 1, (free_port(),), free_port(), 1)))
+    ran = subprocess.run(
+        [sys.executable, "-B", "-c", code, str(path)], cwd=ROOT, capture_output=True, text=True, timeout=30
+    )
+    assert ran.returncode == 0, ran.stderr
+    assert ran.stdout.split()[0] == "5"
+
+
 def test_nothing_grows_with_backends_ever_seen() -> None:
     from tests.peers import rig
 
