--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -59,20 +59,25 @@
 class Backend:
     """What this proxy has seen of one backend since it last started."""
 
+    __slots__ = (  # noqa: SIM905 # guards against a dictionary for each listed backend
+        "id zone cell kind weight credit started place priority member in_flight arrivals done busy_ns marks"
+        " busy_since progress util queue told_at asked est1 est2 x u b limit cut_at tokens tokens_at touched"
+        " slow rest_until rests fails out_until backoff probing"
+    ).split()
+
     def __init__(self, entry: io.Entry, now: int, token: float) -> None:
         self.id, self.zone, self.cell, self.kind = entry.backend, entry.zone, entry.cell, entry.kind
         self.weight, self.credit = usable(entry.weight), 1.0  # credit: what is gathered for its next turn
         self.started, self.place = entry.started_ns, (stable_hash(entry.backend), entry.backend)
-        self.priority = self.member = False
+        self.priority = self.member = self.asked = self.touched = self.probing = False
         self.in_flight = self.arrivals = self.done = self.busy_ns = 0
-        self.busy_since = self.progress = now
-        self.util, self.queue, self.told_at, self.asked = -1.0, 0.0, -1, False  # queue: as a probe was told
+        self.busy_since = self.progress = self.tokens_at = now
+        self.util, self.queue, self.told_at = -1.0, 0.0, -1  # queue: as a probe was told
         self.est1, self.est2, self.x, self.u, self.b = -1.0, -1.0, 0.0, 0.0, 0.0  # below 0: nothing measured
         self.marks: list[tuple[int, int, int, bool]] = []  # slots of the last T
-        self.limit, self.cut_at = ROOM_START, 0
-        self.tokens, self.tokens_at, self.touched = token, now, False
-        self.slow, self.rest_until, self.rests = 1.0, 0, 1.0  # last answers over the calmest mean; full until
-        self.fails, self.out_until, self.backoff, self.probing = 0.0, 0, EJECT_NS, False
+        self.limit, self.tokens, self.fails, self.backoff = ROOM_START, token, 0.0, EJECT_NS
+        self.cut_at = self.out_until = self.rest_until = 0  # the last: full until
+        self.slow = self.rests = 1.0  # slow: last answers over the calmest mean
 
 
 class Attempt:
@@ -96,6 +101,8 @@
 class Flow:
     """The requests of one profile: of a tenant where tenants are told, else of a class."""
 
+    __slots__ = "number weight quota queue served tag rate seen good tokens tokens_at".split()  # noqa: SIM905
+
     def __init__(self, number: int, weight: float, quota: float, first: float) -> None:
         self.number, self.weight, self.quota = number, max(weight, 1e-6), quota
         self.queue: list[Request] = []
@@ -339,8 +346,7 @@
     def _choose_members(self) -> None:
         """Members: the part of the list that this proxy's own traffic can keep measured."""
         # Guards against every proxy holding connections to all backends, and learning each hang alone.
-        few = max(LEAST_MEMBERS, MEMBER_CONNS * len(self.backends) / self.cfg.proxies)
-        size = max(few, self.rate / MEMBER_RATE)
+        size = max(LEAST_MEMBERS, MEMBER_CONNS * len(self.ring) / self.cfg.proxies, self.rate / MEMBER_RATE)
         if not self.size or size > self.size or size < 0.7 * self.size:
             self.size = math.ceil(size)
         chosen: list[Backend] = []
@@ -532,8 +538,7 @@
             return FINE
         if b.in_flight >= b.limit or now < b.rest_until:
             return FULL
-        mean = self.in_flight / max(1, len(self.members))
-        if b.in_flight > SPREAD * mean * warmth + SPREAD_FREE:
+        if b.in_flight > SPREAD * (self.in_flight / max(1, len(self.members))) * warmth + SPREAD_FREE:
             return FULL
         # Guards against crowding by others, as far as probes tell of it, or answers where our own are few.
         fresh = max(0.0, 1.0 - (now - b.told_at) / TOLD_NS)
@@ -623,8 +628,7 @@
         for side, zones in self._ways(own):
             if full and not zones and self.follow >= 1.0:
                 break  # no room in a plan's zones: then nowhere else
-            group, start = self.groups[side], self.turn[side]
-            early = -1
+            group, start, early = self.groups[side], self.turn[side], -1
             for step in range(len(group)):
                 at = (start + step) % len(group)
                 b = group[at]
@@ -656,10 +660,9 @@
     def _on_request(self, ev: io.RequestArrived) -> None:
         if ev.request in self.requests or ev.cls >= len(self.cfg.classes):
             return
-        cls = self.cfg.classes[ev.cls]
         index = ev.tenant if self.cfg.tenants else ev.cls
         flow = self.flows[index if index < len(self.flows) else 0]
-        req = Request(ev, cls, flow, index == self.priority, self.now)
+        req = Request(ev, self.cfg.classes[ev.cls], flow, index == self.priority, self.now)
         self.requests[ev.request] = req
         if req.cost:
             mean = self.work[ev.cls]
@@ -939,8 +942,7 @@
         self.spread += COST_GAIN * (more * more - self.spread) if self.spread else more * more
         self.follows = self.follows or self.spread  # until it is seen, as on a standard core
         self.follows += COST_GAIN * (more * (latency - self.lag[req.cls_index]) - self.follows)
-        pace = max(0.0, self.follows / self.spread) if self.spread else 1.0
-        return max(latency - pace * more, 0.0)
+        return max(latency - (max(0.0, self.follows / self.spread) if self.spread else 1.0) * more, 0.0)
 
     def _calmest(self, req: Request, latency: float) -> float:
         """The calmest mean latency that the class has shown while little was out."""
