--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -9,7 +9,8 @@
 import heapq
 import math
 import random
-from collections import deque
+from bisect import bisect_left
+from collections import Counter, deque
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -59,18 +60,25 @@
 class Backend:
     """What this proxy has seen of one backend since it last started."""
 
+    __slots__ = (  # noqa: SIM905 # guards against a dictionary for each listed backend
+        "id zone cell kind weight credit started place priority member in_flight arrivals done busy_ns marks"
+        " busy_since progress util queue told_at asked est1 est2 x u b limit cut_at tokens tokens_at touched"
+        " slow rest_until rests fails out_until backoff probing"
+    ).split()
+
     def __init__(self, entry: io.Entry, now: int, token: float) -> None:
         self.id, self.zone, self.cell, self.kind = entry.backend, entry.zone, entry.cell, entry.kind
         self.weight, self.credit = usable(entry.weight), 1.0  # credit: what is gathered for its next turn
-        self.started, self.tokens, self.limit = entry.started_ns, token, ROOM_START
-        self.priority = self.member = self.touched = False
-        self.in_flight = self.arrivals = self.done = self.busy_ns = self.cut_at = 0
+        self.started, self.place = entry.started_ns, (stable_hash(entry.backend), entry.backend)
+        self.priority = self.member = self.asked = self.touched = self.probing = False
+        self.in_flight = self.arrivals = self.done = self.busy_ns = 0
         self.busy_since = self.progress = self.tokens_at = now
-        self.util, self.queue, self.told_at, self.asked = -1.0, 0.0, -1, False  # queue: as a probe was told
+        self.util, self.queue, self.told_at = -1.0, 0.0, -1  # queue: as a probe was told
         self.est1, self.est2, self.x, self.u, self.b = -1.0, -1.0, 0.0, 0.0, 0.0  # below 0: nothing measured
-        self.marks: deque[tuple[int, int, int, bool]] = deque()  # slots of the last T
-        self.slow, self.rest_until, self.rests = 1.0, 0, 1.0  # last answers over the calmest mean; full until
-        self.fails, self.out_until, self.backoff, self.probing = 0.0, 0, EJECT_NS, False
+        self.marks: list[tuple[int, int, int, bool]] = []  # slots of the last T
+        self.limit, self.tokens, self.fails, self.backoff = ROOM_START, token, 0.0, EJECT_NS
+        self.cut_at = self.out_until = self.rest_until = 0  # the last: full until
+        self.slow = self.rests = 1.0  # slow: last answers over the calmest mean
 
 
 class Attempt:
@@ -81,8 +89,7 @@
 
 class Request:
     def __init__(self, ev: io.RequestArrived, cls: io.RequestClass, flow: Flow, prio: bool, now: int) -> None:
-        self.cls_index = ev.cls
-        self.id, self.cls, self.flow, self.priority = ev.request, cls, flow, prio
+        self.id, self.cls_index, self.cls, self.flow, self.priority = ev.request, ev.cls, cls, flow, prio
         self.arrived, self.deadline = now, now + ev.left_ns
         self.aim, self.cost = max(1, cls.aim_ns), ev.cost_ns
         self.attempts: list[Attempt] = []
@@ -95,9 +102,11 @@
 class Flow:
     """The requests of one profile: of a tenant where tenants are told, else of a class."""
 
-    def __init__(self, weight: float, quota: float, first: float) -> None:
-        self.weight, self.quota = max(weight, 1e-6), quota
-        self.queue: deque[Request] = deque()
+    __slots__ = "number weight quota queue served tag rate seen good tokens tokens_at".split()  # noqa: SIM905
+
+    def __init__(self, number: int, weight: float, quota: float, first: float) -> None:
+        self.number, self.weight, self.quota = number, max(weight, 1e-6), quota
+        self.queue: list[Request] = []
         self.served, self.tag, self.rate, self.seen, self.good = 0, 0.0, 0.0, 0.0, 0.0
         self.tokens, self.tokens_at = first, 0  # what the flow may still ask inside its share
 
@@ -148,6 +157,7 @@
         self.acts: list[io.Action] = []
         self.backends: dict[int, Backend] = {}
         self.ring: list[Backend] = []  # the list in order of hashed id
+        self.weights = Counter[float]()  # how many of the list have each weight
         self.members: list[Backend] = []  # those of the list that this proxy sends to
         self.point = settings.position * GOLDEN % 1.0  # where on a ring they begin
         self.size, self.rate, self.sick, self.ask_due, self.asks_failed = 0, 0.0, 0, 0, 0
@@ -156,10 +166,10 @@
         self.requests: dict[int, Request] = {}
         # Guards against starting sums that all proxies spend at once: they are drawn at random.
         first = self.rng.random()
-        self.flows = [Flow(t.share, t.allowance_per_s, first) for t in settings.tenants] or [
-            Flow(c.worth, c.worth, first) for c in settings.classes
-        ]
-        self.priority = max(range(len(self.flows)), key=lambda i: (self._claim(i), -i))
+        rows = [(t.share, t.allowance_per_s) for t in settings.tenants]
+        rows = rows or [(c.worth, c.worth) for c in settings.classes]
+        self.flows, self.queued = [Flow(i, *row, first) for i, row in enumerate(rows)], dict[int, Flow]()
+        self.priority = max(range(len(self.flows)), key=lambda i: (self._claim(i, 0.0), -i))
         self.turn, self.ratio, self.version, self.in_flight, self.waiting = [0, 0], [0.0, 0.0], -1, 0, 0
         self.calm = [[0.0, 0.0, 0.0] for _ in settings.classes]  # a class's mean latency, the calmest, count
         self.most_worth = max(c.worth for c in settings.classes)
@@ -207,8 +217,7 @@
             self.on[type(ev)](ev)
         while self.heap and self.heap[0][0] <= self.now:
             heapq.heappop(self.heap)[2]()
-        if self.waiting:
-            self._serve_waiting()
+        self._serve_waiting()
         if self.heap and (not self.timer_at or self.heap[0][0] < self.timer_at):
             self.timer_at = max(self.heap[0][0], self.now + 1)
             self.acts.append(io.SetTimer(self.timer_at, self.timer_at))
@@ -284,16 +293,19 @@
             return  # a stale word must not bring back what has left
         self.version = ev.version
         if ev.scope != Scope.DELTA:
-            listed = {e.backend for e in ev.entries}
-            for b in [b for b in self.backends.values() if b.id not in listed]:
+            named = {e.backend for e in ev.entries}
+            for b in [b for b in self.backends.values() if b.id not in named]:
                 self._drop(b)
-        first = not self.backends
+        first, few = not self.backends, ev.scope == Scope.DELTA and 64 * len(ev.entries) <= len(self.ring)
         for entry in ev.entries:
             self._on_entry(entry)
-        rows = self.ring = sorted(self.backends.values(), key=lambda b: (stable_hash(b.id), b.id))
-        self.grain = min(1.0, len(rows) / self.cfg.proxies)
-        self.heaviest = max((b.weight for b in rows), default=1.0)
-        self.thin = len(rows) < THIN * self.cfg.proxies
+            if few:  # each finds its place; more than one in 64 are sorted anew
+                at = bisect_left(self.ring, (stable_hash(n := entry.backend), n), key=lambda b: b.place)
+                old = at < len(self.ring) and self.ring[at].id == n
+                self.ring[at : at + old] = [b for b in [self.backends.get(n)] if b]
+        rows = self.ring = self.ring if few else sorted(self.backends.values(), key=lambda b: b.place)
+        self.grain, self.thin = min(1.0, len(rows) / self.cfg.proxies), len(rows) < THIN * self.cfg.proxies
+        self.weights, self.heaviest = (listed := +self.weights), max(listed, default=1.0)
         self._choose_members()
         if first:
             self.budget_cap = max(2.0, min(RETRY_CAP, 10.0 * len(rows) / self.cfg.proxies))
@@ -302,11 +314,14 @@
 
     def _on_entry(self, entry: io.Entry) -> None:
         old = self.backends.get(entry.backend)
-        if old and (entry.health != Health.READY or old.started != entry.started_ns):
-            self._drop(old)  # a new start under the same id is a new, cold backend
-        elif old:
+        if old and entry.health == Health.READY and old.started == entry.started_ns:
+            self.weights[old.weight] -= 1
             old.zone, old.cell, old.weight = entry.zone, entry.cell, usable(entry.weight)
-        if entry.health != Health.READY or entry.backend in self.backends:
+            self.weights[old.weight] += 1
+            return
+        if old:
+            self._drop(old)  # a new start under the same id is a new, cold backend
+        if entry.health != Health.READY:
             return
         # Room follows the list both ways: a backend that comes brings what one that leaves would take.
         self.room *= 1.0 + 1.0 / max(1, len(self.backends))
@@ -315,11 +330,13 @@
         turn = (stable_hash(entry.backend + entry.started_ns) / 2**64 - at + draw / self.cfg.proxies) % 1.0
         b = self.backends[entry.backend] = Backend(entry, self.now, turn * (entry.started_ns >= self.began))
         b.limit = ROOM_START if self._warmth(b) >= 1 else 1.0
+        self.weights[b.weight] += 1
 
     def _drop(self, b: Backend) -> None:
         # Guards against the room of the whole fleet falling on what is left of it.
         self.room = max(self.grain, self.room * (1.0 - 1.0 / len(self.backends)))
         self.backends.pop(b.id, None)
+        self.weights[b.weight] -= 1
         self.sick -= b.fails > 0
         self._leave(b)
 
@@ -328,28 +345,25 @@
     def _choose_members(self) -> None:
         """Members: the part of the list that this proxy's own traffic can keep measured."""
         # Guards against every proxy holding connections to all backends, and learning each hang alone.
-        few = max(LEAST_MEMBERS, MEMBER_CONNS * len(self.backends) / self.cfg.proxies)
-        size = max(few, self.rate / MEMBER_RATE)
+        size = max(LEAST_MEMBERS, MEMBER_CONNS * len(self.ring) / self.cfg.proxies, self.rate / MEMBER_RATE)
         if not self.size or size > self.size or size < 0.7 * self.size:
             self.size = math.ceil(size)
         chosen: list[Backend] = []
         far = {z for z, part in enumerate(self.advice.parts) if not part and self._advised() and self.thin}
-        ring = [b for b in self.ring if b.zone not in far] or self.ring
-        start, well = int(self.point * len(ring)), 0
-        for b in (ring[start:] + ring[:start])[: 2 * self.size]:
+        ring = ([b for b in self.ring if b.zone not in far] if far else self.ring) or self.ring
+        start, most, well = int(self.point * len(ring)), min(2 * self.size, len(ring)), 0
+        for b in ring[start : start + most] + ring[: max(0, start + most - len(ring))]:
             if well >= self.size:
                 break
             chosen.append(b)
             well += not b.out_until and self._warmth(b) >= 1
-        news = [b for b in chosen if not b.member]
-        keep = set(chosen)
+        news, keep = [b for b in chosen if not b.member], set(chosen)
         for b in [b for b in self.members if b not in keep]:
             self._leave(b)
             self.acts.append(io.CloseIdle(b.id))
         if 2 * len(news) >= len(chosen):
             self.members = chosen
-            self._split()
-            return
+            return self._split()
         side = int(self.ratio[1] > self.ratio[0])
         peers = [p for p in self.groups[side] if p.est1 >= 0]
         for b in news:
@@ -381,18 +395,15 @@
 
     # The two groups
 
-    def _claim(self, i: int) -> float:
+    def _claim(self, i: int, seen: float) -> float:
         """Quota for each part of the traffic; without tenants the worth of the class."""
         flow = self.flows[i]
-        if not self.cfg.tenants:
-            return flow.quota
-        seen = sum(f.seen for f in self.flows)
-        return flow.quota / max(flow.seen / seen if seen > 0 else self.cfg.tenants[i].share, 1e-3)
+        part = max(flow.seen / seen if seen > 0 else flow.weight, 1e-3)
+        return flow.quota / part if self.cfg.tenants else flow.quota
 
     def _split(self) -> None:
         """Start: the priority profile's part of the requests, of the backends in order of hashed id."""
-        order = sorted(self.members, key=lambda b: (stable_hash(b.id), b.id))
-        flow = self.flows[self.priority]
+        order, flow = sorted(self.members, key=lambda b: b.place), self.flows[self.priority]
         seen = sum(f.seen for f in self.flows)
         share = flow.seen / seen if seen > 0 else flow.weight / sum(f.weight for f in self.flows)
         count = min(max(1, round(share * len(order))), len(order) - 1)
@@ -411,8 +422,7 @@
 
     def _move(self, side: int) -> None:
         """(9) and (10): the backend of largest distance on the other side joins this one."""
-        source = self.groups[1 - side]
-        if len(source) < 2:
+        if len(source := self.groups[1 - side]) < 2:
             return
         b = max(source, key=lambda m: (math.hypot(max(0.0, m.est1), max(0.0, m.est2)), -m.id))
         source.remove(b)
@@ -452,7 +462,7 @@
         now, marks = self.now, b.marks
         marks.append((now, span, b.arrivals, False))
         while marks[0][0] <= now - T_NS:
-            marks.popleft()
+            marks.pop(0)
         mean = sum(m[2] for m in marks) / sum(m[1] for m in marks)
         if b.arrivals / span > mean:
             marks[-1] = (now, span, b.arrivals, True)
@@ -487,9 +497,12 @@
         for calm in self.calm:
             calm[1] *= 1.0 + CALM_RISE * span / NS
         self.least = [x * (1.0 + CALM_RISE * span / NS) for x in self.least]
-        best = max(range(len(self.flows)), key=lambda i: (self._claim(i), -i))
+        self.queued = {i: f for i, f in self.queued.items() if f.queue}
+        seen = sum(f.seen for f in self.flows)
+        claims = [self._claim(i, seen) for i in range(len(self.flows))]
+        best = max(range(len(claims)), key=lambda i: (claims[i], -i))
         # A near tie must not swap the priority profile back and forth.
-        if len(self.slots) == 1 or self._claim(best) > 1.25 * self._claim(self.priority):
+        if len(self.slots) == 1 or claims[best] > 1.25 * claims[self.priority]:
             self.priority = best
         warm = [b for b in self.members if self._warmth(b) >= 1 and not b.out_until]
         pace = self.sent * NS / span
@@ -589,8 +602,7 @@
 
     def _may_go(self, req: Request, b: Backend) -> bool:
         """The rule on repeats: where an earlier attempt may have run, who may still get another."""
-        ran = req.ran_on
-        if ran is None or req.cls.effect == Effect.SAFE:
+        if (ran := req.ran_on) is None or req.cls.effect == Effect.SAFE:
             return True
         if req.cls.effect == Effect.UNSAFE or self.now >= req.ran_at + req.cls.window_ns:
             return False
@@ -622,8 +634,7 @@
         for side, zones in self._ways(own):
             if full and not zones and self.follow >= 1.0:
                 break  # no room in a plan's zones: then nowhere else
-            group, start = self.groups[side], self.turn[side]
-            early = -1
+            group, start, early = self.groups[side], self.turn[side], -1
             for step in range(len(group)):
                 at = (start + step) % len(group)
                 b = group[at]
@@ -655,10 +666,9 @@
     def _on_request(self, ev: io.RequestArrived) -> None:
         if ev.request in self.requests or ev.cls >= len(self.cfg.classes):
             return
-        cls = self.cfg.classes[ev.cls]
         index = ev.tenant if self.cfg.tenants else ev.cls
         flow = self.flows[index if index < len(self.flows) else 0]
-        req = Request(ev, cls, flow, index == self.priority, self.now)
+        req = Request(ev, self.cfg.classes[ev.cls], flow, index == self.priority, self.now)
         self.requests[ev.request] = req
         if req.cost:
             mean = self.work[ev.cls]
@@ -672,10 +682,9 @@
             return self._give_up(req)
         if not flow.queue:
             flow.tag = max(flow.tag, self.virtual)
-            first = not self.waiting or flow.tag <= min(f.tag for f in self.flows if f.queue)
+            first = not self.waiting or flow.tag <= min(f.tag for f in self.queued.values() if f.queue)
             if first and ev.left_ns >= self.usual / 2 and (b := self._pick(req)):
-                self._admit(req, b)
-                return
+                return self._admit(req, b)
         self._hold(req)
 
     def _beyond(self, flow: Flow) -> bool:
@@ -685,10 +694,9 @@
         rate = max(SHARE_SLACK * self.part, 1.0 / self.cfg.proxies) * flow.quota
         gathered = flow.tokens + (self.now - flow.tokens_at) * rate / NS
         flow.tokens, flow.tokens_at = min(max(1.0 + FEW * self.thin, rate), gathered), self.now
-        if flow.tokens < 1.0:
-            return True
-        flow.tokens -= 1.0
-        return False
+        beyond = flow.tokens < 1.0
+        flow.tokens -= not beyond
+        return beyond
 
     def _hold(self, req: Request) -> None:
         """Wait briefly for room where room is near; else refuse at once, not late."""
@@ -696,9 +704,9 @@
         until = now + int(HOLD * min(req.aim, req.deadline - now))
         long = len(flow.queue) >= max(1.0, flow.rate * (until - now) / NS)
         if long or req.deadline - now < self.usual / 2 or (req.beyond and self.cfg.tenants):
-            self._give_up(req)
-            return
+            return self._give_up(req)
         flow.queue.append(req)
+        self.queued[flow.number] = flow
         req.waiting, self.waiting = until, self.waiting + 1
         # Guards against the end of an earlier wait, while this one lasts.
         self._at(until, lambda: self._give_up(req) if req.waiting == until else None)
@@ -706,13 +714,12 @@
     def _serve_waiting(self) -> None:
         """Under pressure room goes to the profile furthest behind its share."""
         while self.waiting:
-            for flow in sorted((f for f in self.flows if f.queue), key=lambda f: f.tag):
-                req = flow.queue[0]
-                if b := self._pick(req):
+            for flow in sorted((f for f in self.queued.values() if f.queue), key=lambda f: (f.tag, f.number)):
+                if b := self._pick(req := flow.queue[0]):
                     break
             if b is None:
                 break
-            flow.queue.popleft()
+            flow.queue.pop(0)
             req.waiting, self.waiting = 0, self.waiting - 1
             self._admit(req, b)
         # Guards against nudges that breed: at most one is due, and it does nothing by itself.
@@ -823,9 +830,8 @@
 
     def _on_ended(self, ev: io.AttemptEnded) -> None:
         req = self.requests.get(ev.request)
-        if req is None or ev.attempt >= len(req.attempts) or not req.attempts[ev.attempt].out:
+        if req is None or ev.attempt >= len(req.attempts) or not (a := req.attempts[ev.attempt]).out:
             return
-        a = req.attempts[ev.attempt]
         a.out, req.out = False, req.out - 1
         self._learn(a, req, ev)
         if ev.result in io.NEVER_RAN:
@@ -846,14 +852,12 @@
 
     def _again(self, req: Request, result: Result) -> None:
         """Another try where the class allows it, the time suffices and the budget pays for it."""
-        left = req.deadline - self.now
-        free = result in io.NEVER_RAN
+        left, free = req.deadline - self.now, result in io.NEVER_RAN
         spent = len(req.attempts) >= self.cfg.max_attempts or (not free and self.budget < 1)
         # What is beyond a share takes no second turn.
         spent = spent or (req.beyond and bool(self.cfg.tenants) and self.thin)
         if spent or left < self.usual / 2:
-            self._give_up(req)
-            return
+            return self._give_up(req)
         b = self._pick(req)
         if b is None:
             (self._hold if free and req.ran_on is None else self._give_up)(req)
@@ -868,8 +872,7 @@
         if not a.held:
             self._no_longer_out(b)
         b.probing = b.probing and not a.trial
-        if (util := self._report(ev.load, "util")) >= 0:
-            b.util = min(1.0, util)
+        b.util = min(1.0, util) if (util := self._report(ev.load, "util")) >= 0 else b.util
         # Guards against requests with little time left: silence no longer than usual tells nothing of anyone.
         sure = (now - a.sent) / (1.5 * self.usual) if self.usual else 1.0
         if (result := ev.result) == Result.OK:
@@ -940,8 +943,7 @@
         self.spread += COST_GAIN * (more * more - self.spread) if self.spread else more * more
         self.follows = self.follows or self.spread  # until it is seen, as on a standard core
         self.follows += COST_GAIN * (more * (latency - self.lag[req.cls_index]) - self.follows)
-        pace = max(0.0, self.follows / self.spread) if self.spread else 1.0
-        return max(latency - pace * more, 0.0)
+        return max(latency - (max(0.0, self.follows / self.spread) if self.spread else 1.0) * more, 0.0)
 
     def _calmest(self, req: Request, latency: float) -> float:
         """The calmest mean latency that the class has shown while little was out."""
