--- a/tests/peers.py
+++ b/tests/peers.py
@@ -153,16 +153,28 @@
         self.held: asyncio.Event | None = None  # answers wait for it
         self.news = asyncio.Event()
         self.port = 0
+        self.place: socket.socket | None = None
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        if self.place is None:
+            self.place = self._bound()
+        place, self.place = self.place, None
+        self.server = await asyncio.start_server(self._serve, sock=place)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
+        """Connections are refused from now on. Its port stays bound: nobody else takes it meanwhile."""
         if self.server:
             self.server.close()
+            self.server, self.place = None, self._bound()
+
+    def _bound(self) -> socket.socket:
+        place = socket.socket()
+        place.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        place.bind(("127.0.0.1", self.port))
+        return place
 
     def cut(self) -> None:
         """Closes the connections that are open."""
