Keepers drop what its caller gave up, and encode news once for many watchers

Cause: of a crowd that joins each member gave a change up after 1.5 s and asked for it again, in a new session and over a new connection, while the first try still waited: work for nobody, and more of it with each try. A keeper worked out a push for each watcher, as each was somewhere else in the same news. Change: keeper/admission.py (pure): 256 changes on their way at once, the rest waits and is dropped when its caller withdrew it or its deadline, carried in the ask, has passed; what is asked again while it is on its way is not done twice. A caller that turns away says so (Withdraw), goes on in its session, asks a keeper that speaks again instead of leaving it, and waits longer each time it is put off. Pushes go in rounds, all of one round up to the same version.

--- a/mothstall/fleet/client.py
+++ b/mothstall/fleet/client.py
@@ -23,7 +23,8 @@
 
 DIAL_S = 1.0
 WAIT_S, WAIT_MOST_S = 0.05, 3.0  # between two tries, growing, each drawn between half and one and a half
-TRY_S = 0.7  # for an answer, until another keeper is asked
+TRY_S = 0.7  # of silence, until another keeper is asked; one that speaks is asked again
+PAUSE_S, PAUSE_MOST_S = 0.05, 1.0  # after a keeper said "later", growing, drawn in the same way
 LATER = ("no quorum", "the leader is busy", "too many callers")
 
 
@@ -61,6 +62,8 @@
         self._pending: dict[int, asyncio.Future[Any]] = {}
         self._number = 0
         self._session = self._serial = 0
+        self._nonce = 0  # of the session that is being opened; 0: none is
+        self._spoke_at = 0.0  # when the keeper last said anything, by the loop's clock
         self._one = asyncio.Lock()
         self._heard: dict[str, str] = {}  # by keeper, what was wrong last
         self._task = loop.create_task(self._keep())
@@ -119,6 +122,7 @@
         self._pending.clear()
 
     def _on_taken(self, link: FrameLink, payload: bytes) -> None:
+        self._spoke_at = self.loop.time()
         try:
             word = msgspec.msgpack.decode(payload, type=calls.FromKeeper)
         except (msgspec.DecodeError, ValueError) as why:
@@ -156,33 +160,53 @@
         if self._link:
             self._link.end(why)
 
-    async def _once(self, make: Callable[[int], Any], wait_s: float) -> Any:
+    async def _once(self, make: Callable[[int, float], Any], wait_s: float, again_s: float = 0.0) -> Any:
+        """One question to the keeper at the other end, and its answer. TimeoutError, or OSError if it went.
+
+        `make` gets a number and the seconds that are left. With `again_s` a keeper that has spoken meanwhile
+        is asked again after so long, under the same number; one that has not is given up.
+        """
+        end = self.loop.time() + wait_s
         async with asyncio.timeout(wait_s):
             await self._met.wait()
-            self._number += 1
-            number = self._number
-            future: asyncio.Future[Any] = self.loop.create_future()
-            self._pending[number] = future
-            try:
-                if self._link is None or not self._link.send(msgspec.msgpack.encode(make(number))):
+        self._number += 1
+        number, link = self._number, self._link
+        future: asyncio.Future[Any] = self.loop.create_future()
+        self._pending[number] = future
+        try:
+            while True:
+                began = self.loop.time()
+                word = msgspec.msgpack.encode(make(number, end - began))
+                if link is None or link is not self._link or not link.send(word):
                     raise ConnectionResetError("the connection went")
-                return await future
-            finally:
-                self._pending.pop(number, None)
+                left = end - began
+                await asyncio.wait((future,), timeout=min(again_s, left) if again_s else left)
+                if future.done():
+                    return future.result()
+                now = self.loop.time()
+                if now >= end or not again_s or self._spoke_at < began:
+                    raise TimeoutError
+        finally:
+            self._pending.pop(number, None)
+            if not future.done() and link is not None and link is self._link:
+                # Guards against work that a keeper does for nobody.
+                link.send(msgspec.msgpack.encode(calls.Withdraw(number)))
 
     async def change(self, change: Change, wait_s: float, *, patient: bool = True) -> Result:
         """Makes a change once, asking as often as it takes. NoContact when the time is over.
 
-        `patient`: goes on asking while the keepers have no quorum; else their word is final.
+        `patient`: goes on asking while the keepers have no quorum; else their word is final. What became of a
+        change that was given up is not known; it is never made after one that was asked for later, as its
+        session takes no earlier serial.
         """
         async with self._one:
             end = self.loop.time() + wait_s
             if not self._session:
-                nonce = secrets.randbits(60) + 1
-                opened = await self._until(Proposal(0, nonce, st.Open(self.name)), end, patient)
+                self._nonce = self._nonce or secrets.randbits(60) + 1
+                opened = await self._until(Proposal(0, self._nonce, st.Open(self.name)), end, patient)
                 if opened.refused:
                     return opened
-                self._session, self._serial = opened.token, 0
+                self._session, self._serial, self._nonce = opened.token, 0, 0
             self._serial += 1
             result = await self._until(Proposal(self._session, self._serial, change), end, patient)
             if result.refused.startswith("unknown session"):
@@ -190,22 +214,23 @@
             return result
 
     async def _until(self, proposal: Proposal, end: float, patient: bool) -> Result:
-        try:
-            word = await self._insist(lambda n: calls.Ask(n, proposal), end, patient)
-        except (NoContact, asyncio.CancelledError):
-            self._session = 0  # what became of the change is not known: its serial must not be used again
-            raise
+        word = await self._insist(
+            lambda n, left: calls.Ask(n, proposal, max(1, round(left * 1000))), end, patient
+        )
         return word.result  # type: ignore[no-any-return]
 
-    async def _insist(self, make: Callable[[int], Any], end: float, patient: bool) -> Any:
+    async def _insist(self, make: Callable[[int, float], Any], end: float, patient: bool) -> Any:
         """An answer of a keeper that has a leader; asks until `end`, or until all that are there said no."""
+        pause = PAUSE_S
         while (left := end - self.loop.time()) > 0:
             try:
-                word = await self._once(make, min(TRY_S, left))
+                word = await self._once(make, left, TRY_S)
             except TimeoutError:
-                self._late()
+                if self.loop.time() < end:
+                    self._late()
                 continue
             except OSError:
+                await asyncio.sleep(PAUSE_S * self._rng.random())
                 continue
             refused = word.result.refused if isinstance(word, calls.Answer) else ""
             if not refused.startswith(LATER):
@@ -216,7 +241,9 @@
                 self.leave(refused)
                 if not patient and len(self._heard) >= len(self._order):
                     break
-            await asyncio.sleep(0.03 + 0.05 * self._rng.random())
+            # Guards against a crowd that was turned away and comes again as one.
+            await asyncio.sleep(pause * (0.5 + self._rng.random()))
+            pause = min(PAUSE_MOST_S, pause * 2)
         raise NoContact(self.missing())
 
     def _late(self) -> None:
@@ -231,13 +258,13 @@
 
     async def read(self, wait_s: float, *, patient: bool = True) -> Delta:
         """All of the state that was acknowledged before now. NoContact when the time is over."""
-        word = await self._insist(lambda n: calls.Read(n), self.loop.time() + wait_s, patient)
+        word = await self._insist(lambda n, left: calls.Read(n), self.loop.time() + wait_s, patient)
         return word.delta  # type: ignore[no-any-return]
 
     async def order(self, verb: str, name: str, wait_s: float) -> calls.Said:
         """An order to the keeper at the other end. NoContact when the time is over."""
         try:
-            word = await self._once(lambda n: calls.Order(n, verb, name), wait_s)
+            word = await self._once(lambda n, left: calls.Order(n, verb, name), wait_s)
         except (TimeoutError, OSError) as why:
             raise NoContact(self.missing()) from why
         return word  # type: ignore[no-any-return]
--- a/mothstall/keeper/process.py
+++ b/mothstall/keeper/process.py
@@ -40,6 +40,7 @@
 HEARTBEAT_S = 0.5  # a watcher hears something this often
 DIAL_S = 1.0
 WAIT_MOST_S = 1.0  # between two tries to reach another keeper
+SWEEP_NS = 250_000_000  # between two looks for callers whose time is over
 RETRY_S = 0.5  # between two tries to write to a disk that refuses
 RELAY_S = 0.1  # reports of proxies are passed on this often,
 RELAYED = 24  # so many in a frame,
@@ -115,7 +116,8 @@
         self.counts = dict.fromkeys(
             (
                 "calls", "changes", "refused", "pushes", "writes", "writes_failed", "frames_unreadable",
-                "reports", "reports_left_out", "slowest_write_ms", "bytes_in", "bytes_out",
+                "reports", "reports_left_out", "slowest_write_ms", "bytes_in", "bytes_out", "calls_again",
+                "withdrawn",
             ), 0,
         )
         self.disk_says = ""
@@ -131,6 +133,10 @@
         self._reports: list[bytes] = []  # of this keeper's callers, not passed on yet
         self._heard: list[bytes] = []  # of others', for this one's listeners
         self._callers: dict[int, tuple[FrameLink, int]] = {}
+        self._asked: dict[FrameLink, dict[int, int]] = {}  # by the caller's number, ours
+        self._round: list[Watcher] = []  # who is still to be told in this round,
+        self._made: dict[int, tuple[int, bytes]] = {}  # and what: since when, up to when, the frame's payload
+        self._swept_at = 0
         self._number = 0
         self._peers: dict[str, Peer] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -214,10 +220,9 @@
         self._links.discard(link)
         self._watchers.pop(link, None)
         self._listeners.discard(link)
-        for caller, (at, _) in list(self._callers.items()):
-            if at is link:
-                del self._callers[caller]
-                self.replica.forget(caller)
+        for caller in self._asked.pop(link, {}).values():
+            self._callers.pop(caller, None)
+            self.replica.forget(caller)
 
     async def stop(self) -> None:
         self._ended = True
@@ -235,7 +240,12 @@
     def _tick(self, due: float) -> None:
         if self._ended:
             return
-        self.replica.tick(time.monotonic_ns())
+        now = time.monotonic_ns()
+        self.replica.tick(now)
+        if now - self._swept_at >= SWEEP_NS:
+            self._swept_at = now
+            for caller in self.replica.admission.overdue(now):
+                self._settled(caller)
         step = self.operator.timing.tick / 1e9
         following = max(due + step, self.loop.time())  # after a stall ticks are not made up for
         self.loop.call_at(following, self._tick, following)
@@ -303,7 +313,7 @@
         for caller, result in done.answers:
             self._answer(caller, result)
         for caller in done.reads:
-            link, number = self._callers.pop(caller, (None, 0))
+            link, number = self._settled(caller)
             if link:
                 link.send(msgspec.msgpack.encode(calls.Told(number, self.replica.state.delta(0))))
         if ready.writes or done.entries:
@@ -344,49 +354,86 @@
             refused, text = self._order(call)
             link.send(msgspec.msgpack.encode(calls.Said(call.number, refused, text)))
             return
-        self.counts["calls"] += 1
-        self._number += 1
-        self._callers[self._number] = (link, call.number)
+        if isinstance(call, calls.Withdraw):
+            if caller := self._asked.get(link, {}).get(call.number, 0):
+                self.counts["withdrawn"] += 1
+                self._settled(caller)
+                self.replica.forget(caller)
+            return
+        caller = self._caller(link, call.number)
         if isinstance(call, calls.Read):
             if self.replica.raft.leader:
-                self.replica.read(self._number)
+                self.replica.read(caller)
             else:
-                self._answer(self._number, Result(refused="no quorum: no leader is known"))
-        elif why := self.replica.ask(self._number, call.proposal):
-            self._answer(self._number, Result(refused=why))
+                self._answer(caller, Result(refused="no quorum: no leader is known"))
+        else:
+            now = time.monotonic_ns()
+            until = now + call.wait_ms * 1_000_000 if call.wait_ms > 0 else 0
+            if why := self.replica.ask(caller, call.proposal, now, until):
+                self._answer(caller, Result(refused=why))
         self._pump_soon()
 
+    def _caller(self, link: FrameLink, number: int) -> int:
+        """Our number for a question; the same one where it is asked again."""
+        asked = self._asked.setdefault(link, {})
+        if number in asked:
+            self.counts["calls_again"] += 1
+            return asked[number]
+        self.counts["calls"] += 1
+        self._number += 1
+        asked[number] = self._number
+        self._callers[self._number] = (link, number)
+        return self._number
+
+    def _settled(self, caller: int) -> tuple[FrameLink | None, int]:
+        """Whom to answer, and under which number; from now on nobody waits here."""
+        link, number = self._callers.pop(caller, (None, 0))
+        if link:
+            self._asked.get(link, {}).pop(number, None)
+        return link, number
+
     def _answer(self, caller: int, result: Result) -> None:
         self.counts["refused"] += bool(result.refused)
-        link, number = self._callers.pop(caller, (None, 0))
+        link, number = self._settled(caller)
         if link:
             link.send(msgspec.msgpack.encode(calls.Answer(number, result)))
 
     def _push(self) -> None:
-        """Tells watchers what is new to them, a bounded number in each turn; the others come next."""
+        """Tells watchers what is new to them, in rounds: all of one round are told up to the same version.
+
+        Guards against a crowd each of whose members is somewhere else in the same news: those told together
+        lack the same from then on, so that one encoding does for all of them. A bounded number is told in
+        each turn; the others of the round come next.
+        """
         if self._ended:
             return
         now, state = self.loop.time(), self.replica.state
-        led = bool(self.replica.raft.leader)
-        made: dict[int, bytes] = {}
+        if not self._round:
+            led = bool(self.replica.raft.leader)
+            self._round = [
+                watcher
+                for watcher in self._watchers.values()
+                if watcher.version != state.version or now - watcher.heard >= HEARTBEAT_S
+            ]
+            self._made = {
+                since: (state.version, msgspec.msgpack.encode(calls.Push(state.delta(since), led)))
+                for since in {watcher.version for watcher in self._round}
+            }
         told = 0
-        for watcher in list(self._watchers.values()):
-            fresh = watcher.version != state.version
-            if not fresh and now - watcher.heard < HEARTBEAT_S:
-                continue
+        while self._round and told < PUSHES:
+            watcher = self._round.pop()
+            if self._watchers.get(watcher.link) is not watcher:
+                continue  # it went, or asked anew, since the round began
             if watcher.link.unsent > 0 and now - watcher.heard < 2.0:
                 continue  # it has not taken the last one yet
-            if told >= PUSHES:
-                break
-            since = watcher.version
-            if since not in made:
-                made[since] = msgspec.msgpack.encode(calls.Push(state.delta(since), led))
-            if watcher.link.send(made[since]):
-                watcher.version, watcher.heard = state.version, now
-                self._watchers[watcher.link] = self._watchers.pop(watcher.link)
+            version, payload = self._made[watcher.version]
+            if watcher.link.send(payload):
+                watcher.version, watcher.heard = version, now
                 told += 1
         self.counts["pushes"] += told
-        self.loop.call_later(0.002 if told >= PUSHES else PUSH_S, self._push)
+        if not self._round:
+            self._made = {}
+        self.loop.call_later(0.002 if self._round else PUSH_S, self._push)
 
     def _keep(self, where: list[bytes], rows: tuple[bytes, ...]) -> None:
         """Bounded: reports come again each second, so one that is left out is no loss."""
@@ -451,6 +498,8 @@
         for link in self._open:
             found["bytes_in"] += link.bytes_in
             found["bytes_out"] += link.bytes_out
+        found["dropped"] = self.replica.admission.dropped
+        found["waiting"] = len(self.replica.admission)
         return found
 
     def status(self) -> dict[str, Any]:
--- a/mothstall/keeper/replica.py
+++ b/mothstall/keeper/replica.py
@@ -12,12 +12,12 @@
 import msgspec
 
 from mothstall.fleet.leases import Grantor
+from mothstall.keeper.admission import MOST_WAITING, Admission
 from mothstall.store import state as st
 from mothstall.store.messages import Entry, Hard, Message, Snapshot
 from mothstall.store.raft import Raft, Ready, Timing
 from mothstall.store.state import Proposal, Result, State
 
-MOST_WAITING = 8192  # callers at once; more are turned away
 EXPIRE_AGAIN = 1_000_000_000  # ns until a term's end that was not committed is proposed once more
 KEEP = 512  # entries kept behind a snapshot for replicas that lag a little
 
@@ -44,8 +44,9 @@
         compact_every: int = 2000,
         fresh_terms: bool = True,
         token_on_apply: bool = True,
+        admission: Admission | None = None,
     ) -> None:
-        """The last two are guards; tests alone take them out."""
+        """The two before the last are guards; tests alone take them out."""
         self.raft = Raft(name, timing, seed, hard, snapshot, entries)
         self._token_on_apply = token_on_apply
         self._load(snapshot)
@@ -54,8 +55,10 @@
         self._compacted: Snapshot | None = None
         self._led = 0  # the term in which it counts leases; 0: it does not
         self._expiring: dict[tuple[str, int], int] = {}  # proposed, and when
-        self._waiting: dict[tuple[int, int], list[int]] = {}
-        self._reading: dict[int, tuple[int, ...]] = {}  # context: callers
+        self.admission = Admission() if admission is None else admission
+        self._place = (0, "")  # the term and leader that changes were handed to
+        self._reading: dict[int, int] = {}  # context: caller
+        self._reads: dict[int, int] = {}  # caller: context
         self._due: list[tuple[int, int]] = []  # index to have applied, context
         self._context = 0
 
@@ -72,9 +75,12 @@
         self.raft.step(message)
         self._look(now)
 
-    def ask(self, caller: int, proposal: Proposal) -> str:
-        """Takes a change for a caller; the reason where it cannot be taken, else the answer comes later."""
-        if len(self._waiting) >= MOST_WAITING:
+    def ask(self, caller: int, proposal: Proposal, now: int, until: int = 0) -> str:
+        """Takes a change for a caller, who waits until then (0: as long as it takes).
+
+        The reason where it cannot be taken, else the answer comes later.
+        """
+        if self.admission.full:
             return "too many callers wait"
         if isinstance(proposal.change, st.Expire):
             return "terms end by a keeper's word alone"
@@ -84,27 +90,40 @@
             fresh = session is not None and proposal.serial > session.serial
             if fresh and (why := self.state.check(proposal.change)):
                 return why
-        if not self.raft.forward(msgspec.msgpack.encode(proposal)):
-            return "no quorum: no leader is known" if not self.raft.is_leader else "the leader is busy"
-        self._waiting.setdefault((proposal.session, proposal.serial), []).append(caller)
+        if not self.raft.leader:
+            return "no quorum: no leader is known"
+        self.admission.ask(caller, proposal, now, until)
+        self._admit(now)
         return ""
 
+    def _admit(self, now: int) -> None:
+        """Hands in what waits, as far as the window goes; to another leader all that is still wanted."""
+        if not len(self.admission) or not self.raft.leader:
+            return
+        place = (self.raft.term, self.raft.leader)
+        if place != self._place:
+            self._place = place
+            self.admission.again()
+        while proposal := self.admission.next(now):
+            if not self.raft.forward(msgspec.msgpack.encode(proposal)):
+                self.admission.refused(proposal)
+                return
+
     def read(self, caller: int) -> None:
         """The caller is told once the state holds all that was acknowledged before now."""
         if len(self._reading) >= MOST_WAITING:
             return
+        self.forget(caller)
         self._context += 1
-        self._reading[self._context] = (caller,)
+        self._reading[self._context] = caller
+        self._reads[caller] = self._context
         self.raft.read(self._context)
 
     def forget(self, caller: int) -> None:
         """A caller waits no longer."""
-        for key, callers in list(self._waiting.items()):
-            if caller in callers:
-                callers.remove(caller)
-                if not callers:
-                    del self._waiting[key]
-        self._reading = {c: callers for c, callers in self._reading.items() if caller not in callers}
+        self.admission.forget(caller)
+        if context := self._reads.pop(caller, 0):
+            self._reading.pop(context, None)
 
     def ready(self) -> Ready:
         found = self.raft.ready()
@@ -127,7 +146,9 @@
         self._due += [(index, context) for context, index in ready.reads]
         for index, context in [row for row in self._due if row[0] <= self.state.applied]:
             self._due.remove((index, context))
-            done.reads += self._reading.pop(context, ())
+            if caller := self._reading.pop(context, 0):
+                self._reads.pop(caller, None)
+                done.reads.append(caller)
         if self.state.applied - self._shot >= self._every:
             self._shot = self.state.applied
             keep = min(KEEP, self._every // 2)
@@ -139,7 +160,7 @@
         if proposal is None:
             return
         key = (proposal.session, proposal.serial)
-        for caller in self._waiting.pop(key, ()):
+        for caller in self.admission.done(key):
             done.answers.append((caller, result))
         change = proposal.change
         if isinstance(change, st.Expire):
@@ -159,8 +180,9 @@
             self.grantor.ended(change.name)
 
     def _look(self, now: int) -> None:
-        """Begins or ends to count terms, and proposes the end of those that are over."""
+        """Begins or ends to count terms, and proposes the end of those that are over; hands in what waits."""
         raft = self.raft
+        self._admit(now)
         if not raft.is_leader or raft.term != self._led:
             if self._led:
                 self._led, self._expiring = 0, {}
--- a/mothstall/lab/replicas.py
+++ b/mothstall/lab/replicas.py
@@ -507,7 +507,7 @@
         self.calls[number] = call
         if call.proposal is None:
             node.replica.read(number)
-        elif (why := node.replica.ask(number, call.proposal)) and "token" in why:
+        elif (why := node.replica.ask(number, call.proposal, node.now())) and "token" in why:
             self.answered(number, Result(refused=why))
         node.pump()
 
--- a/mothstall/store/calls.py
+++ b/mothstall/store/calls.py
@@ -12,10 +12,20 @@
 
 
 class Ask(_Call, frozen=True):
-    """A change; answered by an `Answer` with the same number."""
+    """A change; answered by an `Answer` with the same number. The same number again: it is still wanted.
+
+    `wait_ms`: for how long the caller waits from now on, by its own clock; 0: as long as it takes.
+    """
 
     number: int
     proposal: Proposal
+    wait_ms: int = 0
+
+
+class Withdraw(_Call, frozen=True):
+    """Nobody waits for the answer to this number any more; answered by nothing."""
+
+    number: int
 
 
 class Read(_Call, frozen=True):
@@ -85,7 +95,7 @@
     text: bytes = b""
 
 
-FromCaller = Ask | Read | Watch | Order | Report | Listen
+FromCaller = Ask | Withdraw | Read | Watch | Order | Report | Listen
 FromKeeper = Answer | Told | Push | Said | Heard
 
 
--- /dev/null
+++ b/tests/store/test_keeper_calls.py
@@ -0,0 +1,204 @@
+"""One keeper and its callers over sockets: what they give up is not done, news is encoded once for many."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from mothstall.fleet import client
+from mothstall.fleet.client import NoContact, Store
+from mothstall.fleet.operator import Operator, from_tree
+from mothstall.keeper.admission import Admission
+from mothstall.keeper.process import Keeper
+from mothstall.store import calls
+from mothstall.store import state as st
+
+pytestmark = pytest.mark.processes
+
+
+class Disk:
+    """Holds each write while `held`."""
+
+    def __init__(self) -> None:
+        self._goes = threading.Event()
+        self._goes.set()
+
+    def seam(self) -> None:
+        assert self._goes.wait(30)
+
+    def hold(self) -> None:
+        self._goes.clear()
+
+    def go(self) -> None:
+        self._goes.set()
+
+
+async def until(so: Callable[[], bool]) -> None:
+    end = time.monotonic() + 20
+    while not so():
+        assert time.monotonic() < end, "the state that was waited for never came"
+        await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def keeper(folder: Path, window: int = 256) -> AsyncIterator[tuple[Keeper, Operator, Disk]]:
+    disk = Disk()
+    row = {"name": "k1", "address": "127.0.0.1:1", "listen": "127.0.0.1:0", "data": str(folder)}
+    # One slow write does not cost the lead here: terms of elections are long.
+    timing = {"tick": "20ms", "heartbeat": "60ms", "election": "900ms"}
+    tree = {"cluster": "c", "keepers": [row], "timing": timing}
+    it = Keeper(from_tree(tree), "k1", folder, seam=disk.seam)
+    it.replica.admission = Admission(window)
+    await it.start()
+    named = {**tree, "keepers": [{**row, "address": f"127.0.0.1:{it.port}"}]}
+    try:
+        await until(lambda: it.replica.raft.led)
+        yield it, from_tree(named), disk
+    finally:
+        disk.go()
+        await it.stop()
+
+
+@asynccontextmanager
+async def store(operator: Operator, name: str, **more: object) -> AsyncIterator[Store]:
+    it = Store(operator, name, "tool", loop=asyncio.get_running_loop(), **more)  # type: ignore[arg-type]
+    try:
+        yield it
+    finally:
+        await it.close()
+
+
+def run(play: Callable[[], Awaitable[None]]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(60):
+            await play()
+
+    asyncio.run(bounded())
+
+
+def test_what_its_caller_gave_up_is_never_done(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with (
+            keeper(tmp_path, window=1) as (it, operator, disk),
+            store(operator, "first") as first, store(operator, "other") as other,
+        ):  # fmt: skip
+            for one in (first, other):
+                assert not (await one.change(st.Take(f"warm/{one.name}", "x", 60_000), 10.0)).refused
+            disk.hold()
+            held = asyncio.create_task(first.change(st.Take("a", "first", 60_000), 20.0))
+            await until(lambda: len(it.replica.admission) == 1)
+            with pytest.raises(NoContact):
+                await other.change(st.Take("b", "other", 60_000), 0.3)
+            await until(lambda: it.counts["withdrawn"] + it.replica.admission.dropped > 0)
+            await until(lambda: len(it.replica.admission) == 1)
+            disk.go()
+            assert not (await held).refused
+            assert not (await other.change(st.Take("c", "other", 60_000), 10.0)).refused
+            assert {"a", "c"} < set(it.replica.state.leases) and "b" not in it.replica.state.leases
+
+    run(play)
+
+
+def test_a_caller_that_gave_up_goes_on_in_its_session(tmp_path: Path) -> None:
+    """A session for each try is two commits for each: what a crowd of retries cost."""
+
+    async def play() -> None:
+        async with keeper(tmp_path) as (it, operator, disk), store(operator, "one") as one:
+            assert not (await one.change(st.Take("a", "one", 60_000), 10.0)).refused
+            for _ in range(3):
+                disk.hold()
+                with pytest.raises(NoContact):
+                    await one.change(st.Take("b", "one", 60_000), 0.2)
+                disk.go()
+                assert not (await one.change(st.Take("c", "one", 60_000), 10.0)).refused
+            assert len(it.replica.state.sessions) == 1
+
+    run(play)
+
+
+def test_a_keeper_that_speaks_and_is_slow_is_asked_again_and_not_left(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(client, "TRY_S", 0.6)
+
+    async def play() -> None:
+        pushes: list[calls.Push] = []
+        async with (
+            keeper(tmp_path) as (it, operator, disk),
+            store(operator, "watcher", pushed=pushes.append) as one,
+        ):  # fmt: skip
+            assert not (await one.change(st.Take("a", "one", 60_000), 10.0)).refused
+            link = one._link
+            disk.hold()
+            slow = asyncio.create_task(one.change(st.Take("b", "one", 60_000), 20.0))
+            await until(lambda: it.counts["calls_again"] >= 1)
+            disk.go()
+            assert not (await slow).refused
+            assert one._link is link and len(it.replica.admission) == 0
+            assert len(it.replica.state.sessions) == 1
+
+    run(play)
+
+
+def test_a_keeper_that_says_nothing_is_left(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(client, "TRY_S", 0.2)
+
+    async def play() -> None:
+        async with keeper(tmp_path) as (_, operator, disk), store(operator, "one") as one:
+            assert not (await one.change(st.Take("a", "one", 60_000), 10.0)).refused
+            link = one._link
+            disk.hold()
+            slow = asyncio.create_task(one.change(st.Take("b", "one", 60_000), 20.0))
+            await until(lambda: one._link is not None and one._link is not link)
+            disk.go()
+            assert not (await slow).refused
+
+    run(play)
+
+
+def test_those_who_come_together_are_told_by_one_encoding(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """40 watchers and 30 changes: what is worked out for pushes grows with rounds, not with watchers."""
+
+    async def play() -> None:
+        views = [0] * 40
+
+        def told(i: int) -> Callable[[calls.Push], None]:
+            def pushed(push: calls.Push) -> None:
+                views[i] = push.delta.version
+
+            return pushed
+
+        async with keeper(tmp_path) as (it, operator, _):
+            made = 0
+            delta = it.replica.state.delta
+
+            def counted(since: int) -> st.Delta:
+                nonlocal made
+                made += 1
+                return delta(since)
+
+            watchers = [
+                Store(operator, f"w{i}", "agent", loop=asyncio.get_running_loop(), pushed=told(i),
+                      version=lambda i=i: views[i])  # type: ignore[misc]
+                for i in range(40)
+            ]  # fmt: skip
+            await until(lambda: len(it._watchers) == 40)
+            await asyncio.sleep(0)
+            monkeypatch.setattr(type(it.replica.state), "delta", lambda self, since: counted(since))
+            async with store(operator, "one") as one:
+                for i in range(30):
+                    assert not (await one.change(st.Take(f"a{i}", "one", 60_000), 10.0)).refused
+            version = it.replica.state.version
+            await until(lambda: min(views) == version)
+            assert 0 < made < 300 and it.counts["pushes"] > 40
+            await asyncio.gather(*(watcher.close() for watcher in watchers))
+
+    run(play)
