Who probes what is kept up; a view shares what did not change

Cause: duties.mine weighed every backend for every proxy ten times a second; a view was copied whole for one row; each push went through all leases, each look through all boxes, each message of a keeper through all terms. Change: duties.Share keeps a witness for each backend that is another's, and tells the same as mine (held against it by made cases); view.Rows shares a base; View knows its members; Grantor looks at all terms only once the soonest is over. test_a_view_takes_what_fits asked for a MappingProxyType, it now asks that rows refuse a write.

--- a/mothstall/fleet/agent.py
+++ b/mothstall/fleet/agent.py
@@ -90,6 +90,8 @@
         self.counts = dict.fromkeys(COUNTS, 0)
         self._handed: dict[str, int] = {}  # in the store from this version on
         self._probing = probes and operator.probing.on
+        self._shared = duties.Share(name)
+        self._paced: dict[str, BoxAt] = {}  # the boxes whose times are kept
         self._since: dict[str, int] = {}  # versions of the state at which leases were taken
         self._hints: dict[str, int] = {}  # tokens of the hints that were passed on
         self._changed = changed
@@ -207,10 +209,12 @@
             return
         # Up to now others held these; a look at leases may wait for a slow keeper, this does not.
         now = time.monotonic_ns()
-        for name, row in self.view.leases.items():
-            if row.owner != self.owner and name.startswith(duties.PROBE):
+        for name in push.delta.leases if push.delta.since else self.view.leases:
+            row = self.view.leases.get(name)
+            if row and row.owner != self.owner and name.startswith(duties.PROBE):
                 self._pace.others[name] = now
-        drains = self.view.drains != fresh.drains or self.view.entries != fresh.entries
+        # Of the same object nothing changed: linear in what came, not in all there is.
+        drains = self.view.drains is not fresh.drains or self.view.entries is not fresh.entries
         self.view = fresh
         self.counts["snapshots"] += 1
         if self.pilot:
@@ -288,10 +292,9 @@
 
     async def _share(self, store: Store) -> None:
         """Takes the boxes that are this proxy's to probe, and gives up those that are another's now."""
-        live = self.view.holders(duties.MEMBER)
-        if self.name not in live:
+        if self.name not in self.view.members:
             return
-        wanted = {f"{duties.PROBE}{box}" for box in duties.mine(self.boxes, live, self.name)}
+        wanted = {f"{duties.PROBE}{box}" for box in self._shared.look(self.boxes, self.view.members)}
         held = {name for name in self.holder.held if name.startswith(duties.PROBE)}
         left = CHANGES
         for name in sorted(held - wanted)[:left]:
@@ -325,7 +328,7 @@
         """Makes the plan while it holds that lease, which goes to whose turn it is when nobody has it."""
         name = failover.OWNER
         free = name not in self.holder.held and name not in self.view.leases
-        if free and duties.prober(name, self.view.holders(duties.MEMBER)) == self.name:
+        if free and duties.prober(name, self.view.members) == self.name:
             await self._take(store, name)
         token = self.holder.token(name, time.monotonic_ns())
         store.listen(bool(token))
@@ -351,7 +354,9 @@
             now = time.monotonic_ns()
             held = [name for name in self.holder.held if name.startswith(duties.PROBE)]
             self.prober.keep(name[len(duties.PROBE) :] for name in held)
-            self._pace.keep(f"{duties.PROBE}{box}" for box in self.boxes)
+            if self.boxes is not self._paced:
+                self._paced = self.boxes
+                self._pace.keep(f"{duties.PROBE}{box}" for box in self.boxes)
             for name in held:
                 box = self.boxes.get(name[len(duties.PROBE) :])
                 may = self._probes < MOST_PROBES and self.holder.token(name, now)
--- a/mothstall/fleet/duties.py
+++ b/mothstall/fleet/duties.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
@@ -20,17 +20,109 @@
 MOST_HINT = 1024  # bytes
 
 
+def _weight(proxy: str, box: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{proxy}\0{box}".encode())
+
+
 def prober(box: str, proxies: Iterable[str]) -> str:
     """The proxy whose box this is; empty where nobody lives."""
-    rows = [(xxhash.xxh3_64_intdigest(f"{name}\0{box}".encode()), name) for name in proxies]
+    rows = [(_weight(name, box), name) for name in proxies]
     return max(rows)[1] if rows else ""
 
 
 def mine(boxes: Iterable[str], proxies: Iterable[str], me: str) -> list[str]:
+    """The boxes that are this proxy's: a hash for each pair of box and proxy. `Share` tells the same."""
     live = sorted(set(proxies))
     return [box for box in sorted(boxes) if prober(box, live) == me]
 
 
+@dataclass(slots=True)
+class Share:
+    """What `mine` tells, kept up as boxes and proxies come and go, with a look that costs nothing else.
+
+    A box that is not this proxy's needs a witness alone: any proxy that lives and weighs more for it. One is
+    found among n in about ln n tries, as each proxy tried is as likely to be the heaviest so far. So the
+    start is linear in the boxes times the logarithm of the proxies; a proxy that comes is held against this
+    proxy's own boxes, one that goes against those that it was the witness of, which are few as each box
+    begins its search elsewhere. A change of either costs the sets' difference besides.
+    """
+
+    me: str
+    mine: set[str] = field(default_factory=set)
+    _boxes: Iterable[str] | None = None  # as last given
+    _live: Iterable[str] | None = None
+    _names: list[str] = field(default_factory=list)  # of the other proxies, in any order
+    _places: dict[str, int] = field(default_factory=dict)
+    _witness: dict[str, str] = field(default_factory=dict)  # of each box that is not this proxy's
+    _of: dict[str, set[str]] = field(default_factory=dict)  # boxes by their witness
+
+    def look(self, boxes: Collection[str], live: Collection[str]) -> set[str]:
+        """Both are taken for unchanged while they are the same objects. Empty while this proxy lives not."""
+        if boxes is self._boxes and live is self._live:
+            return self.mine
+        fresh = boxes is not self._boxes
+        self._boxes, self._live = boxes, live
+        if self.me not in live:
+            self.mine, self._names = set(), []
+            self._places, self._witness, self._of = {}, {}, {}
+            return self.mine
+        names = set(live) - {self.me}
+        came, went = names - self._places.keys(), self._places.keys() - names
+        again: set[str] = set()  # boxes whose witness is to be found anew
+        for name in went:
+            self._leave(name)
+            again |= self._of.pop(name, set())
+        for name in came:
+            self._places[name] = len(self._names)
+            self._names.append(name)
+        for box in again:
+            del self._witness[box]
+        if fresh or not (self.mine or self._witness or again):
+            known = self.mine | self._witness.keys() | again
+            listed = set(boxes)
+            for box in known - listed:
+                self._forget(box)
+            again = (again | (listed - known)) & listed
+        for box in [*self.mine] if came else ():
+            self._weigh(box, came)
+        for box in again:
+            self._search(box)
+        return self.mine
+
+    def _leave(self, name: str) -> None:
+        at, last = self._places.pop(name), self._names.pop()
+        if last != name:
+            self._names[at], self._places[last] = last, at
+
+    def _forget(self, box: str) -> None:
+        self.mine.discard(box)
+        if witness := self._witness.pop(box, ""):
+            self._of[witness].discard(box)
+
+    def _search(self, box: str) -> None:
+        """Begins at another proxy for each box, so that each is the witness of its part alone."""
+        own, count = (_weight(self.me, box), self.me), len(self._names)
+        begin = own[0] % count if count else 0
+        for i in range(begin, begin + count):
+            name = self._names[i % count]
+            if (_weight(name, box), name) > own:
+                self._lost(box, name)
+                return
+        self.mine.add(box)
+
+    def _weigh(self, box: str, came: Iterable[str]) -> None:
+        own = (_weight(self.me, box), self.me)
+        for name in came:
+            if (_weight(name, box), name) > own:
+                self._lost(box, name)
+                return
+
+    def _lost(self, box: str, name: str) -> None:
+        self.mine.discard(box)
+        self._witness[box] = name
+        self._of.setdefault(name, set()).add(box)
+
+
 class Hint(msgspec.Struct, frozen=True, array_like=True):
     """What a prober says of a box. `for_ms`: how long that had been so when it was written."""
 
--- a/mothstall/fleet/leases.py
+++ b/mothstall/fleet/leases.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -20,10 +21,12 @@
     def __init__(self, fresh_terms: bool = True) -> None:
         self.fresh_terms = fresh_terms
         self._ends: dict[str, tuple[int, int]] = {}  # name: token, end
+        self._soonest: float = math.inf  # no term ends before; a renewal moves it at the next look past it
 
     def led(self, leases: Iterable[tuple[str, int, int]], now: int) -> None:
         """A new leader: each lease (name, token, term in ms) gets one fresh whole term."""
         self._ends = {n: (token, now + term * MS * self.fresh_terms) for n, token, term in leases}
+        self._soonest = min((end for _, end in self._ends.values()), default=math.inf)
 
     def over(self) -> None:
         """No leader any more: nothing counted here means anything now."""
@@ -31,14 +34,20 @@
 
     def granted(self, name: str, token: int, term_ms: int, now: int) -> None:
         """A grant or a renewal was applied just now."""
-        self._ends[name] = (token, now + term_ms * MS)
+        end = now + term_ms * MS
+        self._ends[name] = (token, end)
+        self._soonest = min(self._soonest, end)
 
     def ended(self, name: str) -> None:
         self._ends.pop(name, None)
 
     def due(self, now: int, most: int = 1024) -> tuple[tuple[str, int], ...]:
-        """The leases whose terms are over."""
+        """The leases whose terms are over; all are looked at only once the soonest end has passed."""
+        if now < self._soonest:
+            return ()
         found = [(name, token) for name, (token, end) in self._ends.items() if end <= now]
+        later = (end for _, end in self._ends.values() if end > now)
+        self._soonest = now if found else min(later, default=math.inf)
         return tuple(found[:most])
 
     def left_ns(self, name: str, now: int) -> int | None:
--- a/mothstall/fleet/view.py
+++ b/mothstall/fleet/view.py
@@ -2,58 +2,117 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
-from types import MappingProxyType
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
 from typing import TypeVar
 
+from mothstall.fleet.duties import MEMBER
 from mothstall.store.state import Delta, Drain, Lease, Written
 
 V = TypeVar("V")
 
 
+class Rows(Mapping[str, V]):
+    """Rows that never change: a base that several share, and what differs from it.
+
+    What a change costs is what differs, not all there is: the base is made anew only once more than about its
+    square root differs. None stands for a row that is gone.
+    """
+
+    __slots__ = ("_base", "_count", "_over")
+
+    def __init__(self, base: dict[str, V], over: dict[str, V | None] | None = None) -> None:
+        """Both are kept as they are: nobody changes them from now on."""
+        self._base, self._over = base, over or {}
+        self._count = len(base)
+        for key, row in self._over.items():
+            self._count += (row is not None) - (key in base)
+
+    def __getitem__(self, key: str) -> V:
+        if key not in self._over:
+            return self._base[key]
+        row = self._over[key]
+        if row is None:
+            raise KeyError(key)
+        return row
+
+    def __contains__(self, key: object) -> bool:
+        return self._over[key] is not None if key in self._over else key in self._base
+
+    def __iter__(self) -> Iterator[str]:
+        over = self._over
+        yield from (key for key in self._base if key not in over)
+        yield from (key for key, row in over.items() if row is not None)
+
+    def __len__(self) -> int:
+        return self._count
+
+    def after(self, rows: Mapping[str, V | None]) -> Rows[V]:
+        """These with some of them changed; the same object where none is."""
+        if not rows:
+            return self
+        over = {**self._over, **rows}
+        if len(over) ** 2 <= max(LEAST, len(self._base)):
+            return Rows(self._base, over)
+        base = dict(self._base)
+        for key, row in over.items():
+            if row is None:
+                base.pop(key, None)
+            else:
+                base[key] = row
+        return Rows(base)
+
+
+LEAST = 64**2  # rows, below which a copy is as cheap
+
+
 @dataclass(slots=True, frozen=True)
 class View:
-    """`version` 0: nothing was ever told."""
+    """`version` 0: nothing was ever told. `members`: the proxies that hold their member's lease."""
 
     version: int = 0
-    leases: Mapping[str, Lease] = field(default_factory=lambda: MappingProxyType({}))
-    drains: Mapping[str, Drain] = field(default_factory=lambda: MappingProxyType({}))
-    entries: Mapping[str, Written] = field(default_factory=lambda: MappingProxyType({}))
+    leases: Mapping[str, Lease] = field(default_factory=lambda: Rows({}))
+    drains: Mapping[str, Drain] = field(default_factory=lambda: Rows({}))
+    entries: Mapping[str, Written] = field(default_factory=lambda: Rows({}))
+    members: frozenset[str] = frozenset()
 
     def after(self, delta: Delta) -> View | None:
         """The next snapshot; None where the delta does not fit this one, so that all must be asked for.
 
-        Never an older one: a keeper that lags tells what this view has left behind.
+        Never an older one: a keeper that lags tells what this view has left behind. Linear in the delta, and
+        in the members where these change.
         """
         if delta.version < self.version:
             return self
         if delta.since == 0:
-            return replace(
-                self, version=delta.version, leases=_merged({}, delta.leases),
-                drains=_merged({}, delta.drains), entries=_merged({}, delta.entries),
-            )  # fmt: skip
+            leases = _whole(delta.leases)
+            found = frozenset(name[len(MEMBER) :] for name in leases if name.startswith(MEMBER))
+            return View(delta.version, leases, _whole(delta.drains), _whole(delta.entries), found)
         if delta.since != self.version:
             return self if delta.version == self.version else None
         if delta.version == self.version:
             return self
         return View(
-            delta.version, _merged(self.leases, delta.leases), _merged(self.drains, delta.drains),
-            _merged(self.entries, delta.entries),
+            delta.version, _after(self.leases, delta.leases), _after(self.drains, delta.drains),
+            _after(self.entries, delta.entries), self._members(delta.leases),
         )  # fmt: skip
 
+    def _members(self, rows: Mapping[str, Lease | None]) -> frozenset[str]:
+        changed = {name[len(MEMBER) :]: row for name, row in rows.items() if name.startswith(MEMBER)}
+        went = {name for name, row in changed.items() if row is None and name in self.members}
+        came = {name for name, row in changed.items() if row is not None and name not in self.members}
+        return (self.members - went) | came if went or came else self.members
+
     def holders(self, prefix: str) -> list[str]:
-        """The names after `prefix` of the leases that somebody holds, in order."""
+        """The names after `prefix` of the leases that somebody holds, in order; linear in all leases."""
         return sorted(name[len(prefix) :] for name in self.leases if name.startswith(prefix))
 
 
-def _merged(old: Mapping[str, V], rows: Mapping[str, V | None]) -> Mapping[str, V]:
+def _whole(rows: Mapping[str, V | None]) -> Rows[V]:
+    return Rows({key: row for key, row in rows.items() if row is not None})
+
+
+def _after(old: Mapping[str, V], rows: Mapping[str, V | None]) -> Mapping[str, V]:
     if not rows:
-        return MappingProxyType(dict(old)) if not isinstance(old, MappingProxyType) else old
-    found = dict(old)
-    for key, row in rows.items():
-        if row is None:
-            found.pop(key, None)
-        else:
-            found[key] = row
-    return MappingProxyType(found)
+        return old
+    return (old if isinstance(old, Rows) else Rows(dict(old))).after(rows)
--- a/tests/fleet/test_decisions.py
+++ b/tests/fleet/test_decisions.py
@@ -5,7 +5,6 @@
 import ast
 import os
 from pathlib import Path
-from types import MappingProxyType
 from typing import Any
 
 import pytest
@@ -126,7 +125,10 @@
 def test_a_view_takes_what_fits_and_never_goes_back() -> None:
     lease = Lease("x", "p1", 1000, 1)
     first = View().after(Delta(0, 5, {"x": lease}))
-    assert first is not None and first.version == 5 and isinstance(first.leases, MappingProxyType)
+    assert first is not None and first.version == 5
+    for rows in (first.leases, first.drains, first.entries):  # nobody changes what was given out
+        with pytest.raises(TypeError):
+            rows["y"] = lease  # type: ignore[index]
     assert first.after(Delta(0, 4, {})) is first, "a keeper that lags"
     assert first.after(Delta(6, 8, {})) is None, "a gap: all is asked for"
     second = first.after(Delta(5, 6, {"x": None}))
--- /dev/null
+++ b/tests/fleet/test_share.py
@@ -0,0 +1,124 @@
+"""What is kept up as things change tells the same as what is worked out anew: who probes what, snapshots."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as some
+
+from mothstall.fleet import duties
+from mothstall.fleet.duties import MEMBER, Share
+from mothstall.fleet.leases import MS, Grantor
+from mothstall.fleet.view import LEAST, Rows, View
+from mothstall.store.state import Delta, Lease
+
+NAMES = [f"p{i}" for i in range(12)]
+BOXES = [f"b{i}" for i in range(30)]
+SETS = some.tuples(some.frozensets(some.sampled_from(BOXES)), some.frozensets(some.sampled_from(NAMES)))
+
+
+@given(some.lists(SETS, min_size=1, max_size=12))
+def test_a_share_that_is_kept_up_is_the_one_worked_out_anew(
+    steps: list[tuple[frozenset[str], frozenset[str]]],
+) -> None:
+    share = Share("p0")
+    for boxes, live in steps:
+        wanted = set(duties.mine(boxes, live, "p0")) if "p0" in live else set()
+        assert share.look(boxes, live) == wanted
+        assert share.look(boxes, live) == wanted
+
+
+@given(some.lists(SETS, min_size=1, max_size=8))
+def test_every_box_is_dealt_to_just_one(steps: list[tuple[frozenset[str], frozenset[str]]]) -> None:
+    shares = {name: Share(name) for name in NAMES}
+    for boxes, live in steps:
+        dealt = [box for name, share in shares.items() for box in share.look(boxes, live) if name in live]
+        assert sorted(dealt) == sorted(boxes if live else [])
+
+
+def test_a_look_without_a_change_weighs_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    weighed = 0
+    weight = duties._weight
+
+    def counts(proxy: str, box: str) -> int:
+        nonlocal weighed
+        weighed += 1
+        return weight(proxy, box)
+
+    monkeypatch.setattr(duties, "_weight", counts)
+    live = frozenset(f"p{i}" for i in range(400))
+    boxes = [f"b{i}" for i in range(2000)]
+    share = Share("p0")
+    share.look(boxes, live)
+    assert weighed < 2000 * 12  # and not 2000 x 400
+    weighed = 0
+    share.look(boxes, live)
+    assert weighed == 0
+    share.look(boxes, live - {"p7"})
+    assert weighed < 2000
+    weighed = 0
+    share.look(boxes, live | {"q"})
+    assert weighed < 2000
+
+
+KEYS = [f"{MEMBER}p{i}" for i in range(4)] + [f"probe/b{i}" for i in range(4)]
+CHANGE = some.dictionaries(some.sampled_from(KEYS), some.one_of(some.none(), some.integers(1, 9)), max_size=4)
+
+
+@given(some.lists(CHANGE, max_size=20))
+def test_a_snapshot_after_many_changes_is_that_of_all_of_them(changes: list[dict[str, int | None]]) -> None:
+    view, model, before = View(), dict[str, Lease](), list[tuple[View, dict[str, Lease]]]()
+    for number, change in enumerate(changes):
+        rows = {key: Lease(key, "o", 1, token) if token else None for key, token in change.items()}
+        fresh = view.after(Delta(number and view.version, number + 1, rows if number else dict(rows)))
+        assert fresh is not None
+        for key, row in rows.items():
+            if row is None:
+                model.pop(key, None)
+            else:
+                model[key] = row
+        view = fresh
+        before.append((view, dict(model)))
+    for old, rows_then in before:  # nobody changed what was given out
+        assert dict(old.leases) == rows_then and len(old.leases) == len(rows_then)
+        assert sorted(old.members) == old.holders(MEMBER)
+        assert all((key in old.leases) == (key in rows_then) for key in KEYS)
+
+
+def test_one_row_of_many_shares_the_rest_and_many_changes_are_folded() -> None:
+    rows: Rows[int] = Rows({str(i): i for i in range(20_000)})
+    first = rows.after({"a": 1})
+    assert first._base is rows._base and len(first) == 20_001
+    for i in range(400):
+        first = first.after({str(i): -i})
+    assert len(first._over) ** 2 <= 20_001 and first["399"] == -399 and rows["399"] == 399
+    assert Rows[int]({}).after({"a": 1})._base == {} and LEAST >= 1
+
+
+def test_a_row_that_is_gone_is_gone_and_may_come_back() -> None:
+    first: Rows[int] = Rows({"a": 1, "b": 2})
+    rows = first.after({"a": None})
+    assert list(rows) == ["b"] and len(rows) == 1 and rows.get("a") is None
+    with pytest.raises(KeyError):
+        rows["a"]
+    assert dict(rows.after({"a": 3})) == {"a": 3, "b": 2}
+    assert rows.after({}) is rows
+
+
+@given(
+    some.lists(some.tuples(some.sampled_from("gned"), some.integers(0, 5), some.integers(0, 9)), max_size=40)
+)
+def test_a_grantor_that_looks_seldom_finds_every_term_that_is_over(steps: list[tuple[str, int, int]]) -> None:
+    grantor, ends, now = Grantor(), dict[str, int](), 0
+    for what, name, more in steps:
+        now += more * MS
+        if what == "g":
+            grantor.granted(f"l{name}", 1, 3 + more, now)
+            ends[f"l{name}"] = now + (3 + more) * MS
+        elif what == "n":
+            grantor.ended(f"l{name}")
+            ends.pop(f"l{name}", None)
+        elif what == "e" and more == 0:
+            grantor.led([(key, 1, 5) for key in ends], now)
+            ends = dict.fromkeys(ends, now + 5 * MS)
+        assert {key for key, _ in grantor.due(now)} == {key for key, end in ends.items() if end <= now}
