--- a/mothstall/lab/scale/capacity.py
+++ b/mothstall/lab/scale/capacity.py
@@ -74,6 +74,7 @@
     values: tuple[str, ...] = ()  # added up
     size: Size = proxies
     times: float = 1.0
+    before: tuple[str, ...] = ()  # the value of the same meaning in points of the text before
     most_of: tuple[str, str] | None = None  # the limit is the most that this value of a series ever reached
 
 
@@ -139,9 +140,19 @@
         "operators", "a snapshot of everything", "control/rows", "rows", ("agent_memory",), state_rows,
     ),
     Line(
-        "probers", "who probes what, worked out", "cores", lambda t: t.control.proxy_cores, "operators",
-        "rendezvous over all proxies and all backends", "pure/duties", "pairs", ("mine_cpu",), pairs,
-        LOOKS / 1000,
+        "probers", "who probes what, at each look", "cores", lambda t: t.control.proxy_cores, "operators",
+        "kept up as proxies and backends change", "pure/duties", "pairs", ("look_cpu",), pairs,
+        LOOKS / 1000, ("mine_cpu",),
+    ),
+    Line(
+        "probers", "who probes what, one proxy going and one coming a second", "cores",
+        lambda t: t.control.proxy_cores, "operators", "a witness for each backend", "pure/duties", "pairs",
+        ("change_cpu",), pairs, 0.001, ("mine_cpu",),
+    ),
+    Line(
+        "probers", "who probes what, at a start", "ms", lambda t: t.control.everywhere_s * 1000,
+        "operators: as for a change", "a witness for each backend", "pure/duties", "pairs", ("first_cpu",),
+        pairs, 1.0, ("mine_cpu",),
     ),
     Line(
         "probers", "leases of probes and members", "1", lambda t: MOST_ROWS, "`MOST_ROWS`",
@@ -260,7 +271,13 @@
 
 def slope_of(points: Sequence[Point], line: Line) -> tuple[Slope, ...]:
     """Raises FitError."""
-    return tuple(fit.of_points(points, line.series, line.axis, value) for value in line.values)
+    values = _values(points, line)
+    return tuple(fit.of_points(points, line.series, line.axis, value) for value in values)
+
+
+def _values(points: Sequence[Point], line: Line) -> tuple[str, ...]:
+    there = {value for point in points if point.series == line.series for value in point.values}
+    return line.before if line.before and not there.issuperset(line.values) else line.values
 
 
 def hold(points: Sequence[Point], target: Target, lines: Sequence[Line] = LINES) -> list[Held]:
@@ -391,7 +408,7 @@
 def slopes_table(points: Sequence[Point], held: Sequence[Held]) -> str:
     rows, seen = [], set()
     for row in held:
-        for value, slope in zip(row.line.values, row.slopes, strict=False):
+        for value, slope in zip(_values(points, row.line), row.slopes, strict=False):
             key = (row.line.series, row.line.axis, value)
             if key in seen:
                 continue
--- a/mothstall/lab/scale/control.py
+++ b/mothstall/lab/scale/control.py
@@ -429,13 +429,39 @@
     return state
 
 
+SEVERAL = 1000  # rows that change, one after the other
+ALL_PAIRS = 20_000_000  # more are not weighed one by one
+
+
 def duties_cost(pairs: int, *, seed: int) -> Values:
-    """`duties.mine` at a look, for so many pairs of backend and proxy; 14 backends to a proxy."""
+    """Who probes what, for so many pairs of backend and proxy; 14 backends to a proxy.
+
+    `mine`: worked out anew; `look`: kept up, nothing changed; `change`: one proxy goes, another one comes;
+    `first`: what a start costs.
+    """
     proxies = max(2, round(math.sqrt(pairs / 14)))
     boxes = [f"b{i}" for i in range(max(1, round(pairs / proxies)))]
-    live = [f"p{i}" for i in range(proxies)]
-    me = random.Random(seed).choice(live)
-    return {"mine_cpu": (_cost(lambda: duties.mine(boxes, live, me), 3) * 1000, "ms")}
+    live = frozenset(f"p{i}" for i in range(proxies))
+    me = random.Random(seed).choice(sorted(live))
+    gone = random.Random(seed + 1).choice(sorted(live - {me}))
+    share, other = duties.Share(me), (live - {gone}) | {"new"}
+    values: Values = {"first_cpu": (_cost(lambda: duties.Share(me).look(boxes, live), 3) * 1000, "ms")}
+    share.look(boxes, live)
+    sides = [other, live]
+
+    def change() -> None:
+        sides.reverse()
+        share.look(boxes, sides[0])
+
+    def looks() -> None:
+        for _ in range(1000):
+            share.look(boxes, sides[0])
+
+    values["change_cpu"] = (_cost(change, 21) * 1000, "ms")
+    values["look_cpu"] = (_cost(looks, 21), "ms")
+    if pairs <= ALL_PAIRS:
+        values["mine_cpu"] = (_cost(lambda: duties.mine(boxes, live, me), 3) * 1000, "ms")
+    return values
 
 
 def view_cost(rows: int, *, seed: int) -> Values:
@@ -443,21 +469,23 @@
     state = state_of(rows, seed)
     first = View().after(Delta(0, state.version, dict(state.leases)))
     assert first is not None
-    names = random.Random(seed).sample(sorted(state.leases), min(rows, 50))
+    names = random.Random(seed).sample(sorted(state.leases), min(rows, SEVERAL))
     views = [first]
 
-    def one() -> None:
-        old = views[-1]
-        name = names[old.version % len(names)]
-        fresh = old.after(Delta(old.version, old.version + 1, {name: first.leases[name]}))
-        assert fresh is not None
-        views[0] = fresh
+    def several() -> None:
+        """Enough of them that a base is made anew in due part."""
+        for _ in range(SEVERAL):
+            old = views[0]
+            name = names[old.version % len(names)]
+            fresh = old.after(Delta(old.version, old.version + 1, {name: first.leases[name]}))
+            assert fresh is not None
+            views[0] = fresh
 
     token = state.leases[names[0]].token
-    state.apply(state.applied + 1, _renewal(names[0], token))
+    state.apply(state.applied + 1, _end(names[0], token))
     since = state.version - 1
     return {
-        "after_one_cpu": (_cost(one, 51) * 1e6, "us"),
+        "after_one_cpu": (_cost(several, 5) / SEVERAL * 1e6, "us"),
         "after_all_cpu": (
             _cost(lambda: View().after(Delta(0, state.version, dict(state.leases)))) * 1000, "ms"
         ),
@@ -466,7 +494,7 @@
     }  # fmt: skip
 
 
-def _renewal(name: str, token: int) -> bytes:
+def _end(name: str, token: int) -> bytes:
     import msgspec
 
     return msgspec.msgpack.encode(st.Proposal(0, 0, st.Expire(((name, token),))))
@@ -550,7 +578,7 @@
         lambda size, seed, say: asyncio.run(catch_up(size, say, seed=seed)),
     ),
     "pure/duties": Series(
-        "pairs", (15_000, 150_000, 1_500_000, 15_000_000), "who probes what, worked out at one look",
+        "pairs", (15_000, 150_000, 1_500_000, 15_000_000, 623_100_000), "who probes what, and as it changes",
         lambda size, seed, say: duties_cost(size, seed=seed),
     ),
     "pure/view": Series(
