lab scale: faults among hollows: a rack, a zone, restarts, a region's cut, keepers' majority

Each until store and hollows agree on who lives and all have a change said just now; judged for leases with two owners, two owners of plans at one instant, drains that are gone (exit 3). Tests play the rack and take a verdict apart.

--- a/mothstall/lab/scale/command.py
+++ b/mothstall/lab/scale/command.py
@@ -21,6 +21,7 @@
 from mothstall.lab.ledger import Unfinished
 from mothstall.lab.process import ROOT
 from mothstall.lab.scale import capacity, control, points, target
+from mothstall.lab.scale.control import SERIES, Broken
 from mothstall.lab.scale.points import Point, PointsError
 from mothstall.lab.scale.target import Target
 
@@ -70,13 +71,12 @@
 def _list(args: argparse.Namespace) -> int:
     if args.json:
         tree = {
-            name: {"axis": row.axis, "sizes": row.sizes, "tells": row.tells}
-            for name, row in control.SERIES.items()
+            name: {"axis": row.axis, "sizes": row.sizes, "tells": row.tells} for name, row in SERIES.items()
         }
         print(json.dumps(tree, indent=1))
         return 0
-    wide = max(map(len, control.SERIES))
-    for name, row in control.SERIES.items():
+    wide = max(map(len, SERIES))
+    for name, row in SERIES.items():
         sizes = " ".join(map(str, row.sizes))
         print(f"{name:<{wide}}  {row.tells}; {row.axis}: {sizes}")
     return 0
@@ -118,8 +118,8 @@
     say = partial(print, file=sys.stderr, flush=True)
     if "short" in args.series:
         return _short(args, say)
-    if unknown := [name for name in args.series if name not in control.SERIES]:
-        raise ScaleError(f"no series {unknown[0]!r}: {', '.join(control.SERIES)}, short")
+    if unknown := [name for name in args.series if name not in SERIES]:
+        raise ScaleError(f"no series {unknown[0]!r}: {', '.join(SERIES)}, short")
     if not 1 <= args.repeats <= 20 or any(not 1 <= size <= 1_000_000_000 for size in args.sizes or ()):
         raise ScaleError("--repeats must be 1 to 20, --sizes 1 or more")
     began, text = time.monotonic(), revision()
@@ -129,12 +129,12 @@
         (name, size, repeat)
         for repeat in range(1, args.repeats + 1)
         for name in args.series
-        for size in args.sizes or control.SERIES[name].sizes
+        for size in args.sizes or SERIES[name].sizes
     ]
     done = {point.name for point in rows}
-    left, failed = 0, 0
+    left = failed = broken = 0
     for i, (name, size, repeat) in enumerate(steps):
-        one = control.SERIES[name]
+        one = SERIES[name]
         axes = {one.axis: float(size), **one.fixed}
         if (name, tuple(sorted(axes.items())), repeat, text) in done:
             continue
@@ -148,6 +148,10 @@
             failed += 1
             say(f"    not finished: {why}")
             continue
+        except Broken as why:
+            broken += 1
+            values = {**why.values, "wrong": (len(why.wrong), "1")}
+            say("".join(f"    WRONG: {line}\n" for line in why.wrong).rstrip())
         point = Point(
             series=name, axes=axes, repeat=repeat, seed=args.seed + repeat - 1, revision=text,
             values={key: (float(f"{number:.6g}"), unit) for key, (number, unit) in values.items()},
@@ -162,8 +166,7 @@
         _write_json(args.json, rows)
     if left or failed:
         say(f"{failed} steps could not be finished, {left} are left")
-        return 1
-    return 0
+    return 3 if broken else 1 if left or failed else 0
 
 
 def _short(args: argparse.Namespace, say: control.Say) -> int:
--- a/mothstall/lab/scale/control.py
+++ b/mothstall/lab/scale/control.py
@@ -41,6 +41,14 @@
 CALLERS = 16
 
 
+class Broken(RuntimeError):
+    """What had to hold did not; the message is one line for each."""
+
+    def __init__(self, values: Values, wrong: list[str]) -> None:
+        super().__init__("; ".join(wrong))
+        self.values, self.wrong = values, wrong
+
+
 def quantile(rows: list[float], part: float) -> float:
     """The smallest value that so much of all does not exceed."""
     ordered = sorted(rows)
@@ -548,6 +556,15 @@
     return play
 
 
+def _faults(size: int, seed: int, say: Say) -> Values:
+    from mothstall.lab.scale import faults  # plays with what stands here
+
+    values, wrong = asyncio.run(faults.play(size, say, seed=seed))
+    if wrong:
+        raise Broken(values, wrong)
+    return {**values, "wrong": (0, "1")}
+
+
 SERIES: dict[str, Series] = {
     "control/proxies": Series(
         "proxies", (100, 200, 400, 800), "a fleet without changes, then with some; losses of keepers",
@@ -569,6 +586,10 @@
         "proxies", (200, 400, 800, 1200, 1600), "joining at one instant",
         lambda size, seed, say: asyncio.run(join_only(size, say, seed=seed, limit_s=20.0)), {}, LEAVES_OUT,
     ),
+    "control/faults": Series(
+        "proxies", (100, 200, 400, 800), "a rack, a zone, restarts, a region's cut, the majority of keepers",
+        _faults, {}, LEAVES_OUT + "; clients and their requests",
+    ),
     "control/commits": Series(
         "callers", (16, 64, 256, 512), "writes of so many callers at once",
         lambda size, seed, say: asyncio.run(commit_rate(size, say, seed=seed)),
--- a/mothstall/lab/scale/hollow.py
+++ b/mothstall/lab/scale/hollow.py
@@ -27,6 +27,7 @@
 from mothstall.fleet.client import Store
 from mothstall.fleet.course import Course
 from mothstall.fleet.operator import from_tree
+from mothstall.fleet.pilot import Pilot
 from mothstall.interface import Result
 from mothstall.lab.ledger import Unfinished
 from mothstall.lab.process import ROOT
@@ -41,6 +42,7 @@
 PER_PROCESS = 200
 MOST_PROCESSES = 290  # keepers and tools stand beside them
 ANSWER_S = 30.0  # for one word of a process
+OWNED_GAP_S = 0.5  # between two looks of one owner; a longer one begins another term
 WATCH_S = 0.5  # between two looks at memory
 
 
@@ -67,6 +69,10 @@
 class Hollow(Agent):
     """An agent that notes when it became a member, and when a change of drains reached it."""
 
+    def __init__(self, *args: Any, **more: Any) -> None:
+        super().__init__(*args, **more)
+        self.terms: list[tuple[float, float]] = []  # as owner of plans, those that are over
+
     joined_at = told_at = 0.0  # on the machine's steady clock, s; 0: not yet
 
     async def _take(self, store: Store, name: str) -> bool:
@@ -87,9 +93,30 @@
                 self.silence = max(self.silence, now - self._last_led)
             self._last_led = now
 
+    owned: tuple[float, float] | None = (
+        None  # since when and until when at least it could act as owner of plans
+    )
+
+    async def _own(self, pilot: Pilot, store: Store) -> None:
+        await super()._own(pilot, store)
+        now = time.monotonic_ns()
+        if self.holder.token(failover.OWNER, now):
+            since = self.owned[0] if self.owned and now / 1e9 - self.owned[1] < OWNED_GAP_S else now / 1e9
+            if self.owned and since != self.owned[0]:
+                self.terms.append(self.owned)
+            self.owned = (since, now / 1e9)
+
     def told(self) -> None:
         self.told_at = time.monotonic()
 
+    async def vanish(self) -> None:
+        """As a machine that is lost: nothing is given up, its connection breaks."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._store:
+            await self._store.close()
+
     def bytes(self) -> tuple[int, int]:
         """In and out, of the connection that is open now."""
         link = self._store._link if self._store else None
@@ -104,36 +131,66 @@
 
     def __init__(self, spec: dict[str, Any], loop: asyncio.AbstractEventLoop) -> None:
         self.zones, self.reports = int(spec["zones"]), bool(spec["reports"])
-        self.agents: list[Hollow] = []
         self._rng = random.Random(spec["seed"] * 7919 + spec["first"])
         rows = [
             {"name": zone_of(i, self.zones), "zones": [zone_of(i, self.zones)]} for i in range(self.zones)
         ]
-        operators = [
-            from_tree(
-                {
-                    **spec["tree"], "zone": zone_of(i, self.zones), "probing": {"on": False},
-                    "failover": {"on": self.reports, "regions": rows},
-                }
-            )
-            for i in range(self.zones)
-        ]  # fmt: skip
-        aims = [300_000_000] * len(CLASSES)
-        for i in range(spec["first"], spec["first"] + spec["count"]):
-            self.agents.append(
-                Hollow(
-                    operators[i % self.zones], f"p{i}", loop=loop, changed=lambda i=i: self._told(i),  # type: ignore[misc]
-                    probes=False, seat=Seat(self.zones) if self.reports else None,
-                    classes=CLASSES, aims_ns=aims,
+        cut = spec["cut_tree"] or spec["tree"]
+        operators = []
+        for i in range(self.zones):
+            tree = cut if i in spec["cut_zones"] else spec["tree"]
+            failing = {"on": self.reports, "regions": rows}
+            operators.append(
+                from_tree(
+                    {**tree, "zone": zone_of(i, self.zones), "probing": {"on": False}, "failover": failing}
                 )
-            )  # fmt: skip
-        self._first = spec["first"]
-        self._loop = loop
+            )
+        self._operators, self._loop, self._first = operators, loop, int(spec["first"])
+        self.agents = [self._agent(i) for i in range(spec["first"], spec["first"] + spec["count"])]
+        self._terms: list[tuple[float, float]] = []  # as owners, of those that are gone
         self._traffic: asyncio.Task[None] | None = None
 
+    def _agent(self, number: int) -> Hollow:
+        return Hollow(
+            self._operators[number % self.zones], f"p{number}", loop=self._loop,
+            changed=lambda: self._told(number), probes=False,
+            seat=Seat(self.zones) if self.reports else None, classes=CLASSES,
+            aims_ns=[300_000_000] * len(CLASSES),
+        )  # fmt: skip
+
     def _told(self, number: int) -> None:
         self.agents[number - self._first].told()
 
+    def _among(self, order: dict[str, Any]) -> list[int]:
+        """Places of those whose number, or whose zone, is named."""
+        numbers, zones = set(order.get("numbers", ())), set(order.get("zones", ()))
+        every = range(self._first, self._first + len(self.agents))
+        return [n - self._first for n in every if n in numbers or n % self.zones in zones]
+
+    async def vanish(self, order: dict[str, Any]) -> dict[str, Any]:
+        gone = [self.agents[at] for at in self._among(order)]
+        await asyncio.gather(*(agent.vanish() for agent in gone))
+        return {"gone": len(gone)}
+
+    async def anew(self, order: dict[str, Any]) -> dict[str, Any]:
+        """Other processes of the same names, so to say: nothing is kept but the name."""
+        places = self._among(order)
+        for at in places:
+            old = self.agents[at]
+            self._terms += [*old.terms, *([old.owned] if old.owned else [])]
+            self.agents[at] = self._agent(self._first + at)
+        await asyncio.gather(*(self.agents[at].start() for at in places))
+        return {"came": len(places)}
+
+    async def restart(self, order: dict[str, Any]) -> dict[str, Any]:
+        """As by an operator: it gives up what it holds, and another one comes."""
+        await asyncio.gather(*(self.agents[at].stop() for at in self._among(order)))
+        return await self.anew(order)
+
+    async def terms(self, _: dict[str, Any]) -> dict[str, Any]:
+        rows = [row for agent in self.agents for row in (*agent.terms, agent.owned) if row]
+        return {"terms": [*self._terms, *rows]}
+
     async def start(self, _: dict[str, Any]) -> dict[str, Any]:
         await asyncio.gather(*(agent.start() for agent in self.agents))
         if self.reports:
@@ -261,12 +318,14 @@
 class Crew:
     """So many hollow proxies in several processes; memory is watched from the first one on.
 
-    `tree`: the operator file of the keepers; `beside`: process ids whose memory counts too.
+    `tree`: the operator file of the keepers; `beside`: process ids whose memory counts too; `cut_tree`: the
+    file of those in `cut_zones`, who reach the keepers another way.
     """
 
     def __init__(
         self, tree: dict[str, Any], proxies: int, *, seed: int, zones: int, reports: bool = False,
         beside: Callable[[], Sequence[int]] = lambda: (), most_kb: int = 0,
+        cut_zones: Sequence[int] = (), cut_tree: dict[str, Any] | None = None,
     ) -> None:  # fmt: skip
         if proxies > MOST_PROCESSES * PER_PROCESS:
             raise Unfinished(f"{proxies} hollows need more than {MOST_PROCESSES} processes")
@@ -275,7 +334,7 @@
             Process(
                 {
                     "tree": tree, "first": first, "count": min(PER_PROCESS, proxies - first), "seed": seed,
-                    "zones": zones, "reports": reports,
+                    "zones": zones, "reports": reports, "cut_zones": list(cut_zones), "cut_tree": cut_tree,
                 }
             )
             for first in range(0, proxies, PER_PROCESS)
@@ -351,6 +410,7 @@
             does = {
                 "start": room.start, "joined": room.joined, "told": room.told, "hears": room.hears,
                 "silences": room.silences, "figures": room.figures, "stop": room.stop,
+                "vanish": room.vanish, "anew": room.anew, "restart": room.restart, "terms": room.terms,
             }  # fmt: skip
             answer = await does[order["do"]](order)
         sys.stdout.write(json.dumps(answer) + "\n")
--- a/tests/lab/scale/test_short.py
+++ b/tests/lab/scale/test_short.py
@@ -11,7 +11,8 @@
 
 from mothstall.lab.command import main
 from mothstall.lab.ledger import Unfinished
-from mothstall.lab.scale import command, control, hollow
+from mothstall.lab.scale import command, control, faults, hollow
+from mothstall.lab.scale.control import SERIES
 from mothstall.lab.scale.hollow import Crew
 
 TREE = {"cluster": "t", "keepers": [{"name": "k1", "address": "127.0.0.1:9"}]}
@@ -68,7 +69,7 @@
         return {"cost": (float(size), "ms")}
 
     one = control.Series("n", (10, 20), "a test", play)
-    monkeypatch.setitem(control.SERIES, "test/one", one)
+    monkeypatch.setitem(SERIES, "test/one", one)
     kept = str(tmp_path / "scale-test.json")
     words = ["scale", "run", "test/one", "--repeats", "1", "--kept", kept]
     assert main(words) == 1
@@ -88,10 +89,33 @@
 
 def test_list_names_every_series(capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["scale", "list", "--json"]) == 0
-    assert list(json.loads(capsys.readouterr().out)) == list(control.SERIES)
+    assert list(json.loads(capsys.readouterr().out)) == list(SERIES)
 
 
 @pytest.mark.skipif(not os.path.exists("/proc/self/statm"), reason="the system does not tell")
 def test_memory_of_a_process_is_told_and_of_none_is_0() -> None:
     assert hollow.rss_kb(os.getpid()) > 1000
     assert hollow.rss_kb(2**22 + 1) == 0
+
+
+@pytest.mark.processes
+def test_a_lost_rack_is_gone_from_the_members_and_comes_back() -> None:
+    values, wrong = asyncio.run(faults.play(22, lambda _: None, seed=1, kinds=("rack",)))
+    assert wrong == [] and {"rack_gone", "rack_back"} <= set(values)
+
+
+def test_two_owners_at_one_instant_are_found() -> None:
+    assert faults.overlaps([(0.0, 1.0), (1.5, 2.0), (2.0, 3.0)]) == 0
+    assert faults.overlaps([(0.0, 9.0), (1.5, 2.0), (2.5, 3.0)]) == 2
+    assert faults.overlaps([(2.0, 3.0), (0.0, 2.5)]) == 1
+
+
+def test_what_did_not_hold_is_kept_and_exit_3(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    def play(size: int, seed: int, say: control.Say) -> control.Values:
+        raise control.Broken({"cost": (1.0, "s")}, ["a member is doubled"])
+
+    monkeypatch.setitem(SERIES, "test/one", control.Series("n", (10,), "a test", play))
+    kept = tmp_path / "scale-test.json"
+    assert main(["scale", "run", "test/one", "--repeats", "1", "--kept", str(kept)]) == 3
+    (point,) = command.read(kept)
+    assert point.values == {"cost": (1.0, "s"), "wrong": (1.0, "1")}
