--- a/mothstall/lab/scale/capacity.py
+++ b/mothstall/lab/scale/capacity.py
@@ -551,6 +551,15 @@
 }  # fmt: skip
 
 
+FAULTS = {
+    "rack_gone": "a rack's are no members, s", "rack_back": "are back, s",
+    "zone_gone": "a zone's are no members, s", "zone_back": "are back, s",
+    "rolling": "settled after restarts, s", "rolling_leases_lost": "leases lost by them",
+    "cut_back": "settled after a region's cut, s", "majority_back": "after the majority's loss, s",
+    "wrong": "wrong",
+}  # fmt: skip
+
+
 def tables(sets: Sets, target: Target) -> dict[str, str]:
     """By the name of their markers."""
     held = hold(sets.now, target)
@@ -560,6 +569,7 @@
         "ranking": ranking_table(held, target),
         "slopes": slopes_table(sets.now, held),
         "joining": points_table(sets.now, "control/join", "proxies", JOINING),
+        "faults": points_table(sets.now, "control/faults", "proxies", FAULTS),
         "placement": placement_table(target),
         "runs": runs_table(sets.now),
     }
