Who comes waits behind what those who are there need

Cause: an owner counts its term from before it asked, so that a renewal that waits behind a crowd's joins costs what is held, which is then asked for anew. Admission hands in renewals, writes and operators' words first.

--- a/mothstall/keeper/admission.py
+++ b/mothstall/keeper/admission.py
@@ -12,7 +12,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from mothstall.store.state import Proposal
+from mothstall.store.state import Open, Proposal, Take
 
 MOST_WAITING = 8192  # changes at once; more are turned away
 WINDOW = 256  # on their way to the log or in it
@@ -36,7 +36,9 @@
         self.window, self._drops, self._once = window, drops, once
         self._waits: dict[Key, _Wait] = {}
         self._keys: dict[int, Key] = {}  # by caller
-        self._queue: OrderedDict[Key, None] = OrderedDict()  # those that wait, no other
+        # Those that wait, no other. Guards against a crowd that comes and costs those who are there what they
+        # hold: a session or a lease that is asked for waits behind renewals, writes and operators' words.
+        self._queues: tuple[OrderedDict[Key, None], ...] = (OrderedDict(), OrderedDict())
         self._out = 0
         self.dropped = 0  # that nobody wanted any more when their turn came
 
@@ -47,13 +49,16 @@
     def full(self) -> bool:
         return len(self._waits) >= MOST_WAITING
 
+    def _queue(self, proposal: Proposal) -> OrderedDict[Key, None]:
+        return self._queues[isinstance(proposal.change, Open | Take)]
+
     def ask(self, caller: int, proposal: Proposal, now: int, until: int = 0) -> None:
         """One more caller of this change, or the same one again."""
         key = (proposal.session, proposal.serial)
         wait = self._waits.get(key)
         if wait is None:
             self._waits[key] = _Wait(proposal, {caller: until})
-            self._queue[key] = None
+            self._queue(proposal)[key] = None
         else:
             wait.callers[caller] = until
             if wait.out_at >= 0 and (now - wait.out_at >= AGAIN or not self._once):
@@ -63,8 +68,9 @@
     def _back(self, key: Key, wait: _Wait) -> None:
         wait.out_at = -1
         self._out -= 1
-        self._queue[key] = None
-        self._queue.move_to_end(key, last=False)
+        queue = self._queue(wait.proposal)
+        queue[key] = None
+        queue.move_to_end(key, last=False)
 
     def forget(self, caller: int) -> None:
         """This caller waits no longer. What is on its way stays counted until it is done."""
@@ -73,13 +79,16 @@
         if wait is not None and key is not None:
             wait.callers.pop(caller, None)
             if not wait.callers and wait.out_at < 0 and self._drops:
-                del self._waits[key], self._queue[key]
+                del self._waits[key], self._queue(wait.proposal)[key]
                 self.dropped += 1
 
     def next(self, now: int) -> Proposal | None:
         """What is to be handed in now; None while the window is full or nothing waits."""
-        while self._queue and self._out < self.window:
-            key, _ = self._queue.popitem(last=False)
+        while self._out < self.window:
+            queue = self._queues[0] or self._queues[1]
+            if not queue:
+                return None
+            key, _ = queue.popitem(last=False)
             wait = self._waits[key]
             if self._drops and all(0 < until <= now for until in wait.callers.values()):
                 for caller in wait.callers:
@@ -105,7 +114,7 @@
         if wait is None:
             return ()
         self._out -= wait.out_at >= 0
-        self._queue.pop(key, None)
+        self._queue(wait.proposal).pop(key, None)
         for caller in wait.callers:
             self._keys.pop(caller, None)
         return tuple(wait.callers)
@@ -116,7 +125,7 @@
             if wait.out_at >= 0:
                 wait.out_at = -1
                 if wait.callers or not self._drops:
-                    self._queue[key] = None
+                    self._queue(wait.proposal)[key] = None
                 else:
                     del self._waits[key]
         self._out = 0
--- a/tests/store/test_admission.py
+++ b/tests/store/test_admission.py
@@ -31,6 +31,21 @@
     assert handed(it) == [3]
 
 
+def test_who_comes_waits_behind_what_those_who_are_there_need() -> None:
+    it = Admission(window=1)
+    it.ask(1, change(1), 0)
+    assert handed(it) == [1]
+    it.ask(2, change(2), 0)
+    it.ask(3, Proposal(0, 33, st.Open("c")), 0)
+    it.ask(4, Proposal(4, 7, st.Renew("o", (("l", 1),))), 0)
+    it.ask(5, Proposal(5, 7, st.PutDrain(st.Drain("box", "b", "me", "", ""))), 0)
+    order = []
+    for key in ((1, 1), (4, 7), (5, 7), (2, 1), (0, 33)):
+        assert it.done(key)
+        order += handed(it)
+    assert order == [4, 5, 2, 0]
+
+
 def test_what_its_caller_withdrew_is_not_handed_in() -> None:
     it = Admission(window=1)
     for i in (1, 2, 3):
@@ -173,4 +188,4 @@
         callers = {caller for wait in it._waits.values() for caller in wait.callers}
         assert set(it._keys) == callers
         waits = {key for key, wait in it._waits.items() if wait.out_at < 0}
-        assert waits == set(it._queue)
+        assert waits == {key for queue in it._queues for key in queue}
