--- a/mothstall/keeper/process.py
+++ b/mothstall/keeper/process.py
@@ -29,7 +29,7 @@
 from mothstall.store.log import DiskLog, LogError
 from mothstall.store.messages import Members, Message, Standing
 from mothstall.store.raft import Ready, Timing
-from mothstall.store.state import Result
+from mothstall.store.state import Delta, Result
 
 log = logging.getLogger("mothstall.keeper")
 
@@ -37,7 +37,7 @@
 MOST_QUEUED = 1024 * 1024  # bytes to another keeper that are not on their way: what comes on top is left out
 PUSH_S = 0.05  # between two looks at what watchers lack
 PUSHES = 64  # watchers told in one turn of the loop
-MOST_PUSHES = 4000  # a second: after a round of more than 200 watchers the next one waits
+MOST_NEWS = 1000  # watchers told of something new, a second: after a round of more than 50 the next one waits
 HEARTBEAT_S = 0.5  # a watcher hears something this often
 DIAL_S = 1.0
 WAIT_MOST_S = 1.0  # between two tries to reach another keeper
@@ -137,7 +137,7 @@
         self._asked: dict[FrameLink, dict[int, int]] = {}  # by the caller's number, ours
         self._round: list[Watcher] = []  # who is still to be told in this round,
         self._made: dict[int, tuple[int, bytes]] = {}  # and what: since when, up to when, the frame's payload
-        self._round_at, self._round_size = 0.0, 0
+        self._news_due = 0.0  # when the next round of news may begin
         self._swept_at = 0
         self._number = 0
         self._peers: dict[str, Peer] = {}
@@ -406,24 +406,13 @@
         Guards against a crowd each of whose members is somewhere else in the same news: those told together
         lack the same from then on, so that one encoding does for all of them. A bounded number is told in
         each turn; the others of the round come next. Guards too against a crowd whose joining is told to all
-        of it twenty times a second, which then is all that its members do: rounds of many come more seldom.
+        of it twenty times a second, which then is all that its members do: news of many come more seldom.
         """
         if self._ended:
             return
-        now, state = self.loop.time(), self.replica.state
+        now = self.loop.time()
         if not self._round:
-            self._round_at = now
-            led = bool(self.replica.raft.leader)
-            self._round = [
-                watcher
-                for watcher in self._watchers.values()
-                if watcher.version != state.version or now - watcher.heard >= HEARTBEAT_S
-            ]
-            self._round_size = len(self._round)
-            self._made = {
-                since: (state.version, msgspec.msgpack.encode(calls.Push(state.delta(since), led)))
-                for since in {watcher.version for watcher in self._round}
-            }
+            self._begin_round(now)
         told = 0
         while self._round and told < PUSHES:
             watcher = self._round.pop()
@@ -440,8 +429,26 @@
             self.loop.call_later(0.002, self._push)
             return
         self._made = {}
-        left = self._round_size / MOST_PUSHES - (now - self._round_at)
-        self.loop.call_later(max(PUSH_S, left), self._push)
+        self.loop.call_later(PUSH_S, self._push)
+
+    def _begin_round(self, now: float) -> None:
+        """News where they are due again; the whole state, at any time, for whoever was told nothing yet.
+
+        Who heard nothing for long gets a heartbeat, which tells nothing new.
+        """
+        state, led = self.replica.state, bool(self.replica.raft.leader)
+        due = now >= self._news_due
+
+        def news(version: int) -> bool:
+            return version != state.version and (due or not version)
+
+        self._round = [w for w in self._watchers.values() if news(w.version) or now - w.heard >= HEARTBEAT_S]
+        self._made = {}
+        for version in {watcher.version for watcher in self._round}:
+            delta = state.delta(version) if news(version) else Delta(version, version)
+            self._made[version] = (delta.version, msgspec.msgpack.encode(calls.Push(delta, led)))
+        if due:
+            self._news_due = now + sum(news(w.version) for w in self._round) / MOST_NEWS
 
     def _keep(self, where: list[bytes], rows: tuple[bytes, ...]) -> None:
         """Bounded: reports come again each second, so one that is left out is no loss."""
