--- a/mothstall/cli.py
+++ b/mothstall/cli.py
@@ -25,6 +25,8 @@
     "lab": ("mothstall.lab.command", "requirements-lab.txt"),
     "keeper": ("mothstall.operate", "requirements-fleet.txt"),
     "keepers": ("mothstall.operate", "requirements-fleet.txt"),
+    "observer": ("mothstall.operate", "requirements-fleet.txt"),
+    "observers": ("mothstall.operate", "requirements-fleet.txt"),
     "lease": ("mothstall.operate", "requirements-fleet.txt"),
     "drain": ("mothstall.operate", "requirements-fleet.txt"),
     "undrain": ("mothstall.operate", "requirements-fleet.txt"),
@@ -59,6 +61,8 @@
     commands.add_parser("lab", help="play fleets, troubles and loads; `mothstall lab --help`", add_help=False)
     commands.add_parser("keeper", help="run one replica of the fleet's store", add_help=False)
     for name, what in (
+        ("observer", "run one observer, between the keepers and the proxies of a zone"),
+        ("observers", "the observers: who is attached, how old what they tell is"),
         ("keepers", "the store's replicas: status, members, backup"),
         ("lease", "who owns which work: list, take, drop"),
         ("drain", "send no new work to a box or a zone"),
@@ -140,6 +144,10 @@
     try:
         found = read(path)
         found.key()
+        if found.observers:
+            from mothstall.fleet.attach import near
+
+            near(found)
     except OperatorError as why:
         raise ConfigError(str(why)) from why
     return found
--- a/mothstall/fleet/agent.py
+++ b/mothstall/fleet/agent.py
@@ -14,7 +14,7 @@
 import time
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -32,6 +32,9 @@
 from mothstall.store.link import FrameLink
 from mothstall.store.state import Drain, drain_key
 
+if TYPE_CHECKING:
+    from mothstall.fleet.attach import Attached
+
 log = logging.getLogger("mothstall.fleet")
 
 STEP_S = 0.1  # between two looks at leases and duties
@@ -96,6 +99,7 @@
         self._hints: dict[str, int] = {}  # tokens of the hints that were passed on
         self._changed = changed
         self._store: Store | None = None
+        self._tier: Attached | None = None  # the same, where observers stand between it and the keepers
         self._heard_at = 0  # when a keeper that hears a leader last spoke, ns; 0: never
         self._unled_at = 0  # when a keeper that hears one, or another keeper, was turned to
         self._renewed_at = 0
@@ -127,6 +131,7 @@
             "fleet_snapshot_age_ms": self.age_ms(),
             "fleet_contact": int(bool(self._store and self._store.keeper)),
             "fleet_leases_held": len(self.holder.held),
+            **(self._tier.figures() if self._tier else {}),
             "fleet_drains": len(self.drained().keys),
             "fleet_drains_here_only": len(self.here),
             **{f"fleet_{key}": value for key, value in self.counts.items()},
@@ -155,10 +160,18 @@
             self._server = await self.loop.create_server(self._accept, at.host, at.port)
             self.port = self._server.sockets[0].getsockname()[1]
             log.info("fleet door", extra={"kv": {"name": self.name, "door": self.port}})
-        self._store = Store(
-            self.operator, self.owner, "agent", loop=self.loop, pushed=self._pushed,
-            version=lambda: self.view.version, heard=self._heard,
-        )  # fmt: skip
+        if self.operator.observers:
+            from mothstall.fleet.attach import Attached
+
+            self._tier = self._store = Attached(
+                self.operator, self.name, self.owner, loop=self.loop, fed=self._fed,
+                version=lambda: self.view.version, heard=self._heard,
+            )  # fmt: skip
+        else:
+            self._store = Store(
+                self.operator, self.owner, "agent", loop=self.loop, pushed=self._pushed,
+                version=lambda: self.view.version, heard=self._heard,
+            )  # fmt: skip
         self._spawn(self._live(self._store))
         if self._probing:
             self._spawn(self._probe_all())
@@ -200,7 +213,16 @@
         elif self._store and time.monotonic_ns() - self._unled_at > LEADERLESS_NS:
             self._unled_at = time.monotonic_ns()
             self._store.leave("it hears no leader")
-        fresh = self.view.after(push.delta)
+        self._take_in(push.delta)
+
+    def _fed(self, delta: st.Delta, age_ms: int) -> None:
+        """By an observer, which says how old its word is."""
+        if age_ms >= 0:
+            self._heard_at = max(self._heard_at, time.monotonic_ns() - age_ms * MS)
+        self._take_in(delta)
+
+    def _take_in(self, delta: st.Delta) -> None:
+        fresh = self.view.after(delta)
         if fresh is None:
             if self._store:
                 self._store.again()
@@ -209,7 +231,7 @@
             return
         # Up to now others held these; a look at leases may wait for a slow keeper, this does not.
         now = time.monotonic_ns()
-        for name in push.delta.leases if push.delta.since else self.view.leases:
+        for name in delta.leases if delta.since else self.view.leases:
             row = self.view.leases.get(name)
             if row and row.owner != self.owner and name.startswith(duties.PROBE):
                 self._pace.others[name] = now
@@ -248,14 +270,17 @@
         for key, row in list(self.here.items()):
             if key not in self._handed:
                 await self._hand_in(store, key, st.PutDrain(row), CHANGE_S)
-        own = self.holder.token(self.member, time.monotonic_ns())
-        if not own and not await self._take(store, self.member):
+        if not (self._tier.seated if self._tier else await self._is_member(store)):
             return
         if self._probing:
             await self._share(store)
         if self.pilot:
             await self._own(self.pilot, store)
 
+    async def _is_member(self, store: Store) -> bool:
+        own = self.holder.token(self.member, time.monotonic_ns())
+        return bool(own) or await self._take(store, self.member)
+
     async def _hand_in(self, store: Store, key: str, change: st.PutDrain, wait_s: float) -> str:
         """The reason if the store refuses it. It stands here until a snapshot holds it: no gap between."""
         result = await store.change(change, wait_s)
@@ -292,9 +317,10 @@
 
     async def _share(self, store: Store) -> None:
         """Takes the boxes that are this proxy's to probe, and gives up those that are another's now."""
-        if self.name not in self.view.members:
+        live = self._members()
+        if self.name not in live:
             return
-        wanted = {f"{duties.PROBE}{box}" for box in self._shared.look(self.boxes, self.view.members)}
+        wanted = {f"{duties.PROBE}{box}" for box in self._shared.look(self.boxes, live)}
         held = {name for name in self.holder.held if name.startswith(duties.PROBE)}
         left = CHANGES
         for name in sorted(held - wanted)[:left]:
@@ -310,6 +336,14 @@
                 await self._take(store, name)
                 left -= 1
 
+    def _members(self) -> frozenset[str]:
+        """The proxies that duties are dealt out over; the same object while they are the same.
+
+        Through an observer it knows those of its zone, also those that move from a lost one; a piece of work
+        that one of each zone thinks its own is the first one's, by its lease.
+        """
+        return self.view.proxies if self._tier else self.view.members
+
     # Failover
 
     def _heard(self, rows: tuple[bytes, ...]) -> None:
@@ -328,7 +362,7 @@
         """Makes the plan while it holds that lease, which goes to whose turn it is when nobody has it."""
         name = failover.OWNER
         free = name not in self.holder.held and name not in self.view.leases
-        if free and duties.prober(name, self.view.members) == self.name:
+        if free and duties.prober(name, self._members()) == self.name:
             await self._take(store, name)
         token = self.holder.token(name, time.monotonic_ns())
         store.listen(bool(token))
--- /dev/null
+++ b/mothstall/fleet/attach.py
@@ -0,0 +1,218 @@
+"""A proxy's caller where observers stand between it and the keepers: the same words, by an observer.
+
+A shell round `presence.Attachment`, which decides where to go and when to leave. Keepers are never dialled.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from mothstall.fleet.client import DIAL_S, LATER, TRY_S, NoContact, Store
+from mothstall.fleet.operator import Observer, Operator, OperatorError
+from mothstall.fleet.presence import Attachment
+from mothstall.store import calls, tiercalls
+from mothstall.store.link import FrameLink
+from mothstall.store.state import Delta
+
+LOOK_S = 0.2  # between two looks at whether to stay
+PAUSE_S = 0.4  # between two asks where keepers are not to be had, drawn between half and one and a half
+MS = 1_000_000
+
+
+def near(operator: Operator) -> tuple[list[Observer], list[Observer]]:
+    """The observers of this proxy's zone, and others of its region. OperatorError where there are none."""
+    home = [row for row in operator.observers if row.zone == operator.zone]
+    regions = {row.region for row in home}
+    regions |= {row.name for row in operator.failover.regions if operator.zone in row.zones}
+    others = [row for row in operator.observers if row.region in regions and row not in home]
+    if not home and not others:
+        raise OperatorError(f"operator file: $.observers: none stands in {operator.zone!r} or its region")
+    return home, others
+
+
+class Attached(Store):
+    """`fed` gets what an observer tells, and how old that is in ms; -1: not known."""
+
+    def __init__(
+        self, operator: Operator, name: str, owner: str, *, loop: asyncio.AbstractEventLoop,
+        fed: Callable[[Delta, int], None], version: Callable[[], int],
+        heard: Callable[[tuple[bytes, ...]], None] | None = None,
+    ) -> None:  # fmt: skip
+        home, others = near(operator)
+        self.proxy, self._fed = name, fed
+        self._rows = {row.name: row for row in (*home, *others)}
+        self.ways = Attachment(random.Random(f"{owner} {secrets.randbits(32)}"))
+        self.ways.known([row.name for row in home], [row.name for row in others])
+        self.turn = 0
+        self.seated = False  # whether the log has this proxy where it is
+        self.moves = 0
+        self._age_ms = 0
+        self._spoke = 0
+        self._left = ""
+        super().__init__(operator, owner, "agent", loop=loop, version=version, heard=heard)
+        self._order = []  # of keepers: none is ever asked
+        self._looking = loop.create_task(self._look())
+
+    def figures(self) -> dict[str, int]:
+        """`fleet_attached`: 1 while the log has this proxy where it is; `fleet_moves`: connections so far."""
+        return {"fleet_attached": int(self.seated), "fleet_moves": self.moves}
+
+    async def _keep(self) -> None:
+        while True:
+            name, wait_ns = self.ways.next(time.monotonic_ns())
+            await asyncio.sleep(wait_ns / 1e9)
+            row = self._rows[name]
+            self._gone.clear()
+            self._left = ""
+            met = False
+            try:
+                async with asyncio.timeout(DIAL_S):
+                    await self.loop.create_connection(self._make, row.at.host, row.at.port)
+                    await self._met.wait()
+                met = True
+                self.moves += 1
+                await self._gone.wait()
+            except (OSError, TimeoutError) as why:
+                late = isinstance(why, TimeoutError)
+                self._heard[name] = "no answer in time" if late else "not reached"
+            if self._link and not met:
+                self._link.end("no greeting in time")
+            self.seated = False
+            self.ways.left(self._left or "lost", time.monotonic_ns())
+
+    async def _look(self) -> None:
+        term = self.operator.leases.term
+        while True:
+            await asyncio.sleep(LOOK_S)
+            now = time.monotonic_ns()
+            if self._link is None or not self.turn:
+                continue
+            age = self._age_ms * MS if self._age_ms >= 0 else 1 << 62
+            if why := self.ways.why_leave(age, now):
+                self.leave(why)
+            elif now - self._spoke >= term // 3:
+                self._spoke = now
+                self._link.send(msgspec.msgpack.encode(tiercalls.Alive(self.turn)))
+
+    def _on_met(self, link: FrameLink) -> None:
+        if link.role != "observer":
+            link.end(f"{link.peer} is no observer")
+            return
+        now = time.monotonic_ns()
+        self._link, self.seated, self._age_ms, self._spoke = link, False, 0, now
+        self._heard.pop(link.peer, None)
+        self._met.set()
+        self.turn = self.ways.met(now)
+        come = tiercalls.Come(
+            self.proxy, self.turn, self.operator.zone, self.operator.agent.backends, self._version()
+        )
+        link.send(msgspec.msgpack.encode(come))
+        if self._listens:
+            link.send(msgspec.msgpack.encode(calls.Listen(True)))
+
+    def _on_taken(self, link: FrameLink, payload: bytes) -> None:
+        try:
+            word = msgspec.msgpack.decode(payload, type=tiercalls.FromObserver)
+        except (msgspec.DecodeError, ValueError) as why:
+            link.end(f"a payload that cannot be read: {why}")
+            return
+        if link is not self._link:
+            return  # of a connection that was left
+        if isinstance(word, tiercalls.Fed):
+            self._age_ms = word.age_ms
+            self.ways.fed(word.age_ms * MS if word.age_ms >= 0 else 1 << 62, time.monotonic_ns())
+            self._fed(word.delta, word.age_ms)
+        elif isinstance(word, tiercalls.Seated):
+            self.seated = self.seated or word.turn == self.turn
+        elif isinstance(word, tiercalls.Turned):
+            if word.turn == self.turn:
+                self.leave(word.why)
+        elif isinstance(word, calls.Heard):
+            if self._heard_reports and self._listens:
+                self._heard_reports(word.rows)
+        else:
+            future = self._pending.pop(word.number, None)
+            if future and not future.done():
+                future.set_result(word)
+
+    def again(self) -> None:
+        if self._link:
+            self._link.send(msgspec.msgpack.encode(tiercalls.Again(self._version())))
+
+    def leave(self, why: str) -> None:
+        """Turns to another observer. One that has no quorum to ask is not left for that: none may have."""
+        if self._link and not why.startswith("no quorum"):
+            self._left = why
+            self._link.end(why)
+
+    async def _insist(self, make: Callable[[int], Any], end: float, patient: bool) -> Any:
+        """As keepers are asked, but where there is no quorum less often: a whole zone asks one observer."""
+        while (left := end - self.loop.time()) > 0:
+            try:
+                word = await self._once(make, min(TRY_S, left))
+            except TimeoutError:
+                self._late()
+                continue
+            except OSError:
+                continue
+            refused = word.result.refused if isinstance(word, calls.Answer) else ""
+            if not refused.startswith(LATER):
+                return word
+            self._heard[self.keeper] = refused
+            if not patient:
+                break
+            await asyncio.sleep(min(left, PAUSE_S * (0.5 + self._rng.random())))
+        raise NoContact(self.missing())
+
+    def missing(self) -> str:
+        rows = [f"{name}: {self._heard.get(name, 'not asked')}" for name in self._rows]
+        return f"no observer of {', '.join(self._rows)} answers for the keepers ({'; '.join(rows)})"
+
+    async def close(self) -> None:
+        self._looking.cancel()
+        if self._link and self.turn:
+            self._link.send(msgspec.msgpack.encode(tiercalls.Bye(self.turn)))
+            await asyncio.sleep(0)  # the word goes before the connection does
+        await super().close()
+
+
+async def order(operator: Operator, row: Observer, verb: str, wait_s: float) -> calls.Said:
+    """One order to one observer, and its answer. NoContact if there is none."""
+    loop = asyncio.get_running_loop()
+    answer: asyncio.Future[calls.Said] = loop.create_future()
+
+    def met(link: FrameLink) -> None:
+        link.send(msgspec.msgpack.encode(calls.Order(1, verb)))
+
+    def taken(link: FrameLink, payload: bytes) -> None:
+        try:
+            word = msgspec.msgpack.decode(payload, type=calls.Said)
+        except (msgspec.DecodeError, ValueError):
+            link.end("a payload that cannot be read")
+            return
+        if not answer.done():
+            answer.set_result(word)
+
+    def lost(link: FrameLink, why: str) -> None:
+        if not answer.done():
+            answer.set_exception(NoContact(f"{row.name}: {why}"))
+
+    link = FrameLink(
+        operator.cluster, operator.key(), "tool", "tool", dialled=True, met=met, taken=taken, lost=lost
+    )
+    try:
+        async with asyncio.timeout(wait_s):
+            await loop.create_connection(lambda: link, row.at.host, row.at.port)
+            return await answer
+    except (OSError, TimeoutError) as why:
+        raise NoContact(f"{row.name}: {why or 'no answer in time'}") from why
+    finally:
+        link.end("done")
+        answer.cancel()
--- a/mothstall/fleet/client.py
+++ b/mothstall/fleet/client.py
@@ -256,6 +256,16 @@
         rows = [f"{row.name}: {self._heard.get(row.name, 'not asked')}" for row in self._order]
         return f"no quorum of {', '.join(row.name for row in self._order)} answers ({'; '.join(rows)})"
 
+    async def pass_on(self, proposal: Proposal, wait_s: float) -> Result:
+        """Another caller's change, as it is and once: that caller asks again. NoContact without an answer."""
+        try:
+            word = await self._once(
+                lambda n, left: calls.Ask(n, proposal, max(1, round(left * 1000))), wait_s
+            )
+        except (TimeoutError, OSError) as why:
+            raise NoContact(self.missing()) from why
+        return word.result  # type: ignore[no-any-return]
+
     async def read(self, wait_s: float, *, patient: bool = True) -> Delta:
         """All of the state that was acknowledged before now. NoContact when the time is over."""
         word = await self._insist(lambda n, left: calls.Read(n), self.loop.time() + wait_s, patient)
--- a/mothstall/fleet/operator.py
+++ b/mothstall/fleet/operator.py
@@ -19,6 +19,7 @@
 from mothstall.spans import Span, span
 
 MOST_KEEPERS = 9
+MOST_OBSERVERS = 256
 LEAST_KEY = 32  # bytes
 
 
@@ -44,6 +45,20 @@
         return parse_address(self.address)
 
 
+class Observer(_Part, kw_only=True, frozen=True):
+    """One between keepers and proxies, for the proxies of its zone, and of its region when theirs is lost."""
+
+    name: str
+    address: str
+    listen: str | None = None
+    zone: str = ""
+    region: str = ""
+
+    @property
+    def at(self) -> Address:
+        return parse_address(self.address)
+
+
 class Timing(_Part, kw_only=True, frozen=True):
     tick: Span = span("20ms")
     heartbeat: Span = span("60ms")
@@ -64,6 +79,8 @@
 class AgentPart(_Part, kw_only=True, frozen=True):
     data: str | None = None  # folder for what must survive a restart: drains given here, highest tokens
     listen: str | None = None  # where operators hand drains in, and orders come; none: no such place
+    # What this proxy is told of, where observers are named: backends whose names begin so; "": of all.
+    backends: tuple[str, ...] = ("",)
 
 
 class Probing(_Part, kw_only=True, frozen=True):
@@ -102,6 +119,7 @@
     keepers: tuple[Keeper, ...]
     key_file: str | None = None
     zone: str = ""
+    observers: tuple[Observer, ...] = ()  # where there are any, proxies attach to them and to no keeper
     timing: Timing = Timing()
     store: Store = Store()
     leases: Leases = Leases()
@@ -115,6 +133,12 @@
                 return row
         raise OperatorError(f"keepers: none is named {name!r}")
 
+    def observer(self, name: str) -> Observer:
+        for row in self.observers:
+            if row.name == name:
+                return row
+        raise OperatorError(f"observers: none is named {name!r}")
+
     def key(self) -> bytes:
         """The shared key; empty where there is none."""
         return read_key(Path(self.key_file)) if self.key_file else b""
@@ -161,6 +185,7 @@
         for key, text in (("address", row.address), ("listen", row.listen)):
             if text is not None:
                 _address(f"$.keepers[{i}].{key}", text, it.key_file is not None)
+    _check_observers(it)
     if it.agent.listen is not None:
         _address("$.agent.listen", it.agent.listen, it.key_file is not None)
     time, leases = it.timing, it.leases
@@ -185,6 +210,27 @@
         raise OperatorError("operator file: $.probing.every is 10ms or more, and no less than timeout")
 
 
+def _check_observers(it: Operator) -> None:
+    if len(it.observers) > MOST_OBSERVERS:
+        raise OperatorError(f"operator file: $.observers: more than {MOST_OBSERVERS}")
+    names = [row.name for row in it.observers]
+    regions: dict[str, str] = {}
+    for i, row in enumerate(it.observers):
+        at = f"operator file: $.observers[{i}]"
+        if not 1 <= len(row.name) <= 90 or names.index(row.name) != i:
+            raise OperatorError(f"{at}.name must be a name of its own, of 1 to 90 letters")
+        for key, text in (("zone", row.zone), ("region", row.region)):
+            if len(text) > 100:
+                raise OperatorError(f"{at}.{key} has 100 letters at most")
+        if regions.setdefault(row.zone, row.region) != row.region:
+            raise OperatorError(f"{at}.region: zone {row.zone!r} stands in region {regions[row.zone]!r}")
+        for key, address in (("address", row.address), ("listen", row.listen)):
+            if address is not None:
+                _address(f"$.observers[{i}].{key}", address, it.key_file is not None)
+    if not 1 <= len(it.agent.backends) <= 64 or any(len(row) > 100 for row in it.agent.backends):
+        raise OperatorError("operator file: $.agent.backends names 1 to 64 prefixes of 100 letters at most")
+
+
 def _check_failover(it: Failover, zone: str) -> None:
     known: set[str] = set()
     names = [row.name for row in it.regions]
--- a/mothstall/fleet/presence.py
+++ b/mothstall/fleet/presence.py
@@ -329,11 +329,14 @@
     stale_ns: int = 1_500_000_000  # that an observer may be without a keeper that hears a leader
     home_ns: int = 30_000_000_000  # from when on one of another zone is left for the own zone's
     most_wait_ns: int = 5_000_000_000
+    spread_ns: int = 400_000_000  # in which all proxies of one observer that is gone go to another
     ways: list[_Way] = field(default_factory=list)
     turn: int = 0
     at: str = ""
     since: int = 0
     heard: int = 0
+    linked: bool = False
+    due: int = 0  # not before
     tries: int = 0  # observers left because their word was old, in a row
 
     def known(self, home: Sequence[str], near: Sequence[str]) -> None:
@@ -347,11 +350,11 @@
         """Where to go, and how long to wait before; each call is a new turn's."""
         best = min(self.ways, key=lambda way: (way.barred > now, way.barred if way.barred > now else 0))
         self.at, self.since, self.heard = best.name, now, now
-        return best.name, max(0, best.barred - now)
+        return best.name, max(0, best.barred - now, self.due - now)
 
     def met(self, now: int) -> int:
         """Connected; the turn of this attachment."""
-        self.turn += 1
+        self.turn, self.linked = self.turn + 1, True
         self.since = self.heard = now
         return self.turn
 
@@ -390,4 +393,6 @@
             way.fails += 1
             wait = min(self.most_wait_ns, 50 * MS << min(way.fails - 1, 8))
             way.barred = now + int(wait * (0.5 + self.rng.random()))
-        self.at = ""
+        if self.linked:
+            self.due = now + int(self.spread_ns * self.rng.random())
+        self.at, self.linked = "", False
--- /dev/null
+++ b/mothstall/observer/process.py
@@ -0,0 +1,495 @@
+"""The observer's process: sockets and a clock round `presence`, `fanout`, its lease. Nothing is decided here.
+
+It is a caller of the keepers as an agent is: it watches the state, holds a lease of its own, and writes under
+it who is attached. What its proxies ask of keepers goes through it, bounded; renewals go together in one
+change, as the state asks for a lease's name and token alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import logging
+import secrets
+import time
+from collections import deque
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from mothstall.config import parse_address
+from mothstall.fleet.client import NoContact, Store
+from mothstall.fleet.fanout import Fanout, subscription
+from mothstall.fleet.leases import Holder
+from mothstall.fleet.operator import Operator
+from mothstall.fleet.presence import OBSERVER, Presence, Seat, Sweep
+from mothstall.store import calls, tiercalls
+from mothstall.store import state as st
+from mothstall.store.link import FrameLink
+from mothstall.store.roster import Attach
+from mothstall.store.state import Delta, Result
+
+log = logging.getLogger("mothstall.observer")
+
+MS = 1_000_000
+TICK_S = 0.05
+STEP_S = 0.05  # between two looks at its own lease and batches
+TOLD = 512  # proxies told in one turn of the loop
+CHANGE_S = 1.0  # for a change of its own
+STALE_NS = 1_500_000_000  # without a keeper that hears a leader: another one is turned to, and asks refused
+MOST_LINKS = 4608
+MOST_ASKED = 256  # asks of proxies on their way to a keeper,
+MOST_WAITING = 2048  # and so many behind them; more are turned away
+ASK_S = 0.55  # what a proxy's ask waits in all: less than the proxy does, who then asks again
+RENEW_S = 0.1  # renewals of all proxies go together this often
+RELAY_S = 0.1
+MOST_REPORTS = 4096  # that wait to go on; what comes on top is left out, as it comes again
+MOST_REPORT = 16 * 1024  # bytes
+MOST_UNTAKEN = 256 * 1024  # bytes on their way to one proxy, until reports to it are left out
+GRACE_TERMS = 5  # for which proxies of a lost observer count as moving
+COUNTS = (
+    "asks", "asks_dropped", "asks_refused", "renewals", "renewed", "reports", "reports_left_out",
+    "frames_unreadable", "links_turned_away", "leases_lost", "told_bytes",
+)  # fmt: skip
+
+
+@dataclass(slots=True, frozen=True)
+class Guest:
+    """The proxy behind a connection."""
+
+    name: str
+    owner: str
+    turn: int
+
+
+@dataclass(slots=True)
+class Asked:
+    """One ask of a proxy. `due`: when it has given it up."""
+
+    link: FrameLink
+    ask: calls.Ask
+    due: float
+
+
+@dataclass(slots=True)
+class Renewals:
+    """What proxies want renewed: rows in the order in which they came."""
+
+    rows: deque[tuple[Asked, st.Renew]] = field(default_factory=deque)
+
+    def take(self, now: float) -> list[tuple[Asked, st.Renew]]:
+        """As many as one change holds; what was given up meanwhile goes."""
+        found: list[tuple[Asked, st.Renew]] = []
+        names = 0
+        while self.rows and names + len(self.rows[0][1].held) <= st.MOST_NAMES:
+            asked, renew = self.rows.popleft()
+            if asked.due > now:
+                found.append((asked, renew))
+                names += len(renew.held)
+        return found
+
+
+class Observer:
+    """One observer in service. OSError from `start` if its address is not to be had."""
+
+    def __init__(self, operator: Operator, name: str) -> None:
+        self.operator, self.name = operator, name
+        self.part = operator.observer(name)
+        self.loop = asyncio.get_running_loop()
+        self.owner = f"{name}#{secrets.token_hex(3)}"
+        self.lease = OBSERVER + name
+        leases = operator.leases
+        self.holder = Holder(leases.term // MS, leases.margin // MS, leases.drift)
+        self.presence = Presence(self.lease, int(leases.term))
+        self.sweep = Sweep(name, GRACE_TERMS * int(leases.term))
+        self.fanout = Fanout()
+        self.counts = dict.fromkeys(COUNTS, 0)
+        self._key = operator.key()
+        self._links: set[FrameLink] = set()
+        self._guests: dict[str, FrameLink] = {}
+        self._listeners: set[FrameLink] = set()
+        self._waiting: deque[Asked] = deque()
+        self._asked = 0
+        self._renewals = Renewals()
+        self._reports: list[bytes] = []
+        self._led_at = 0  # when a keeper that hears a leader last spoke, ns; 0: never
+        self._turned_at = 0
+        self._renewed_at = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+        self._ended = False
+        self.port = 0
+
+    async def start(self) -> None:
+        at = parse_address(self.part.listen or self.part.address)
+        self._server = await self.loop.create_server(self._accept, at.host, at.port, backlog=2048)
+        self.port = self._server.sockets[0].getsockname()[1]
+        # Three ways, so that a slow change of one kind holds up no other: the state and what proxies ask;
+        # its own lease and batches; renewals of all proxies.
+        self._store = Store(
+            self.operator, self.owner, "observer", loop=self.loop, pushed=self._pushed,
+            version=lambda: self.fanout.version, heard=self._heard,
+        )  # fmt: skip
+        self._own = Store(self.operator, self.owner, "observer", loop=self.loop)
+        self._renew = Store(self.operator, self.owner, "observer", loop=self.loop)
+        for work in (self._tick(), self._live(), self._renew_all(), self._relay()):
+            self._spawn(work)
+        log.info("listening", extra={"kv": {"name": self.name, "port": self.port}})
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (why := task.exception()):
+            log.error("observer fault", extra={"kv": {"why": repr(why)}}, exc_info=why)
+
+    async def stop(self) -> None:
+        """Gives its lease up, where a keeper answers at once, and ends: its proxies move."""
+        self._ended = True
+        if self._server:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if token := self.holder.token(self.lease, time.monotonic_ns()):
+            self.holder.lost(self.lease)
+            with contextlib.suppress(NoContact, TimeoutError):
+                async with asyncio.timeout(0.3):
+                    await self._own.change(st.Drop(self.lease, token), 0.2, patient=False)
+        for link in list(self._links):
+            link.end("ending")
+        for store in (self._store, self._own, self._renew):
+            await store.close()
+
+    # The state
+
+    def age_ms(self) -> int:
+        """How old what it tells may be; -1: it never heard a keeper with a leader."""
+        return (time.monotonic_ns() - self._led_at) // MS if self._led_at else -1
+
+    def _alone(self) -> str:
+        """Why nothing can be asked of keepers; empty where it can."""
+        if self._store.keeper and self._led_at and time.monotonic_ns() - self._led_at < STALE_NS:
+            return ""
+        return f"no quorum: {self.name} has heard no keeper with a leader for {self.age_ms()} ms"
+
+    def _pushed(self, push: calls.Push) -> None:
+        now = time.monotonic_ns()
+        found = self.fanout.take(push.delta)
+        if found is None:
+            self._store.again()
+            return
+        if push.led and push.delta.version >= self.fanout.version:
+            self._led_at = self._turned_at = now
+        if not found.leases and not found.members:
+            return
+        self.sweep.seen(found.leases, found.members, now)
+        for seat in self.presence.seen(found.members, now):
+            self._dismiss(seat, "it is attached elsewhere")
+
+    def _dismiss(self, seat: Seat, why: str) -> None:
+        link = self._guests.get(seat.name)
+        if link is not None and link.state.turn == seat.turn and link.state.owner == seat.owner:
+            link.send(msgspec.msgpack.encode(tiercalls.Turned(seat.turn, why)))
+            self._forget(link)
+
+    async def _tick(self) -> None:
+        while True:
+            now = time.monotonic_ns()
+            for name in self.holder.over(now):
+                self._lost(name, "not renewed in time")
+            self.presence.seated(self.holder.token(self.lease, now))
+            for name in self.presence.tick(now):
+                if link := self._guests.get(name):
+                    link.end("it says nothing")
+                    self._forget(link)
+            if self.presence.token:
+                for leave in self.sweep.due(self.fanout.members, now):
+                    self.presence.ask(leave)
+            if now - max(self._led_at, self._turned_at) > STALE_NS:
+                self._turned_at = now
+                self._store.leave("it hears no leader, or says nothing")
+            self._tell(now)
+            await asyncio.sleep(TICK_S)
+
+    def _tell(self, now: int) -> None:
+        """Linear in proxies that lack something; what many lack is encoded once."""
+        age_ms = self.age_ms()
+
+        def encode(delta: Delta) -> bytes:
+            return msgspec.msgpack.encode(tiercalls.Fed(delta, age_ms))
+
+        for name, data in self.fanout.due(now, TOLD, encode, lambda name: self._guests[name].unsent):
+            self.counts["told_bytes"] += len(data)
+            self._guests[name].send(data)
+
+    # Its lease and its batches
+
+    def _lost(self, name: str, why: str) -> None:
+        self.counts["leases_lost"] += 1
+        log.warning("lease over", extra={"kv": {"lease": name, "why": why}})
+
+    async def _live(self) -> None:
+        while True:
+            try:
+                await self._look()
+            except NoContact as why:
+                log.info("no contact", extra={"kv": {"why": why}})
+            await asyncio.sleep(STEP_S)
+
+    async def _look(self) -> None:
+        now = time.monotonic_ns()
+        token = self.holder.token(self.lease, now)
+        if not token:
+            await self._take()
+        elif now - self._renewed_at >= self.operator.leases.term // 3:
+            self._renewed_at = now
+            result = await self._own.change(st.Renew(self.owner, ((self.lease, token),)), CHANGE_S)
+            if result.lost:
+                self.holder.lost(self.lease)
+                self._lost(self.lease, "the store says so")
+            elif not result.refused:
+                self.holder.renewed([(self.lease, token)], now, time.monotonic_ns())
+        elif batch := self.presence.batch(now):
+            await self._batch(batch)
+        self.presence.seated(self.holder.token(self.lease, time.monotonic_ns()))
+
+    async def _take(self) -> None:
+        held = self.fanout.leases.get(self.lease)
+        if self._alone() or (held and held.owner != self.owner):
+            return
+        sent = time.monotonic_ns()
+        info = {"zone": self.part.zone, "region": self.part.region}
+        take = st.Take(self.lease, self.owner, self.operator.leases.term // MS, info)
+        result = await self._own.change(take, CHANGE_S)
+        if result.refused:
+            return
+        now = time.monotonic_ns()
+        self.holder.granted(self.lease, result.token, sent, now)
+        self._renewed_at = sent
+        self.presence.seated(self.holder.token(self.lease, now))
+        for seat in self.presence.whole(self.fanout.members, now):
+            self._dismiss(seat, "it is attached elsewhere")
+        log.info("lease taken", extra={"kv": {"lease": self.lease, "token": result.token}})
+
+    async def _batch(self, batch: Attach) -> None:
+        try:
+            result = await self._own.change(batch, CHANGE_S)
+        except NoContact:
+            self.presence.answered(batch, None, time.monotonic_ns())
+            raise
+        if " is over" in result.refused:
+            self.holder.lost(self.lease)
+            self._lost(self.lease, result.refused)
+        done = None if result.refused else result.lost
+        for seat in self.presence.answered(batch, done, time.monotonic_ns()):
+            link = self._guests.get(seat.name)
+            if link is not None and link.state.turn == seat.turn:
+                link.send(msgspec.msgpack.encode(tiercalls.Seated(seat.turn)))
+
+    # Proxies
+
+    def _accept(self) -> FrameLink:
+        return FrameLink(
+            self.operator.cluster, self._key, self.name, "observer", dialled=False, met=self._met,
+            taken=self._taken, lost=self._gone,
+        )  # fmt: skip
+
+    def _met(self, link: FrameLink) -> None:
+        if len(self._links) >= MOST_LINKS or link.role not in ("agent", "tool"):
+            self.counts["links_turned_away"] += 1
+            link.end(f"a {link.role} is not served here" if len(self._links) < MOST_LINKS else "too many")
+            return
+        self._links.add(link)
+
+    def _gone(self, link: FrameLink, why: str) -> None:
+        guest = link.state
+        self._forget(link)
+        if guest is not None:
+            self.presence.unlinked(guest.name, guest.owner, guest.turn, time.monotonic_ns(), False)
+
+    def _forget(self, link: FrameLink) -> None:
+        self._links.discard(link)
+        self._listeners.discard(link)
+        if link.state is not None and self._guests.get(link.state.name) is link:
+            del self._guests[link.state.name]
+            self.fanout.leave(link.state.name)
+
+    def _taken(self, link: FrameLink, payload: bytes) -> None:
+        try:
+            self._said(link, msgspec.msgpack.decode(payload, type=tiercalls.FromProxy))
+        except (msgspec.DecodeError, ValueError) as why:
+            self.counts["frames_unreadable"] += 1
+            log.warning("payload refused", extra={"kv": {"peer": link.peer, "why": why}})
+            link.end("a payload that cannot be read")
+
+    def _said(self, link: FrameLink, word: tiercalls.FromProxy) -> None:
+        if isinstance(word, calls.Order):
+            known = word.verb == "status"
+            text = json.dumps(self.status()).encode() if known else b""
+            link.send(msgspec.msgpack.encode(calls.Said(word.number, "" if known else "no such order", text)))
+            return
+        if isinstance(word, tiercalls.Come):
+            self._come(link, word)
+            return
+        guest = link.state
+        if guest is None or self._guests.get(guest.name) is not link:
+            raise ValueError("it asks before it is attached")
+        if isinstance(word, tiercalls.Alive):
+            if not self.presence.speak(guest.name, guest.owner, word.turn, time.monotonic_ns()):
+                link.send(msgspec.msgpack.encode(tiercalls.Turned(word.turn, "it is not known here")))
+        elif isinstance(word, tiercalls.Again):
+            self.fanout.join(guest.name, self.fanout.readers[guest.name].sub, word.version)
+        elif isinstance(word, tiercalls.Bye):
+            self.presence.unlinked(guest.name, guest.owner, guest.turn, time.monotonic_ns(), True)
+        elif isinstance(word, calls.Ask):
+            self._ask(link, word)
+        elif isinstance(word, calls.Listen):
+            (self._listeners.add if word.on else self._listeners.discard)(link)
+        elif len(self._reports) < MOST_REPORTS and len(word.data) <= MOST_REPORT:
+            self._reports.append(word.data)
+        else:
+            self.counts["reports_left_out"] += 1
+
+    def _come(self, link: FrameLink, word: tiercalls.Come) -> None:
+        """Guards against one process that speaks for another: its connection bears its name."""
+        owner, now = link.peer, time.monotonic_ns()
+        if link.state is not None or link.role != "agent" or owner.partition("#")[0] != word.name:
+            raise ValueError(f"{owner} comes as {word.name}")
+        if not 0 < word.turn < 1 << 62 or not 0 < len(word.name) <= st.MOST_NAME:
+            raise ValueError("an attachment that cannot be")
+        sub = subscription(word.zone, word.backends)
+        before = self._guests.get(word.name)
+        why = self.presence.arrive(word.name, owner, word.turn, word.zone, now)
+        if not why:
+            if before is not None:
+                self._forget(before)
+                before.end("it came anew")
+            why = self.fanout.join(word.name, sub, word.version)
+            if why:
+                self.presence.unlinked(word.name, owner, word.turn, now, True)
+        if why:
+            link.send(msgspec.msgpack.encode(tiercalls.Turned(word.turn, why)))
+            return
+        link.state = Guest(word.name, owner, word.turn)
+        self._guests[word.name] = link
+
+    # What proxies ask of keepers
+
+    def _ask(self, link: FrameLink, ask: calls.Ask) -> None:
+        """Passed on as it is; bounded, and what its proxy has given up by then is dropped."""
+        self.counts["asks"] += 1
+        change = ask.proposal.change
+        if why := self._alone():
+            self._refuse(link, ask.number, why)
+        elif isinstance(change, Attach | st.Expire) or (
+            isinstance(change, st.Take | st.Drop | st.Seize) and change.name.startswith(OBSERVER)
+        ):
+            self._refuse(link, ask.number, "a proxy answers for no observer")
+        elif len(self._waiting) + len(self._renewals.rows) >= MOST_WAITING:
+            self._refuse(link, ask.number, "too many callers wait at the observer")
+        else:
+            asked = Asked(link, ask, self.loop.time() + ASK_S)
+            if isinstance(change, st.Renew) and len(change.held) <= st.MOST_NAMES:
+                self._renewals.rows.append((asked, change))
+            else:
+                self._waiting.append(asked)
+                self._pass_on()
+
+    def _refuse(self, link: FrameLink, number: int, why: str) -> None:
+        self.counts["asks_refused"] += 1
+        self._answer(link, number, Result(refused=why))
+
+    def _answer(self, link: FrameLink, number: int, result: Result) -> None:
+        link.send(msgspec.msgpack.encode(calls.Answer(number, result)))
+
+    def _wanted(self, asked: Asked) -> bool:
+        """Guards against work that nobody waits for: the proxy is gone, or has asked again by now."""
+        guest = asked.link.state
+        here = guest is not None and self._guests.get(guest.name) is asked.link
+        if here and asked.due > self.loop.time():
+            return True
+        self.counts["asks_dropped"] += 1
+        return False
+
+    def _pass_on(self) -> None:
+        while self._waiting and self._asked < MOST_ASKED:
+            asked = self._waiting.popleft()
+            if self._wanted(asked):
+                self._asked += 1
+                self._spawn(self._passed_on(asked))
+
+    async def _passed_on(self, asked: Asked) -> None:
+        try:
+            left = asked.due - self.loop.time()
+            result = await self._store.pass_on(asked.ask.proposal, left)
+        except NoContact as why:
+            result = Result(refused=f"no quorum: {why}"[:300])
+        finally:
+            self._asked -= 1
+        self._answer(asked.link, asked.ask.number, result)
+        self._pass_on()
+
+    async def _renew_all(self) -> None:
+        """Renewals of all proxies in one change: the state asks for names and tokens, whoever they are of."""
+        while True:
+            await asyncio.sleep(RENEW_S)
+            while rows := self._renewals.take(self.loop.time()):
+                held = tuple(row for _, renew in rows for row in renew.held)
+                self.counts["renewals"] += 1
+                self.counts["renewed"] += len(held)
+                try:
+                    # Proxies count their terms from before they sent: what takes longer renews less.
+                    result = await self._renew.change(st.Renew(self.owner, held), ASK_S, patient=False)
+                except NoContact as why:
+                    result = Result(refused=f"no quorum: {why}"[:300])
+                lost = set(result.lost)
+                for asked, renew in rows:
+                    own = tuple(name for name, _ in renew.held if name in lost)
+                    answer = Result(refused=result.refused, lost=own, version=result.version)
+                    self._answer(asked.link, asked.ask.number, answer)
+
+    # Reports
+
+    def _heard(self, rows: tuple[bytes, ...]) -> None:
+        frame = msgspec.msgpack.encode(calls.Heard(rows))
+        for link in list(self._listeners):
+            if link.unsent < MOST_UNTAKEN:
+                link.send(frame)
+            else:
+                self.counts["reports_left_out"] += len(rows)
+
+    async def _relay(self) -> None:
+        while True:
+            await asyncio.sleep(RELAY_S)
+            self._store.listen(bool(self._listeners))
+            rows, self._reports = self._reports, []
+            for data in rows:
+                if not self._store.report(data):
+                    self.counts["reports_left_out"] += 1
+                else:
+                    self.counts["reports"] += 1
+
+    # Operators
+
+    def status(self) -> dict[str, Any]:
+        """What an operator reads of this observer, by its own account."""
+        presence, fanout = self.presence, self.fanout
+        return {
+            "name": self.name, "zone": self.part.zone, "region": self.part.region,
+            "keeper": self._store.keeper, "token": self.holder.token(self.lease, time.monotonic_ns()),
+            "attached": len(self._guests), "seated": sum(s.token != 0 for s in presence.seats.values()),
+            "waiting": presence.waiting, "moving": self.sweep.moving, "version": fanout.version,
+            "age_ms": self.age_ms(),
+            "left_out": fanout.counts["left_out"] + presence.counts["turned_away"]
+            + self.counts["reports_left_out"] + self.counts["asks_dropped"],
+            "counts": {**self.counts, **presence.counts, **{f"fed_{k}": v for k, v in fanout.counts.items()}},
+        }  # fmt: skip
+
+
--- a/mothstall/operate.py
+++ b/mothstall/operate.py
@@ -19,9 +19,10 @@
 import msgspec
 
 from mothstall.config import LOG_LEVELS
-from mothstall.fleet import duties
+from mothstall.fleet import attach, duties
 from mothstall.fleet.client import NoContact, Store, say
-from mothstall.fleet.operator import Operator, OperatorError, read
+from mothstall.fleet.operator import Observer, Operator, OperatorError, read
+from mothstall.fleet.presence import OBSERVER
 from mothstall.fleet.zones import Refused, Word
 from mothstall.fleet.zones import run as zones_run
 from mothstall.store import calls, log
@@ -53,6 +54,11 @@
         "--disk-switch", metavar="FILE", help="for the lab: `stall` or `full` in it holds commits"
     )
 
+    observer = add(groups, "observer", "run one observer in the foreground")
+    observer.add_argument("--name", required=True, help="which of the operator file's observers this is")
+    observer.add_argument("--log-level", choices=LOG_LEVELS, default="info")
+    add(groups, "observers", "each observer by its own account: attached, lag, age, what was left out")
+
     lease = groups.add_parser("lease", help="who owns which work", epilog=EPILOG)
     verbs = lease.add_subparsers(dest="verb", required=True)
     add(verbs, "list", "all leases with their owners and tokens")
@@ -120,6 +126,8 @@
         operator.key()
         if args.group == "keeper":
             return _keeper(operator, args)
+        if args.group == "observer":
+            return _observer(operator, args)
         verb = f"{args.group} {args.verb}" if "verb" in args and args.group != "zones" else args.group
         found = _COMMANDS[verb](operator, args)
         tree = asyncio.run(found) if asyncio.iscoroutine(found) else found
@@ -149,6 +157,19 @@
     return 0
 
 
+def _observer(operator: Operator, args: argparse.Namespace) -> int:
+    from mothstall.net import logs
+    from mothstall.observer.run import run
+
+    logs.set_up(args.log_level)
+    try:
+        asyncio.run(run(operator, args.name))
+    except OSError as why:
+        print(f"mothstall: {why}", file=sys.stderr)
+        return 1
+    return 0
+
+
 def _text(tree: Any) -> str:
     """Rows as aligned columns, a mapping as lines, all else as it is."""
     if isinstance(tree, dict):
@@ -257,13 +278,50 @@
     for row in leases:
         if row.name.startswith(duties.PROBE):
             probed[row.owner] = probed.get(row.owner, 0) + 1
-    return [
+    rows = [
         {
             "name": row.name[len(duties.MEMBER) :], "owner": row.owner, "zone": row.info.get("zone", ""),
-            "token": row.token, "probes": probed.get(row.owner, 0),
+            "by": "", "token": row.token, "probes": probed.get(row.owner, 0),
         }
-        for row in sorted(leases, key=lambda row: row.name) if row.name.startswith(duties.MEMBER)
+        for row in leases if row.name.startswith(duties.MEMBER)
     ]  # fmt: skip
+    held = {row.name: row.token for row in leases}
+    for member in delta.members.values():
+        if member:
+            by = member.lease.removeprefix(OBSERVER)
+            by = by if held.get(member.lease) == member.token else f"{by} (over: it moves)"
+            rows.append({
+                "name": member.name, "owner": member.owner, "zone": member.zone, "by": by,
+                "token": member.token, "probes": probed.get(member.owner, 0),
+            })  # fmt: skip
+    return sorted(rows, key=lambda row: str(row["name"]))
+
+
+async def _observers(operator: Operator, args: argparse.Namespace) -> Any:
+    """`lag`: versions of the state behind the observer that knows most."""
+    if not operator.observers:
+        raise OperatorError("operator file: $.observers: there are none")
+
+    async def one(row: Observer) -> dict[str, Any]:
+        try:
+            said = await attach.order(operator, row, "status", min(args.wait, 1.5))
+            return dict(json.loads(said.text))
+        except (NoContact, ValueError) as why:
+            where = {"name": row.name, "zone": row.zone, "region": row.region}
+            return {**where, "keeper": "not reached", "why": str(why)}
+
+    rows = await asyncio.gather(*map(one, operator.observers))
+    newest = max((row["version"] for row in rows if "version" in row), default=None)
+    if newest is None:
+        raise NoContact("; ".join(row["why"] for row in rows))
+    for row in rows:
+        if "version" in row:
+            row["lag"] = newest - row["version"]
+    brief = (
+        "name", "zone", "region", "keeper", "token", "attached", "seated", "moving", "lag", "age_ms",
+        "left_out",
+    )  # fmt: skip
+    return rows if args.json else [{key: row.get(key, "") for key in brief} for row in rows]
 
 
 async def _zones(operator: Operator, args: argparse.Namespace) -> Any:
@@ -378,6 +436,7 @@
 _COMMANDS: dict[str, Callable[[Operator, argparse.Namespace], Any]] = {
     "lease list": _lease_list, "lease take": _lease_take, "lease drop": _lease_drop, "drain": _drain,
     "undrain": _undrain, "drains": _drains, "members": _members, "zones": _zones,
+    "observers": _observers,
     "keepers status": _status,
     "keepers add": _to_leader, "keepers remove": _to_leader, "keepers transfer": _to_leader,
     "keepers backup": _backup, "keepers restore": _restore, "keepers verify": _verify, "keepers dump": _dump,
--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -90,13 +90,25 @@
 def test_serving_imports_nothing_of_the_lab() -> None:
     check = (
         "import sys, mothstall.cli, mothstall.net.proxy\n"
-        "heavy = {'msgspec', 'numpy', 'rich', 'matplotlib', 'hdrh', 'mothstall.lab'} & set(sys.modules)\n"
+        "heavy = {'msgspec', 'numpy', 'rich', 'matplotlib', 'hdrh', 'mothstall.lab', 'mothstall.store',\n"
+        "         'mothstall.fleet', 'mothstall.keeper', 'mothstall.observer'} & set(sys.modules)\n"
         "sys.exit(str(heavy) if heavy else 0)"
     )
     done = subprocess.run([sys.executable, "-c", check], cwd=policies.ROOT, capture_output=True, timeout=30)
     assert done.returncode == 0, done.stderr
 
 
+def test_a_fleet_without_observers_loads_nothing_of_them() -> None:
+    check = (
+        "import sys, mothstall.net.together, mothstall.fleet.operator\n"
+        "tier = {'mothstall.observer', 'mothstall.fleet.attach', 'mothstall.fleet.presence',\n"
+        "        'mothstall.fleet.fanout', 'mothstall.store.tiercalls'} & set(sys.modules)\n"
+        "sys.exit(str(tier) if tier else 0)"
+    )
+    done = subprocess.run([sys.executable, "-c", check], cwd=policies.ROOT, capture_output=True, timeout=30)
+    assert done.returncode == 0, done.stderr
+
+
 @pytest.mark.parametrize(
     "word",
     ["modul", "rev:--output=x", "rev:no-such-revision", "file:/no/such.py", "module,max_attempts",
--- /dev/null
+++ b/tests/observer/test_command.py
@@ -0,0 +1,93 @@
+"""What operators call of observers, against a keeper and an observer as processes."""
+
+from __future__ import annotations
+
+import json
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from mothstall import cli, operate
+from mothstall.config import ConfigError
+
+pytestmark = pytest.mark.processes
+_PORT = re.compile(r"event=listening .*port=(\d+)")
+
+
+def _file(folder: Path, *, keeper: int, observer: int, more: str = "") -> str:
+    path = folder / f"{keeper}-{observer}.toml"
+    path.write_text(
+        f'{more}cluster = "c"\nzone = "z1"\n[[keepers]]\nname = "k1"\naddress = "127.0.0.1:{keeper}"\n'
+        f'data = "{folder}"\n[[observers]]\nname = "o1"\naddress = "127.0.0.1:{observer}"\nzone = "z1"\n'
+    )
+    return str(path)
+
+
+def _free() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def _started(*words: str) -> subprocess.Popen[str]:
+    process = subprocess.Popen(
+        [sys.executable, "-m", "mothstall", *words], stderr=subprocess.PIPE, text=True
+    )
+    assert process.stderr
+    for line in process.stderr:
+        if _PORT.search(line):
+            return process
+    raise AssertionError(f"{words[0]} did not start")
+
+
+def test_observers_shows_each_by_its_own_account(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    file = _file(tmp_path, keeper=_free(), observer=_free())
+    assert operate.main(["observers", "--operator", file, "--wait", "1"]) == 1
+    assert "o1: " in capsys.readouterr().err
+    keeper = _started("keeper", "--operator", file, "--name", "k1")
+    observer = _started("observer", "--operator", file, "--name", "o1")
+    try:
+        end, rows = time.monotonic() + 30, [{"token": 0}]
+        while not rows[0]["token"] and time.monotonic() < end:
+            assert operate.main(["observers", "--operator", file, "--json"]) == 0
+            rows = json.loads(capsys.readouterr().out)
+            time.sleep(0.1)
+        assert rows[0]["token"] and {"attached", "lag", "age_ms", "left_out", "counts"} <= set(rows[0])
+        assert operate.main(["observers", "--operator", file]) == 0
+        out = capsys.readouterr().out.splitlines()
+        assert out[0].split()[:4] == ["name", "zone", "region", "keeper"] and out[1].startswith("o1")
+        assert operate.main(["lease", "list", "--operator", file]) == 0
+        assert "observer/o1" in capsys.readouterr().out
+        observer.send_signal(signal.SIGTERM)
+        assert observer.wait(20) == 0
+        end, said = time.monotonic() + 30, "observer/o1"
+        while "observer/o1" in said and time.monotonic() < end:
+            assert operate.main(["lease", "list", "--operator", file]) == 0
+            said = capsys.readouterr().out
+        assert "observer/o1" not in said, "an observer that ends gives its lease up"
+    finally:
+        for process in (keeper, observer):
+            process.kill()
+            process.wait()
+            assert process.stderr
+            process.stderr.close()
+
+
+def test_bad_input_ends_with_2_and_one_line(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    file = _file(tmp_path, keeper=1, observer=2)
+    assert operate.main(["observer", "--operator", file, "--name", "o9"]) == 2
+    assert capsys.readouterr().err == "mothstall: observers: none is named 'o9'\n"
+    none = tmp_path / "none.toml"
+    none.write_text('cluster = "c"\n[[keepers]]\nname = "k1"\naddress = "127.0.0.1:1"\n')
+    assert operate.main(["observers", "--operator", str(none)]) == 2
+    assert "$.observers" in capsys.readouterr().err
+    away = tmp_path / "away.toml"
+    away.write_text(Path(file).read_text().replace('zone = "z1"', 'zone = "z7"', 1))
+    with pytest.raises(ConfigError, match=r"\$\.observers: none stands in 'z7' or its region"):
+        cli._operator(str(away))
--- /dev/null
+++ b/tests/observer/test_observer.py
@@ -0,0 +1,439 @@
+"""Observers over loopback: a keeper, observers and agents of one process, and what happens as some go."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from mothstall.fleet import attach
+from mothstall.fleet.agent import Agent
+from mothstall.fleet.attach import near
+from mothstall.fleet.client import Store
+from mothstall.fleet.operator import Operator, OperatorError, from_tree
+from mothstall.keeper.process import Keeper
+from mothstall.observer import process
+from mothstall.observer.process import Observer
+from mothstall.store import calls, tiercalls
+from mothstall.store import state as st
+from mothstall.store.link import FrameLink
+from mothstall.store.roster import Attach
+
+pytestmark = pytest.mark.processes
+WAIT_S = 30.0
+
+
+async def until(holds: Callable[[], Any], what: str) -> None:
+    end = asyncio.get_running_loop().time() + WAIT_S
+    while not holds():
+        assert asyncio.get_running_loop().time() < end, what
+        await asyncio.sleep(0.02)
+
+
+def _ports(count: int) -> list[int]:
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    found = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return found
+
+
+class Rig:
+    """One keeper, observers by name and zone, agents."""
+
+    def __init__(self, folder: Path, zones: dict[str, str]) -> None:
+        self.folder = folder
+        ports = _ports(1 + len(zones))
+        self.tree: dict[str, Any] = {
+            "cluster": "test",
+            "keepers": [{"name": "k1", "address": f"127.0.0.1:{ports[0]}"}],
+            "observers": [
+                {"name": name, "address": f"127.0.0.1:{port}", "zone": zone, "region": "north"}
+                for (name, zone), port in zip(zones.items(), ports[1:], strict=True)
+            ],
+            "leases": {"term": "1s"},
+        }
+        self.keeper: Keeper | None = None
+        self.observers: dict[str, Observer] = {}
+        self.agents: dict[str, Agent] = {}
+
+    def operator(self, zone: str = "z1", **more: Any) -> Operator:
+        return from_tree({**self.tree, "zone": zone, **more})
+
+    async def start_keeper(self) -> Keeper:
+        self.keeper = Keeper(self.operator(), "k1", self.folder)
+        await self.keeper.start()
+        return self.keeper
+
+    async def observe(self, name: str) -> Observer:
+        made = self.observers[name] = Observer(self.operator(), name)
+        await made.start()
+        return made
+
+    async def agent(self, name: str, zone: str = "z1", **more: Any) -> Agent:
+        made = self.agents[name] = Agent(
+            self.operator(zone, **more), name, loop=asyncio.get_running_loop(), changed=lambda: None,
+            probes=False,
+        )  # fmt: skip
+        await made.start()
+        return made
+
+    @property
+    def state(self) -> st.State:
+        assert self.keeper
+        return self.keeper.replica.state
+
+    def at(self, name: str) -> str:
+        row = self.state.members.get(name)
+        live = row is not None and self.state.live(row.lease, row.token)
+        return row.lease.removeprefix("observer/") if row and live else ""
+
+    async def stop(self) -> None:
+        for agent in self.agents.values():
+            await agent.stop()
+        for observer in self.observers.values():
+            await observer.stop()
+        if self.keeper:
+            await self.keeper.stop()
+
+
+@contextlib.asynccontextmanager
+async def rig(folder: Path, **zones: str) -> AsyncIterator[Rig]:
+    made = Rig(folder, zones)
+    try:
+        await made.start_keeper()
+        for name in zones:
+            await made.observe(name)
+        yield made
+    finally:
+        await made.stop()
+
+
+async def _lost(observer: Observer) -> None:
+    """As a kill: nothing is given up, connections break."""
+    observer._ended = True
+    assert observer._server
+    observer._server.close()
+    for task in list(observer._tasks):
+        task.cancel()
+    for link in list(observer._links):
+        link.end("killed")
+    for store in (observer._store, observer._own, observer._renew):
+        await store.close()
+
+
+def test_proxies_attach_and_the_log_carries_what_changes_alone(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with rig(tmp_path, o1="z1") as r:
+            for i in range(20):
+                await r.agent(f"p{i}")
+            await until(lambda: all(r.at(f"p{i}") == "o1" for i in range(20)), "members")
+            await until(lambda: all(len(a.view.members) == 20 for a in r.agents.values()), "views")
+            assert r.keeper and not any(link.role == "agent" for link in r.keeper._links), "never a keeper"
+            assert not any(name.startswith("member/") for name in r.state.leases)
+            loop, version, applied = asyncio.get_running_loop(), r.state.version, r.state.applied
+            began = loop.time()
+            await asyncio.sleep(2.0)
+            assert r.state.version == version, "nobody came or went: nothing changed"
+            # Three renewals of its own a term, and none of its proxies, who would have renewed sixty times.
+            assert r.state.applied - applied <= 3 * (loop.time() - began) + 2
+            assert len({a.view.version for a in r.agents.values()}) == 1
+
+    asyncio.run(main())
+
+
+def test_a_drain_and_leases_go_through_with_their_tokens(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with rig(tmp_path, o1="z1") as r:
+            agents = [await r.agent(f"p{i}") for i in range(3)]
+            await until(lambda: all(a._tier and a._tier.seated for a in agents), "seats")
+            store = agents[0]._store
+            assert store is not None
+            took = await store.change(st.Take("probe/b1", agents[0].owner, 1000), 5.0)
+            assert took.token and not took.refused
+            again = await agents[1]._store.change(st.Take("probe/b1", "other", 1000), 5.0)  # type: ignore[union-attr]
+            assert "is p0#" in again.refused
+            for _ in range(8):  # renewed beyond its term, together with others'
+                renew = st.Renew(agents[0].owner, (("probe/b1", took.token), ("x", 9)))
+                kept = await store.change(renew, 5.0)
+                assert kept.lost == ("x",) and not kept.refused
+                await asyncio.sleep(0.25)
+            assert r.observers["o1"].counts["renewals"] >= 8
+            stale = await store.change(st.Write("probe/b1", took.token - 1, "hint/b1", b""), 5.0)
+            assert "is over" in stale.refused
+            await store.change(st.PutDrain(st.Drain("box", "b1", "ann", "", "fan")), 5.0)
+            await until(lambda: all("box:b1" in a.view.drains for a in agents), "drain")
+            await until(lambda: all("probe/b1" in a.view.leases for a in agents), "lease")
+
+    asyncio.run(main())
+
+
+def test_a_proxy_answers_for_no_observer(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with rig(tmp_path, o1="z1") as r:
+            agent = await r.agent("p1")
+            await until(lambda: r.at("p1") == "o1", "member")
+            token = r.observers["o1"].presence.token
+            assert agent._store
+            for change in (
+                Attach("observer/o1", token), st.Drop("observer/o1", token),
+                st.Take("observer/o2", "me", 1000), st.Seize("observer/o1", "me", "why"),
+            ):  # fmt: skip
+                said = await agent._store.change(change, 5.0)
+                assert said.refused == "a proxy answers for no observer", change
+            assert r.at("p1") == "o1" and "observer/o2" not in r.state.leases
+
+    asyncio.run(main())
+
+
+def test_a_lost_observers_proxies_move_and_are_neither_dead_nor_doubled(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with rig(tmp_path, o1="z1", o2="z1", o3="z2") as r:
+            for i in range(12):
+                await r.agent(f"p{i}")
+            await until(lambda: all(r.at(f"p{i}") in ("o1", "o2") for i in range(12)), "members")
+            gone = set()
+
+            def looked() -> bool:
+                gone.update({f"p{i}" for i in range(12)} - set(r.state.members))
+                return all(r.at(f"p{i}") == "o2" for i in range(12))
+
+            await _lost(r.observers.pop("o1"))
+            await until(looked, "all at o2")
+            assert not gone, "nobody was ever out of the log"
+            await _lost(r.observers.pop("o2"))
+            await until(lambda: all(r.at(f"p{i}") == "o3" for i in range(12)), "at the region's other zone")
+            await r.observe("o1")
+            await until(lambda: "observer/o1" in r.state.leases, "o1 is back")
+            for agent in r.agents.values():
+                assert agent._tier
+                agent._tier.ways.home_ns = 0
+            await until(lambda: all(r.at(f"p{i}") == "o1" for i in range(12)), "home again")
+
+    asyncio.run(main())
+
+
+def test_a_proxy_that_ends_is_out_at_once_and_one_that_is_silent_after_a_term(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with rig(tmp_path, o1="z1") as r:
+            for name in ("p1", "p2", "p3"):
+                await r.agent(name)
+            await until(lambda: len(r.state.members) == 3, "members")
+            await r.agents.pop("p1").stop()
+            await until(lambda: set(r.state.members) == {"p2", "p3"}, "p1 is out")
+            tier = r.agents["p2"]._tier
+            assert tier is not None
+            tier._looking.cancel()  # it says nothing any more, its connection stands
+            await until(lambda: set(r.state.members) == {"p3"}, "p2 is out")
+
+    asyncio.run(main())
+
+
+def test_without_keepers_it_serves_what_it_knew_says_how_old_and_grants_nothing(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with rig(tmp_path, o1="z1") as r:
+            agent = await r.agent("p1")
+            await until(lambda: r.at("p1") == "o1", "member")
+            assert agent._store and r.keeper
+            await agent._store.change(st.PutDrain(st.Drain("box", "b1", "ann", "", "fan")), 5.0)
+            await until(lambda: "box:b1" in agent.view.drains, "drain")
+            await r.keeper.stop()
+            o1 = r.observers["o1"]
+            await until(lambda: o1.age_ms() > 2500 and not o1.presence.token, "alone")
+            assert "no quorum" in o1._alone()
+            asked = o1.counts["asks"]
+            took = asyncio.create_task(agent._store.change(st.Take("probe/b1", "me", 1000), 1.5))
+            with pytest.raises(Exception, match="no observer of o1 answers for the keepers"):
+                await took
+            assert o1.counts["asks"] - asked < 30, "asked again less and less often"
+            late = await r.agent("p2")  # one that starts now is told what is known, and how old that is
+            await until(lambda: "box:b1" in late.view.drains, "what it last knew")
+            assert late.age_ms() > 2000 and not (late._tier and late._tier.seated)
+            await r.start_keeper()
+            await until(lambda: r.at("p1") == "o1" and r.at("p2") == "o1", "back")
+            await until(lambda: agent.age_ms() < 2000, "fresh")
+
+    asyncio.run(main())
+
+
+def test_a_slow_reader_holds_up_nobody_and_gets_what_is_new_once_it_reads(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with rig(tmp_path, o1="z1") as r:
+            slow, quick = await r.agent("slow"), await r.agent("quick")
+            await until(lambda: r.at("slow") == "o1" and r.at("quick") == "o1", "members")
+            assert slow._tier and slow._tier._link and slow._tier._link._transport and quick._store
+            # It neither takes nor leaves: what its observer sends fills the buffers between them.
+            slow._tier.ways.silent_ns = 1 << 62
+            slow._tier._link._transport.pause_reading()
+            link = r.observers["o1"]._guests["slow"]
+            assert link._transport
+            sock = link._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            for i in range(150):
+                row = st.Drain("box", f"b{i % 60}", "ann", "", f"{i} " + "x" * 990)
+                await quick._store.change(st.PutDrain(row), 5.0)
+            await until(lambda: quick.view.version == r.state.version, "the quick one")
+            assert link.unsent <= 256 * 1024 and slow.view.version < r.state.version
+            slow._tier._link._transport.resume_reading()
+            await until(lambda: slow.view.version == r.state.version, "the slow one")
+            assert dict(slow.view.drains) == r.state.drains
+
+    asyncio.run(main())
+
+
+def test_what_a_proxy_has_given_up_is_dropped_and_what_is_too_much_turned_away(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(process, "MOST_ASKED", 0)
+    monkeypatch.setattr(process, "MOST_WAITING", 5)
+
+    async def main() -> None:
+        async with rig(tmp_path, o1="z1") as r:
+            agent = await r.agent("p1")
+            await until(lambda: r.at("p1") == "o1", "member")
+            o1, link = r.observers["o1"], r.observers["o1"]._guests["p1"]
+            for i in range(9):
+                o1._ask(link, calls.Ask(i, st.Proposal(0, 1, st.Open("x"))))
+            assert len(o1._waiting) == 5 and o1.counts["asks_refused"] == 4
+            assert agent._tier and agent._tier._link
+            agent._tier._link.end("gone")
+            await until(lambda: o1._guests.get("p1") is not link, "gone")
+            monkeypatch.setattr(process, "MOST_ASKED", 256)
+            before = r.state.applied
+            o1._pass_on()
+            assert not o1._waiting and o1.counts["asks_dropped"] == 5 and o1._asked == 0
+            assert r.state.applied - before <= 1
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("foreign", [b"GET / HTTP/1.1\r\n\r\n", b"\x00" * 200, b"\xff" * 64])
+def test_foreign_bytes_get_one_line_and_a_closed_connection(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture, foreign: bytes
+) -> None:
+    async def main() -> None:
+        async with rig(tmp_path, o1="z1") as r:
+            reader, writer = await asyncio.open_connection("127.0.0.1", r.observers["o1"].port)
+            writer.write(foreign)
+            async with asyncio.timeout(WAIT_S):
+                with contextlib.suppress(ConnectionResetError):
+                    while await reader.read(1000):
+                        pass
+            writer.close()
+            lines = [row for row in caplog.records if row.getMessage() == "frame refused"]
+            assert len(lines) == 1 and "\n" not in str(lines[0].__dict__["kv"])
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "word",
+    [
+        b"\xc1 no msgpack", msgspec.msgpack.encode(tiercalls.Alive(1)),
+        msgspec.msgpack.encode(tiercalls.Come("p2", 1, "z1", ("",), 0)),
+        msgspec.msgpack.encode(tiercalls.Come("p1", 0, "z1", ("",), 0)),
+        msgspec.msgpack.encode(tiercalls.Come("p1", 1, "z1", (), 0)),
+        msgspec.msgpack.encode(calls.Watch(0)), msgspec.msgpack.encode(calls.Read(1)),
+    ],
+)  # fmt: skip
+def test_words_that_cannot_be_end_the_connection(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture, word: bytes
+) -> None:
+    async def main() -> None:
+        async with rig(tmp_path, o1="z1") as r:
+            ended = asyncio.Event()
+
+            def met(link: FrameLink) -> None:
+                link.send(word)
+
+            link = FrameLink(
+                "test", b"", "p1#a", "agent", dialled=True, met=met,
+                taken=lambda link, payload: None, lost=lambda link, why: ended.set(),
+            )  # fmt: skip
+            loop = asyncio.get_running_loop()
+            await loop.create_connection(lambda: link, "127.0.0.1", r.observers["o1"].port)
+            async with asyncio.timeout(WAIT_S):
+                await ended.wait()
+            assert [row.getMessage() for row in caplog.records].count("payload refused") == 1
+            assert r.observers["o1"].counts["frames_unreadable"] == 1 and not r.observers["o1"].presence.seats
+
+    asyncio.run(main())
+
+
+def test_status_tells_who_is_attached_how_old_it_is_and_what_was_left_out(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with rig(tmp_path, o1="z1") as r:
+            await r.agent("p1")
+            await until(lambda: r.at("p1") == "o1", "member")
+            row = r.operator().observers[0]
+            said = await attach.order(r.operator(), row, "status", 5.0)
+            tree = msgspec.json.decode(said.text)
+            assert (tree["name"], tree["attached"], tree["seated"], tree["keeper"]) == ("o1", 1, 1, "k1")
+            assert 0 <= tree["age_ms"] < 5000 and tree["left_out"] == 0 and tree["token"] > 0
+            assert (await attach.order(r.operator(), row, "transfer", 5.0)).refused == "no such order"
+
+    asyncio.run(main())
+
+
+def test_small_fleets_run_without_observers_as_before(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with rig(tmp_path) as r:
+            agent = await r.agent("p1")
+            await until(lambda: "member/p1" in r.state.leases, "member by lease")
+            assert agent._tier is None and type(agent._store) is Store and not r.state.members
+            assert "fleet_attached" not in agent.figures()
+
+    asyncio.run(main())
+
+
+def test_a_zone_without_observers_goes_to_its_region_or_is_told_in_one_line() -> None:
+    rows = [
+        {"name": "o1", "address": "127.0.0.1:1", "zone": "z1", "region": "north"},
+        {"name": "o2", "address": "127.0.0.1:2", "zone": "z2", "region": "north"},
+        {"name": "o3", "address": "127.0.0.1:3", "zone": "z3", "region": "south"},
+    ]
+    tree = {"cluster": "c", "keepers": [{"name": "k1", "address": "127.0.0.1:9"}], "observers": rows}
+    home, others = near(from_tree({**tree, "zone": "z1"}))
+    assert [row.name for row in home] == ["o1"] and [row.name for row in others] == ["o2"]
+    regions = {"regions": [{"name": "north", "zones": ["z1", "z2", "z4"]}]}
+    home, others = near(from_tree({**tree, "zone": "z4", "failover": regions}))
+    assert not home and [row.name for row in others] == ["o1", "o2"]
+    with pytest.raises(OperatorError, match=r"\$\.observers: none stands in 'z5' or its region"):
+        near(from_tree({**tree, "zone": "z5"}))
+
+
+@pytest.mark.parametrize(
+    ("change", "path"),
+    [
+        ({"observers": [{"name": "o1", "address": "nowhere"}]}, r"\$\.observers\[0\]\.address"),
+        ({"observers": [{"name": "", "address": "127.0.0.1:1"}]}, r"\$\.observers\[0\]\.name"),
+        ({"observers": [{"name": "o1"}]}, r"address"),
+        ({"observers": [{"name": "o1", "address": "127.0.0.1:1"}] * 2}, r"\$\.observers\[1\]\.name"),
+        ({"observers": [{"name": "o1", "address": "9.9.9.9:1"}]}, "without key_file"),
+        ({"observers": [{"name": "o1", "address": "127.0.0.1:1", "colour": 1}]}, "colour"),
+        ({"observers": [{"name": "o1", "address": "127.0.0.1:1", "zone": "z" * 101}]}, r"\[0\]\.zone"),
+        (
+            {
+                "observers": [
+                    {"name": "o1", "address": "127.0.0.1:1", "zone": "z1", "region": "a"},
+                    {"name": "o2", "address": "127.0.0.1:2", "zone": "z1", "region": "b"},
+                ]
+            },
+            r"\[1\]\.region",
+        ),
+        ({"agent": {"backends": []}}, r"\$\.agent\.backends"),
+    ],
+)
+def test_faulty_observers_are_told_in_one_line_with_the_key(change: dict[str, Any], path: str) -> None:
+    tree = {"cluster": "c", "keepers": [{"name": "k1", "address": "127.0.0.1:9"}], **change}
+    with pytest.raises(OperatorError, match=path) as why:
+        from_tree(tree)
+    assert "\n" not in str(why.value)
