--- a/mothstall/fleet/agent.py
+++ b/mothstall/fleet/agent.py
@@ -329,7 +329,8 @@
             await store.change(st.Drop(name, token), CHANGE_S)
             left -= 1
         for name in sorted(wanted - held):
-            if left <= 0 or time.monotonic_ns() - self._renewed_at >= self.operator.leases.term // 3:
+            late = time.monotonic_ns() - self._renewed_at >= self.operator.leases.term // 3
+            if left <= 0 or (self.holder.held and late):
                 return  # renewals go first
             row = self.view.leases.get(name)
             if row is None or row.owner == self.owner:
--- a/mothstall/lab/fleetjudge.py
+++ b/mothstall/lab/fleetjudge.py
@@ -69,6 +69,11 @@
     cold: list[tuple[str, float]] = field(default_factory=list)  # boxes that began anew, and when
     trouble: Trouble | None = None
     plan: int = 0  # the newest that the store told of
+    members: list[tuple[float, frozenset[str]]] = field(default_factory=list)  # by the log, as it changed
+    live: set[str] = field(default_factory=set)  # members under a lease in force, by the last read
+    dialled: list[tuple[str, str]] = field(default_factory=list)  # proxies and the keepers that they called
+    halted: list[tuple[str, float, float]] = field(default_factory=list)  # proxies, themselves
+    moves: int = 0  # connections of proxies to observers beyond each one's first
     unmet: list[str] = field(default_factory=list)  # operators' calls that went otherwise than they had to
 
     def troubled(self, at: float, lasts: float) -> None:
@@ -86,6 +91,7 @@
 def judge(s: Fleet, seen: Seen, told: Told) -> Verdict:
     breaches = [
         *_tokens(seen), *_drains(seen, told), *_writes(told), *_served(s, seen, told), *_probes(s, seen),
+        *(_members(s, told) if s.observers else []),
         *([] if s.failover else _put_out(s, seen, told)),  # a plan may leave a zone alone
         *(Breach("operators", 0.0, what) for what in told.unmet), *_expected(s, seen, told),
     ]  # fmt: skip
@@ -98,6 +104,7 @@
         "effects": sum(not e.refused for e in seen.effects),
         "refused_late": sum(bool(e.refused) for e in seen.effects),
         "writes_acked": sum(w.acked > 0 for w in told.writes), "reads": len(told.reads),
+        **({"moves": told.moves, "member_changes": len(told.members)} if s.observers else {}),
         "replaced_s": round(max(gaps), 3) if gaps else 0.0, **more,
     }  # fmt: skip
     return Verdict(sorted(breaches, key=lambda b: b.at), figures)
@@ -179,6 +186,24 @@
     return found
 
 
+def _members(s: Fleet, told: Told) -> list[Breach]:
+    """Through observers no proxy calls a keeper, and one that lives is a member throughout."""
+    found = [Breach("keepers never", 0.0, f"{proxy} called {keeper}") for proxy, keeper in told.dialled]
+    proxies = {f"p{i + 1}" for i in range(s.proxies)}
+    for at, names in told.members:
+        if lost := [name for name in sorted(proxies - names) if not _killed(told, name, at)]:
+            found.append(Breach("member lost", at, f"{', '.join(lost)} out of the log at {at:.3f} s"))
+            break
+    if lost := [name for name in sorted(proxies - told.live) if not _killed(told, name, s.seconds)]:
+        found.append(Breach("member at the end", s.seconds, f"{', '.join(lost)} no member at the end"))
+    return found
+
+
+def _killed(told: Told, proxy: str, at: float) -> bool:
+    """Whether it may be out of the log: stopped, killed or cut off itself, with no time yet to be back."""
+    return any(who == proxy and since <= at <= until for who, since, until in told.halted)
+
+
 def _probes(s: Fleet, seen: Seen) -> list[Breach]:
     """A box is not probed more than twice as often as planned in any second, by all proxies together.
 
@@ -253,6 +278,8 @@
     acked = sum(w.acked > 0 for w in told.writes)
     if acked < s.expects.writes:
         found.append(f"{acked} writes were acknowledged, {s.expects.writes} expected")
+    if told.moves < s.expects.moves:
+        found.append(f"proxies went to another observer {told.moves} times, {s.expects.moves} expected")
     if told.handed < s.expects.handed:
         found.append(f"{told.handed} drains said at a proxy came to the store, {s.expects.handed} expected")
     if s.expects.quiet:
--- a/mothstall/lab/process.py
+++ b/mothstall/lab/process.py
@@ -144,6 +144,17 @@
             await asyncio.wait([self._log], timeout=2.0)
 
 
+class ObserverProcess(ServeProcess):
+    """`python -O -m mothstall observer` by an operator file."""
+
+    async def begin(self, operator: Path) -> None:
+        """Returns once it listens. Raises Unfinished."""
+        await self._launch("observer", "--operator", str(operator), "--name", self.name)
+
+    async def _ready(self) -> bool:
+        return True
+
+
 class KeeperProcess(ServeProcess):
     """`python -O -m mothstall keeper` by an operator file."""
 
--- a/tests/lab/test_processes.py
+++ b/tests/lab/test_processes.py
@@ -98,6 +98,7 @@
     [
         ({"secnods": 3}, "secnods"),
         ({"keepers": 2}, "$.keepers"),
+        ({"observers": 10}, "$.observers"),
         ({"faults": [{"kind": "stop", "at": "1s", "who": "q1", "lasts": "1s"}]}, "$.faults[0].who"),
         ({"faults": [{"kind": "stop", "at": "1s", "who": "@a", "lasts": "1s"}]}, "no earlier fault"),
         (
