Observers keep what callers now say of giving up; a late second take ends no term

- An ask waits at an observer as long as its proxy said, 1.5 s at most; the same number again means that it is still wanted, a withdrawn one is dropped where it waits and taken back where a keeper has it.
- A view tells `attached` rows beside `members`; `proxies`, the names of both, is the same object while they are, so that shares are kept up behind observers too.
- check-config of a machine without a proxy's configuration asks for no observers of its zone.

--- a/mothstall/cli.py
+++ b/mothstall/cli.py
@@ -96,6 +96,7 @@
             print(_part_of(operator))
             return 0
         config = load(args.config, env)
+        _attaches(operator)
     except ConfigError as why:
         print(f"mothstall: {why}", file=sys.stderr)
         return 2
@@ -144,15 +145,24 @@
     try:
         found = read(path)
         found.key()
-        if found.observers:
-            from mothstall.fleet.attach import near
-
-            near(found)
     except OperatorError as why:
         raise ConfigError(str(why)) from why
     return found
 
 
+def _attaches(operator: Operator | None) -> None:
+    """Where observers are named, some have to be there for this proxy's zone. ConfigError if not."""
+    if operator is None or not operator.observers:
+        return
+    from mothstall.fleet.attach import near
+    from mothstall.fleet.operator import OperatorError
+
+    try:
+        near(operator)
+    except OperatorError as why:
+        raise ConfigError(str(why)) from why
+
+
 @contextlib.contextmanager
 def _without_certificates() -> Iterator[None]:
     """Within it OpenSSL finds no certificates of the system's by itself.
--- a/mothstall/fleet/attach.py
+++ b/mothstall/fleet/attach.py
@@ -118,6 +118,7 @@
             link.send(msgspec.msgpack.encode(calls.Listen(True)))
 
     def _on_taken(self, link: FrameLink, payload: bytes) -> None:
+        self._spoke_at = self.loop.time()
         try:
             word = msgspec.msgpack.decode(payload, type=tiercalls.FromObserver)
         except (msgspec.DecodeError, ValueError) as why:
@@ -152,15 +153,17 @@
             self._left = why
             self._link.end(why)
 
-    async def _insist(self, make: Callable[[int], Any], end: float, patient: bool) -> Any:
+    async def _insist(self, make: Callable[[int, float], Any], end: float, patient: bool) -> Any:
         """As keepers are asked, but where there is no quorum less often: a whole zone asks one observer."""
         while (left := end - self.loop.time()) > 0:
             try:
-                word = await self._once(make, min(TRY_S, left))
+                word = await self._once(make, left, TRY_S)
             except TimeoutError:
-                self._late()
+                if self.loop.time() < end:
+                    self._late()
                 continue
             except OSError:
+                await asyncio.sleep(min(left, PAUSE_S * self._rng.random()))
                 continue
             refused = word.result.refused if isinstance(word, calls.Answer) else ""
             if not refused.startswith(LATER):
--- a/mothstall/fleet/view.py
+++ b/mothstall/fleet/view.py
@@ -94,10 +94,10 @@
         if delta.since == 0:
             leases = _whole(delta.leases)
             found = frozenset(name[len(MEMBER) :] for name in leases if name.startswith(MEMBER))
-            attached = _whole(delta.members)
+            rows = _whole(delta.members)
             return View(
-                delta.version, leases, _whole(delta.drains), _whole(delta.entries), found, attached,
-                found.union(attached) if attached else found,
+                delta.version, leases, _whole(delta.drains), _whole(delta.entries), found, rows,
+                found.union(rows) if rows else found,
             )  # fmt: skip
         if delta.since != self.version:
             return self if delta.version == self.version else None
--- a/mothstall/keeper/replica.py
+++ b/mothstall/keeper/replica.py
@@ -170,7 +170,10 @@
         if not self._led or result.refused:
             return
         if isinstance(change, st.Take):
-            self.grantor.granted(change.name, result.token, change.term_ms, now)
+            # Guards against a take that comes a second time, late: its answer is the first one's, and in the
+            # place of the next owner's token that one's would let the next term never end.
+            if self.state.live(change.name, result.token):
+                self.grantor.granted(change.name, result.token, change.term_ms, now)
         elif isinstance(change, st.Renew):
             for name, token in change.held:
                 held = self.state.leases.get(name)
--- a/mothstall/lab/fleetplay.py
+++ b/mothstall/lab/fleetplay.py
@@ -220,7 +220,7 @@
             return
         self.view = fresh
         if self.settled:
-            self.told.members.append((self.now(), frozenset(fresh.members)))
+            self.told.members.append((self.now(), frozenset(fresh.attached)))
 
     async def _start_proxy(self, name: str) -> None:
         path = self.folder / f"{name}.toml"
--- a/mothstall/observer/process.py
+++ b/mothstall/observer/process.py
@@ -43,7 +43,8 @@
 MOST_LINKS = 4608
 MOST_ASKED = 256  # asks of proxies on their way to a keeper,
 MOST_WAITING = 2048  # and so many behind them; more are turned away
-ASK_S = 0.55  # what a proxy's ask waits in all: less than the proxy does, who then asks again
+ASK_MOST_S = 1.5  # for which a proxy's ask waits here at most; less where the proxy says so
+RENEW_MOST_S = 0.7  # for one change that renews for many
 RENEW_S = 0.1  # renewals of all proxies go together this often
 RELAY_S = 0.1
 MOST_REPORTS = 4096  # that wait to go on; what comes on top is left out, as it comes again
@@ -56,22 +57,24 @@
 )  # fmt: skip
 
 
-@dataclass(slots=True, frozen=True)
-class Guest:
-    """The proxy behind a connection."""
-
-    name: str
-    owner: str
-    turn: int
-
-
 @dataclass(slots=True)
 class Asked:
-    """One ask of a proxy. `due`: when it has given it up."""
+    """One ask of a proxy. `due`: when it gives it up, by the loop's clock; 0: it has."""
 
     link: FrameLink
     ask: calls.Ask
     due: float
+    task: asyncio.Task[None] | None = None
+
+
+@dataclass(slots=True)
+class Guest:
+    """The proxy behind a connection, and its asks that are not answered yet, by number."""
+
+    name: str
+    owner: str
+    turn: int
+    asks: dict[int, Asked] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -89,6 +92,8 @@
             if asked.due > now:
                 found.append((asked, renew))
                 names += len(renew.held)
+            else:
+                asked.link.state.asks.pop(asked.ask.number, None)
         return found
 
 
@@ -139,10 +144,11 @@
             self._spawn(work)
         log.info("listening", extra={"kv": {"name": self.name, "port": self.port}})
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = self.loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._done)
+        return task
 
     def _done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
@@ -320,6 +326,8 @@
         if link.state is not None and self._guests.get(link.state.name) is link:
             del self._guests[link.state.name]
             self.fanout.leave(link.state.name)
+        for asked in list(link.state.asks.values()) if link.state is not None else ():
+            self._withdrawn(asked)
 
     def _taken(self, link: FrameLink, payload: bytes) -> None:
         try:
@@ -350,6 +358,9 @@
             self.presence.unlinked(guest.name, guest.owner, guest.turn, time.monotonic_ns(), True)
         elif isinstance(word, calls.Ask):
             self._ask(link, word)
+        elif isinstance(word, calls.Withdraw):
+            if word.number in guest.asks:
+                self._withdrawn(guest.asks[word.number])
         elif isinstance(word, calls.Listen):
             (self._listeners.add if word.on else self._listeners.discard)(link)
         elif len(self._reports) < MOST_REPORTS and len(word.data) <= MOST_REPORT:
@@ -384,8 +395,12 @@
 
     def _ask(self, link: FrameLink, ask: calls.Ask) -> None:
         """Passed on as it is; bounded, and what its proxy has given up by then is dropped."""
+        change, asks = ask.proposal.change, link.state.asks
+        due = self.loop.time() + min(ask.wait_ms / 1000 or ASK_MOST_S, ASK_MOST_S)
+        if ask.number in asks:
+            asks[ask.number].due = due  # asked again: it is still wanted
+            return
         self.counts["asks"] += 1
-        change = ask.proposal.change
         if why := self._alone():
             self._refuse(link, ask.number, why)
         elif isinstance(change, Attach | st.Expire) or (
@@ -395,7 +410,7 @@
         elif len(self._waiting) + len(self._renewals.rows) >= MOST_WAITING:
             self._refuse(link, ask.number, "too many callers wait at the observer")
         else:
-            asked = Asked(link, ask, self.loop.time() + ASK_S)
+            asked = asks[ask.number] = Asked(link, ask, due)
             if isinstance(change, st.Renew) and len(change.held) <= st.MOST_NAMES:
                 self._renewals.rows.append((asked, change))
             else:
@@ -407,23 +422,32 @@
         self._answer(link, number, Result(refused=why))
 
     def _answer(self, link: FrameLink, number: int, result: Result) -> None:
+        link.state.asks.pop(number, None)
         link.send(msgspec.msgpack.encode(calls.Answer(number, result)))
 
     def _wanted(self, asked: Asked) -> bool:
-        """Guards against work that nobody waits for: the proxy is gone, or has asked again by now."""
-        guest = asked.link.state
-        here = guest is not None and self._guests.get(guest.name) is asked.link
-        if here and asked.due > self.loop.time():
+        """Guards against work that nobody waits for: the proxy is gone, or has given it up."""
+        if asked.due > self.loop.time():
             return True
-        self.counts["asks_dropped"] += 1
+        if asked.due:
+            self._withdrawn(asked)
         return False
 
+    def _withdrawn(self, asked: Asked) -> None:
+        """Where it waits it is dropped when its turn comes; a keeper that has it is told."""
+        asked.due = 0.0
+        asked.link.state.asks.pop(asked.ask.number, None)
+        self.counts["asks_dropped"] += 1
+        if asked.task is not None:
+            asked.task.cancel()
+
     def _pass_on(self) -> None:
         while self._waiting and self._asked < MOST_ASKED:
             asked = self._waiting.popleft()
             if self._wanted(asked):
                 self._asked += 1
-                self._spawn(self._passed_on(asked))
+                asked.task = self._spawn(self._passed_on(asked))
+                asked.task.add_done_callback(self._passed)
 
     async def _passed_on(self, asked: Asked) -> None:
         try:
@@ -431,10 +455,12 @@
             result = await self._store.pass_on(asked.ask.proposal, left)
         except NoContact as why:
             result = Result(refused=f"no quorum: {why}"[:300])
-        finally:
-            self._asked -= 1
         self._answer(asked.link, asked.ask.number, result)
-        self._pass_on()
+
+    def _passed(self, _: asyncio.Task[None]) -> None:
+        self._asked -= 1
+        if not self._ended:
+            self._pass_on()
 
     async def _renew_all(self) -> None:
         """Renewals of all proxies in one change: the state asks for names and tokens, whoever they are of."""
@@ -446,11 +472,14 @@
                 self.counts["renewed"] += len(held)
                 try:
                     # Proxies count their terms from before they sent: what takes longer renews less.
-                    result = await self._renew.change(st.Renew(self.owner, held), ASK_S, patient=False)
+                    renew_all = st.Renew(self.owner, held)
+                    result = await self._renew.change(renew_all, RENEW_MOST_S, patient=False)
                 except NoContact as why:
                     result = Result(refused=f"no quorum: {why}"[:300])
                 lost = set(result.lost)
                 for asked, renew in rows:
+                    if not asked.due:
+                        continue  # withdrawn meanwhile
                     own = tuple(name for name, _ in renew.held if name in lost)
                     answer = Result(refused=result.refused, lost=own, version=result.version)
                     self._answer(asked.link, asked.ask.number, answer)
--- a/mothstall/store/tiercalls.py
+++ b/mothstall/store/tiercalls.py
@@ -62,5 +62,6 @@
     why: str
 
 
-FromProxy = Come | Alive | Again | Bye | calls.Ask | calls.Report | calls.Listen | calls.Order
+OfSeat = Come | Alive | Again | Bye
+FromProxy = OfSeat | calls.Ask | calls.Withdraw | calls.Report | calls.Listen | calls.Order
 FromObserver = Fed | Seated | Turned | calls.Answer | calls.Heard | calls.Said
--- a/tests/observer/test_command.py
+++ b/tests/observer/test_command.py
@@ -90,4 +90,5 @@
     away = tmp_path / "away.toml"
     away.write_text(Path(file).read_text().replace('zone = "z1"', 'zone = "z7"', 1))
     with pytest.raises(ConfigError, match=r"\$\.observers: none stands in 'z7' or its region"):
-        cli._operator(str(away))
+        cli._attaches(cli._operator(str(away)))
+    cli._attaches(cli._operator(file))
--- a/tests/observer/test_observer.py
+++ b/tests/observer/test_observer.py
@@ -138,7 +138,7 @@
             for i in range(20):
                 await r.agent(f"p{i}")
             await until(lambda: all(r.at(f"p{i}") == "o1" for i in range(20)), "members")
-            await until(lambda: all(len(a.view.members) == 20 for a in r.agents.values()), "views")
+            await until(lambda: all(len(a.view.attached) == 20 for a in r.agents.values()), "views")
             assert r.keeper and not any(link.role == "agent" for link in r.keeper._links), "never a keeper"
             assert not any(name.startswith("member/") for name in r.state.leases)
             loop, version, applied = asyncio.get_running_loop(), r.state.version, r.state.applied
