--- a/tests/fleet/test_decisions.py
+++ b/tests/fleet/test_decisions.py
@@ -191,7 +191,10 @@
 _VALUE = _LEAF | some.lists(_LEAF, max_size=2) | some.dictionaries(some.text(max_size=6), _LEAF, max_size=2)
 
 
-@given(some.dictionaries(some.sampled_from(["cluster", "keepers", "leases", "timing", "agent"]), _VALUE))
+_KEYS = ["cluster", "keepers", "leases", "timing", "agent", "observers"]
+
+
+@given(some.dictionaries(some.sampled_from(_KEYS), _VALUE))
 def test_fuzzed_operator_files_are_refused_in_one_line(tree: dict[str, Any]) -> None:
     try:
         operator.from_tree(tree)
