Observers add their proxies' reports up: an owner of plans hears zones, not proxies

At 6,700 proxies an owner heard 3 MB of reports a second, and its board holds 2,048 proxies. An observer now sends one sum a second for each zone that its proxies stand in (fleet/gather.py): heads, those on the plan, and for each zone that was sent to bins of proxies by the part that went badly. Evidence counts heads: a proxy is held to twice the typical one where it is added and again by the owner. A sum is taken where the owner's file names its observer; a proxy's own word is never one; sums of an observer that is gone are over in half the time.

--- a/mothstall/fleet/evidence.py
+++ b/mothstall/fleet/evidence.py
@@ -9,15 +9,15 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
-from statistics import median
 
 import msgspec
 
 MOST_ZONES, MOST_CLASSES, MOST_PROXIES = 16, 16, 2048
 MOST_REPORT = 16 * 1024  # bytes
 MOST_COUNT = 10_000_000  # of anything in one report
+MOST_SUM = MOST_COUNT * 1000  # the same of a sum of proxies
 MOST_SPAN_MS = 60_000
 MOST_TIMES = 2.0  # what one proxy says counts as this many times the typical one of its zone, at most
 LEAST_SEEN = 6.0  # attempts from one zone to another that an opinion rests on
@@ -26,6 +26,8 @@
 CUT_OFF = 0.5  # a zone that finds all others this ill is cut off itself
 SURE = 4.0  # deviations of chance that what a zone shows has to be above the best one
 KEPT = 3  # reports of each proxy that count
+MOST_HEADS = 16_384  # proxies in one sum
+MOST_BINS = 16  # of one zone in a sum
 
 
 class Row(msgspec.Struct, frozen=True, array_like=True):
@@ -46,8 +48,20 @@
         return self.sent - self.good
 
 
+class Bin(msgspec.Struct, frozen=True, array_like=True):
+    """Proxies of a sum whose attempts to a zone went about as badly."""
+
+    heads: int
+    sent: int
+    bad: int
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True):
-    """One proxy's sums. `warm`: by zone the weight of what is listed there, what is cold by its part."""
+    """One proxy's sums. `warm`: by zone the weight of what is listed there, what is cold by its part.
+
+    With `heads` above 0 it is the sum of so many proxies of one zone, made by an observer (`gather`): `bins`
+    by the zone that was sent to in place of `rows`, `warm` and `util` those of the typical one.
+    """
 
     proxy: str
     zone: str
@@ -59,6 +73,9 @@
     rows: dict[str, dict[str, Row]] = {}
     warm: dict[str, float] = {}
     util: dict[str, float] = {}  # by zone, as its boxes told, where they do
+    heads: int = 0
+    on_plan: int = 0  # of the heads, those that acted on `plan`
+    bins: dict[str, tuple[Bin, ...]] = {}
 
 
 def read_report(data: bytes) -> Report | None:
@@ -78,13 +95,24 @@
         for row in rows.values():
             counts += [row.good, row.late, row.failed, row.unreached, row.full]
     parts = [*it.warm.values(), *it.util.values()]
-    names = {it.zone, *it.rows, *it.warm, *it.util}
+    names = {it.zone, *it.rows, *it.warm, *it.util, *it.bins}
+    if it.heads or it.bins or it.on_plan:
+        bins = [row for rows in it.bins.values() for row in rows]
+        whole = not it.rows and 0 <= it.on_plan <= it.heads <= MOST_HEADS
+        few = all(len(rows) <= MOST_BINS for rows in it.bins.values())
+        each = all(0 < row.heads <= it.heads and 0 <= row.bad <= row.sent <= MOST_SUM for row in bins)
+        if not (whole and few and each):
+            return False
+        counts = [it.number, it.plan]
+        if not (0 <= it.asked <= MOST_SUM and 0 <= it.refused <= MOST_SUM):
+            return False
     return (
         0 < it.span_ms <= MOST_SPAN_MS
         and all(0 <= n <= MOST_COUNT for n in counts)
         and all(math.isfinite(x) and 0.0 <= x <= MOST_COUNT for x in parts)
         and len(names) <= MOST_ZONES
-        and all(1 <= len(name) <= 100 for name in (it.proxy, *names))
+        and all(1 <= len(name) <= 100 for name in names)
+        and 1 <= len(it.proxy) <= (300 if it.heads else 100)
         and all(len(rows) <= MOST_CLASSES for rows in it.rows.values())
     )
 
@@ -160,7 +188,11 @@
     def reports(self, now: int) -> list[Report]:
         """Those that still count."""
         for name in list(self._rows):
-            self._rows[name] = [row for row in self._rows[name] if now - row[0] < self.stale_ms]
+            # Guards against proxies that count twice, in the last sums of an observer that is gone and in
+            # those of the one that they are at now: sums come without a gap, and are over sooner.
+            self._rows[name] = [
+                row for row in self._rows[name] if now - row[0] < self.stale_ms / (2 if row[1].heads else 1)
+            ]
             if not self._rows[name]:
                 del self._rows[name]
         return [report for rows in self._rows.values() for _, report in rows]
@@ -172,17 +204,18 @@
     merged = _by_proxy(reports)
     origins = _by_origin(merged)
     for origin, group in sorted(origins.items()):
-        found.proxies[origin] = len(group)
-        found.asked[origin] = _sum([one.asked for one in group], capped)
-        found.settled[origin] = sum(one.plan == plan for one in group) / len(group)
-        targets = sorted({zone for one in group for zone in one.sent})
+        heads = sum(one.heads for one in group)
+        found.proxies[origin] = round(heads)
+        found.asked[origin] = _sum([(one.heads, one.asked) for one in group], capped)
+        found.settled[origin] = sum(one.on for one in group if one.plan == plan) / heads
+        targets = sorted({zone for one in group for zone in one.bins})
         for zone in targets:
-            rates = [one.sent.get(zone, 0.0) / one.span_s for one in group]
+            rates = [(h, sent / one.span_s) for one in group for h, sent, _ in one.bins.get(zone, ())]
             found.rate.setdefault(origin, {})[zone] = _sum(rates, capped)
     for zone in sorted({zone for one in merged for zone in one.warm}):
-        found.warm[zone] = median(one.warm[zone] for one in merged if zone in one.warm)
+        found.warm[zone] = typical([(one.heads, one.warm[zone]) for one in merged if zone in one.warm])
     for zone in sorted({zone for one in merged for zone in one.util}):
-        found.util[zone] = median(one.util[zone] for one in merged if zone in one.util)
+        found.util[zone] = typical([(one.heads, one.util[zone]) for one in merged if zone in one.util])
     found.opinions = _opinions(origins, capped)
     # Guards against good attempts of before that outweigh a zone's loss, as proxies send there no more.
     newest: dict[str, Report] = {}
@@ -207,19 +240,22 @@
     best, spread = _best(origins, capped)
     found: dict[str, dict[str, Opinion]] = {}
     for origin, group in sorted(origins.items()):
-        for zone in sorted({zone for one in group for zone in one.sent}):
+        for zone in sorted({zone for one in group for zone in one.bins}):
             found.setdefault(origin, {})[zone] = _opinion(group, zone, best, spread, capped)
     return found
 
 
 @dataclass(slots=True)
 class _Proxy:
+    """One proxy, or the sum of several. `bins`: by zone, rows of heads, attempts and bad ones."""
+
     zone: str
     span_s: float
     asked: float  # a second
     plan: int
-    sent: dict[str, float]
-    bad: dict[str, float]
+    on: float  # heads that acted on it
+    heads: float
+    bins: dict[str, list[tuple[float, float, float]]]
     warm: Mapping[str, float]
     util: Mapping[str, float]
 
@@ -236,29 +272,61 @@
     for name, last in sorted(newest.items()):
         rows = [r for r in every[name] if r.zone == last.zone]
         span = sum(r.span_ms for r in rows) / 1000
-        sent: dict[str, float] = {}
-        bad: dict[str, float] = {}
-        for report in rows:
-            for zone, classes in report.rows.items():
-                sent[zone] = sent.get(zone, 0.0) + sum(c.sent for c in classes.values())
-                bad[zone] = bad.get(zone, 0.0) + sum(c.bad for c in classes.values())
         asked = sum(r.asked for r in rows) / span
-        found.append(_Proxy(last.zone, span, asked, last.plan, sent, bad, last.warm, last.util))
+        if last.heads:
+            rows = [r for r in rows if r.heads]
+            bins: dict[str, list[tuple[float, float, float]]] = {}
+            for report in rows:
+                for zone, some in report.bins.items():
+                    bins.setdefault(zone, []).extend((b.heads / len(rows), b.sent, b.bad) for b in some)
+            heads, on = float(last.heads), float(last.on_plan)
+        else:
+            bins, heads, on = {zone: [row] for zone, row in _totals(rows).items()}, 1.0, 1.0
+        found.append(_Proxy(last.zone, span, asked, last.plan, on, heads, bins, last.warm, last.util))
     return found
 
 
-def _sum(values: list[float], capped: bool) -> float:
-    """Guards against a proxy that claims to be a hundred: one counts MOST_TIMES the typical one at most."""
-    some = [v for v in values if v > 0]
-    most = MOST_TIMES * median(some) if some and capped else math.inf
-    return sum(min(v, most) for v in some)
+def _totals(rows: Iterable[Report]) -> dict[str, tuple[float, float, float]]:
+    """One proxy's attempts and bad ones by zone."""
+    found: dict[str, tuple[float, float, float]] = {}
+    for report in rows:
+        for zone, classes in report.rows.items():
+            _, sent, bad = found.get(zone, (1.0, 0.0, 0.0))
+            more, worse = sum(c.sent for c in classes.values()), sum(c.bad for c in classes.values())
+            found[zone] = (1.0, sent + more, bad + worse)
+    return found
+
+
+def typical(rows: Sequence[tuple[float, float]]) -> float:
+    """The median over heads: of each row its heads, and what one of them has."""
+    ordered = sorted(rows, key=lambda row: row[1])
+    half, below, low = sum(heads for heads, _ in ordered) / 2, 0.0, None
+    for heads, value in ordered:
+        below += heads
+        if low is not None:
+            return (low + value) / 2
+        if below > half + 1e-9:
+            return value
+        if below > half - 1e-9:
+            low = value  # the middle lies between this one and the next
+    return low or 0.0
+
+
+def _sum(values: list[tuple[float, float]], capped: bool) -> float:
+    """Guards against a proxy that claims to be a hundred: one counts MOST_TIMES the typical one at most.
+
+    `values`: heads, and what they have together.
+    """
+    some = [(heads, v) for heads, v in values if v > 0]
+    most = MOST_TIMES * typical([(h, v / h) for h, v in some]) if some and capped else math.inf
+    return sum(min(v, most * heads) for heads, v in some)
 
 
-def _weights(group: list[_Proxy], zone: str, capped: bool) -> list[tuple[float, float, float]]:
-    """Of each proxy that sent there: its weight, attempts and bad ones."""
-    rows = [(one.sent[zone], one.bad[zone]) for one in group if one.sent.get(zone)]
-    most = MOST_TIMES * median(sent for sent, _ in rows) if rows and capped else math.inf
-    return [(min(sent, most), sent, bad) for sent, bad in rows]
+def _weights(group: list[_Proxy], zone: str, capped: bool) -> list[tuple[float, float, float, float]]:
+    """Of each proxy that sent there, or several alike: weight, attempts, bad ones, heads."""
+    rows = [row for one in group for row in one.bins.get(zone, ()) if row[1]]
+    most = MOST_TIMES * typical([(h, sent / h) for h, sent, _ in rows]) if rows and capped else math.inf
+    return [(min(sent, most * heads), sent, bad, heads) for heads, sent, bad in rows]
 
 
 def _best(origins: Mapping[str, list[_Proxy]], capped: bool) -> tuple[float, float]:
@@ -266,29 +334,29 @@
 
     What all zones show alike is no zone's fault.
     """
-    zones = {zone for group in origins.values() for one in group for zone in one.sent}
+    zones = {zone for group in origins.values() for one in group for zone in one.bins}
     parts = []
     for zone in zones:
         rows = [row for group in origins.values() for row in _weights(group, zone, capped)]
-        total = sum(weight for weight, _, _ in rows)
+        total = sum(weight for weight, *_ in rows)
         if total >= LEAST_SEEN:
-            part = sum(w * bad / sent for w, sent, bad in rows) / total
+            part = sum(w * bad / sent for w, sent, bad, _ in rows) / total
             parts.append((part, part * (1.0 - part) / total))
     return min(parts, default=(0.0, 0.0))
 
 
 def _opinion(group: list[_Proxy], zone: str, best: float, spread: float, capped: bool) -> Opinion:
     rows = _weights(group, zone, capped)
-    total = sum(weight for weight, _, _ in rows)
-    bad = sum(weight * bad / sent for weight, sent, bad in rows)
+    total = sum(weight for weight, *_ in rows)
+    bad = sum(weight * bad / sent for weight, sent, bad, _ in rows)
     if total < LEAST_SEEN:
         return Opinion(total, bad, 0.0)
     part, ill = bad / total, 0.0
     # Guards against zones that differ by chance alone, as all do when all are slow for a part of answers.
     if part - best <= SURE * math.sqrt(part * (1.0 - part) / total + spread):
         return Opinion(total, bad, 0.0)
-    for weight, sent, lost in rows:
-        over = lost / (sent + PRIOR) - best
+    for weight, sent, lost, heads in rows:
+        over = lost / (sent + PRIOR * heads) - best
         ill += weight / total * min(1.0, max(0.0, (over - LOW) / (HIGH - LOW)))
     return Opinion(total, bad, ill)
 
--- /dev/null
+++ b/mothstall/fleet/gather.py
@@ -0,0 +1,140 @@
+"""An observer's proxies' reports, added up by the zone that they come from. Pure.
+
+So an owner hears zones and not proxies. What evidence needs of single ones is kept (docs/failover.md): for
+each zone that was sent to, proxies stand in bins by the part of their attempts that went badly, and one
+counts twice the typical one of its zone at most before it is added. What a proxy says is read as if it came
+alone; one that claims to be a sum is none.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections import Counter
+from collections.abc import Sequence
+
+from mothstall.fleet.evidence import (
+    MOST_COUNT,
+    MOST_HEADS,
+    MOST_SPAN_MS,
+    MOST_SUM,
+    MOST_TIMES,
+    PRIOR,
+    Bin,
+    Report,
+    read_report,
+    typical,
+)  # fmt: skip
+
+EDGES = (0.02, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.35, 0.5, 0.75)  # parts that go badly, between two bins
+KEPT = 4  # reports of one proxy in one sum, at most
+MARK = "observer/"  # names of sums begin so
+
+
+def named(report: Report, observers: Sequence[str]) -> bool:
+    """Whether a sum is one of these observers'; what is no sum is anybody's.
+
+    Guards against a proxy that speaks for hundreds.
+    """
+    if not report.heads:
+        return True
+    name, _, zone = report.proxy.removeprefix(MARK).partition("@")
+    return report.proxy.startswith(MARK) and zone == report.zone and name in observers
+
+
+class Gather:
+    """Reports as they come, until they are added up. Bounded by proxies and by reports of each."""
+
+    def __init__(self, observer: str, most: int = MOST_HEADS) -> None:
+        self._observer, self._most = observer, most
+        self._rows: dict[str, list[Report]] = {}
+        self._number = 0
+
+    def take(self, proxy: str, data: bytes) -> bool:
+        """A proxy's report; False for one that cannot be read, is another's, or is too many."""
+        report = read_report(data)
+        if report is None or report.heads or report.proxy != proxy:
+            return False
+        rows = self._rows.get(proxy)
+        if rows is None:
+            if len(self._rows) >= self._most:
+                return False
+            rows = self._rows[proxy] = []
+        if len(rows) >= KEPT or (rows and report.number <= rows[-1].number):
+            return False
+        rows.append(report)
+        return True
+
+    def sums(self) -> list[Report]:
+        """One report for each zone that some came from; what was taken is then forgotten."""
+        rows, self._rows = self._rows, {}
+        self._number += 1
+        zones: dict[str, list[_One]] = {}
+        for reports in rows.values():
+            zones.setdefault(reports[-1].zone, []).append(_One(reports))
+        return [self._sum(zone, group) for zone, group in sorted(zones.items())]
+
+    def _sum(self, zone: str, group: list[_One]) -> Report:
+        span = typical([(1, one.span_ms) for one in group])
+        targets = sorted({to for one in group for to in one.sent})
+        bins = {to: _bins([one.at(to, span) for one in group if one.sent.get(to)]) for to in targets}
+        plan, on = Counter(one.last.plan for one in group).most_common(1)[0]
+        asked = _capped([one.asked * span / one.span_ms for one in group])
+        refused = _capped([one.refused * span / one.span_ms for one in group])
+        name, span_ms = f"{MARK}{self._observer}@{zone}", min(MOST_SPAN_MS, max(1, round(span)))
+        return Report(
+            name, zone, self._number, span_ms, plan, _whole(asked), _whole(refused), {},
+            _typical([one.last.warm for one in group]), _typical([one.last.util for one in group]),
+            len(group), on, {to: rows for to, rows in bins.items() if rows},
+        )  # fmt: skip
+
+
+class _One:
+    """One proxy since the last sum."""
+
+    def __init__(self, reports: Sequence[Report]) -> None:
+        self.last = reports[-1]
+        self.span_ms = sum(r.span_ms for r in reports)
+        self.asked = sum(r.asked for r in reports)
+        self.refused = sum(r.refused for r in reports)
+        self.sent: dict[str, int] = {}
+        self.bad: dict[str, int] = {}
+        for report in reports:
+            for to, classes in report.rows.items():
+                self.sent[to] = self.sent.get(to, 0) + sum(row.sent for row in classes.values())
+                self.bad[to] = self.bad.get(to, 0) + sum(row.bad for row in classes.values())
+
+    def at(self, to: str, span_ms: float) -> tuple[float, float]:
+        """Attempts to a zone, and bad ones, as if over this span."""
+        times = span_ms / self.span_ms
+        return self.sent[to] * times, self.bad[to] * times
+
+
+def _capped(values: Sequence[float]) -> list[float]:
+    some = [v for v in values if v > 0]
+    most = MOST_TIMES * typical([(1, v) for v in some]) if some else 0.0
+    return [min(v, most) for v in some]
+
+
+def _whole(values: Sequence[float]) -> int:
+    return round(min(MOST_SUM, sum(values)))
+
+
+def _bins(rows: Sequence[tuple[float, float]]) -> tuple[Bin, ...]:
+    """Guards against one proxy that speaks for its zone: what is above the cap loses its part of both."""
+    most = MOST_TIMES * typical([(1, sent) for sent, _ in rows]) if rows else 0.0
+    found: dict[int, list[float]] = {}
+    for sent, bad in rows:
+        times = min(1.0, most / sent)
+        row = found.setdefault(bisect_right(EDGES, bad / (sent + PRIOR)), [0, 0.0, 0.0])
+        row[0] += 1
+        row[1] += sent * times
+        row[2] += bad * times
+    made = [
+        (int(heads), round(min(sent, MOST_COUNT * 1000)), round(bad)) for heads, sent, bad in found.values()
+    ]
+    return tuple(Bin(heads, sent, min(bad, sent)) for heads, sent, bad in made if sent)
+
+
+def _typical(rows: Sequence[dict[str, float]]) -> dict[str, float]:
+    names = sorted({name for row in rows for name in row})
+    return {name: typical([(1, row[name]) for row in rows if name in row]) for name in names}
--- a/mothstall/fleet/pilot.py
+++ b/mothstall/fleet/pilot.py
@@ -16,6 +16,7 @@
 from mothstall.fleet.course import Course, Helm
 from mothstall.fleet.evidence import Board, Evidence, read_report, weigh
 from mothstall.fleet.failover import Orders, Plan, Terms
+from mothstall.fleet.gather import named
 from mothstall.fleet.operator import Operator
 from mothstall.fleet.sums import Sums
 from mothstall.fleet.view import View
@@ -57,6 +58,7 @@
     ) -> None:
         it = operator.failover
         self._every_ms = it.every // MS
+        self._observers = [row.name for row in operator.observers]
         self._terms, self._seat = terms(operator), seat
         self.sums = Sums(name, operator.zone, classes, aims_ns)
         self.helm = Helm(name, operator.zone, it.spread // MS, it.keep // MS, it.fade // MS)
@@ -88,7 +90,7 @@
     def heard(self, rows: tuple[bytes, ...], now_ms: int) -> None:
         for data in rows:
             report = read_report(data)
-            if report is None:
+            if report is None or not named(report, self._observers):
                 self.counts["reports_unread"] += 1
             else:
                 self.board.take(report, now_ms)
--- a/mothstall/fleet/zones.py
+++ b/mothstall/fleet/zones.py
@@ -18,6 +18,7 @@
 from mothstall.fleet.client import Store
 from mothstall.fleet.evidence import Board, Evidence, read_report, weigh
 from mothstall.fleet.failover import Orders, Plan
+from mothstall.fleet.gather import named
 from mothstall.fleet.operator import Operator, OperatorError
 from mothstall.fleet.pilot import terms
 from mothstall.spans import span
@@ -97,7 +98,7 @@
 
     def heard(rows: tuple[bytes, ...]) -> None:
         for data in rows:
-            if report := read_report(data):
+            if (report := read_report(data)) and named(report, [row.name for row in operator.observers]):
                 board.take(report, int(loop.time() * 1000))
 
     store = Store(operator, f"zones-{args.who}", "tool", loop=loop, heard=heard)
--- a/mothstall/observer/process.py
+++ b/mothstall/observer/process.py
@@ -23,6 +23,7 @@
 from mothstall.config import parse_address
 from mothstall.fleet.client import NoContact, Store
 from mothstall.fleet.fanout import Fanout, subscription
+from mothstall.fleet.gather import Gather
 from mothstall.fleet.leases import Holder
 from mothstall.fleet.operator import Operator
 from mothstall.fleet.presence import OBSERVER, Presence, Seat, Sweep
@@ -46,13 +47,11 @@
 ASK_MOST_S = 1.5  # for which a proxy's ask waits here at most; less where the proxy says so
 RENEW_MOST_S = 0.7  # for one change that renews for many
 RENEW_S = 0.1  # renewals of all proxies go together this often
-RELAY_S = 0.1
-MOST_REPORTS = 4096  # that wait to go on; what comes on top is left out, as it comes again
-MOST_REPORT = 16 * 1024  # bytes
+RELAY_S = 0.1  # between two looks at who listens, and whether sums are due
 MOST_UNTAKEN = 256 * 1024  # bytes on their way to one proxy, until reports to it are left out
 GRACE_TERMS = 5  # for which proxies of a lost observer count as moving
 COUNTS = (
-    "asks", "asks_dropped", "asks_refused", "renewals", "renewed", "reports", "reports_left_out",
+    "asks", "asks_dropped", "asks_refused", "renewals", "renewed", "reports", "reports_left_out", "sums",
     "frames_unreadable", "links_turned_away", "leases_lost", "told_bytes",
 )  # fmt: skip
 
@@ -119,7 +118,7 @@
         self._waiting: deque[Asked] = deque()
         self._asked = 0
         self._renewals = Renewals()
-        self._reports: list[bytes] = []
+        self._gather = Gather(name)
         self._led_at = 0  # when a keeper that hears a leader last spoke, ns; 0: never
         self._turned_at = 0
         self._renewed_at = 0
@@ -363,8 +362,8 @@
                 self._withdrawn(guest.asks[word.number])
         elif isinstance(word, calls.Listen):
             (self._listeners.add if word.on else self._listeners.discard)(link)
-        elif len(self._reports) < MOST_REPORTS and len(word.data) <= MOST_REPORT:
-            self._reports.append(word.data)
+        elif self._gather.take(guest.name, word.data):
+            self.counts["reports"] += 1
         else:
             self.counts["reports_left_out"] += 1
 
@@ -495,15 +494,17 @@
                 self.counts["reports_left_out"] += len(rows)
 
     async def _relay(self) -> None:
+        """What its proxies say goes on added up, as often as each of them says it."""
+        due = self.loop.time()
         while True:
             await asyncio.sleep(RELAY_S)
             self._store.listen(bool(self._listeners))
-            rows, self._reports = self._reports, []
-            for data in rows:
-                if not self._store.report(data):
-                    self.counts["reports_left_out"] += 1
-                else:
-                    self.counts["reports"] += 1
+            if self.loop.time() < due:
+                continue
+            due = max(due + self.operator.failover.every / 1e9, self.loop.time())
+            for report in self._gather.sums():
+                sent = self._store.report(msgspec.msgpack.encode(report))
+                self.counts["sums" if sent else "reports_left_out"] += 1
 
     # Operators
 
--- a/tests/observer/test_observer.py
+++ b/tests/observer/test_observer.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from typing import Any
@@ -17,7 +18,9 @@
 from mothstall.fleet.agent import Agent, BoxAt
 from mothstall.fleet.attach import near
 from mothstall.fleet.client import Store
+from mothstall.fleet.course import Course
 from mothstall.fleet.operator import Operator, OperatorError, from_tree
+from mothstall.fleet.pilot import Seat
 from mothstall.keeper.process import Keeper
 from mothstall.observer import process
 from mothstall.observer.process import Observer
@@ -79,10 +82,12 @@
         await made.start()
         return made
 
-    async def agent(self, name: str, zone: str = "z1", boxes: int = 0, **more: Any) -> Agent:
+    async def agent(
+        self, name: str, zone: str = "z1", boxes: int = 0, seat: Seat | None = None, **more: Any
+    ) -> Agent:
         made = self.agents[name] = Agent(
             self.operator(zone, **more), name, loop=asyncio.get_running_loop(), changed=lambda: None,
-            probes=bool(boxes),
+            probes=bool(boxes), seat=seat, classes=["ask"], aims_ns=[300_000_000],
         )  # fmt: skip
         made.boxes = {f"b{i}": BoxAt(Address("127.0.0.1", 1), zone) for i in range(boxes)}
         await made.start()
@@ -198,6 +203,42 @@
     asyncio.run(main())
 
 
+class _Seat:
+    def warm(self) -> dict[str, float]:
+        return {"z1": 4.0, "z2": 4.0}
+
+    def totals(self) -> tuple[int, int]:
+        return 0, 0
+
+    def steer(self, course: Course, lasts_ms: int) -> None:
+        pass
+
+
+def test_an_owner_of_plans_hears_zones_and_not_proxies(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with rig(tmp_path, o1="z1", o2="z2") as r:
+            regions = [{"name": "north", "zones": ["z1", "z2"]}]
+            failover = {"on": True, "regions": regions, "every": "200ms", "stale": "5s"}
+            r.tree["failover"] = failover
+            for name in ("o1", "o2"):
+                await r.observers[name].stop()
+                await r.observe(name)
+            agents = [await r.agent(f"p{i}", f"z{1 + i % 2}", seat=_Seat()) for i in range(6)]
+            await until(lambda: "failover" in r.state.leases, "an owner")
+            owner = next(a for a in agents if a.owner == r.state.leases["failover"].owner)
+            pilot = owner.pilot
+            assert pilot is not None
+            await until(lambda: pilot.evidence.proxies == {"z1": 3, "z2": 3}, "all are heard")
+            heard = {report.proxy for report in pilot.board.reports(time.monotonic_ns() // 1_000_000)}
+            assert heard == {"observer/o1@z1", "observer/o2@z2"}
+            await until(lambda: "zones/plan" in r.state.entries, "a plan")
+            await until(lambda: all("zones/plan" in a.view.entries for a in agents), "at all")
+            sums = sum(observer.counts["sums"] for observer in r.observers.values())
+            assert r.keeper and r.keeper.counts["reports"] <= sums
+
+    asyncio.run(main())
+
+
 def test_a_proxy_answers_for_no_observer(tmp_path: Path) -> None:
     async def main() -> None:
         async with rig(tmp_path, o1="z1") as r:
