An observer with a fault of its own ends, and holds no lease over half of its work

Found in reading: a fault in one of its loops was logged and the others went on, so that it kept its lease and told nobody anything. Changes of its own wait a third of a term at most, so that a late batch holds up no renewal; a proxy that was dismissed and speaks again is closed without a complaint in the log.

--- a/mothstall/observer/process.py
+++ b/mothstall/observer/process.py
@@ -40,7 +40,7 @@
 TICK_S = 0.05
 STEP_S = 0.05  # between two looks at its own lease and batches
 TOLD = 512  # proxies told in one turn of the loop
-CHANGE_S = 1.0  # for a change of its own
+CHANGE_S = 1.0  # for a change of its own, or a third of its term: a late batch holds up no renewal
 STALE_NS = 1_500_000_000  # without a keeper that hears a leader: another one is turned to, and asks refused
 MOST_LINKS = 4608
 MOST_ASKED = 256  # asks of proxies on their way to a keeper,
@@ -112,6 +112,7 @@
         self.sweep = Sweep(name, GRACE_TERMS * int(leases.term))
         self.fanout = Fanout()
         self.counts = dict.fromkeys(COUNTS, 0)
+        self._change_s = min(CHANGE_S, leases.term / 3e9)
         self._key = operator.key()
         self._links: set[FrameLink] = set()
         self._open: WeakSet[FrameLink] = WeakSet()  # of proxies and tools, from the first byte on
@@ -127,6 +128,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._ended = False
+        self.fault = ""
+        self.over = asyncio.Event()  # it is to end: by a fault, or by whoever runs it
         self.port = 0
 
     async def start(self) -> None:
@@ -142,7 +145,7 @@
         self._own = Store(self.operator, self.owner, "observer", loop=self.loop)
         self._renew = Store(self.operator, self.owner, "observer", loop=self.loop)
         for work in (self._tick(), self._live(), self._renew_all(), self._relay()):
-            self._spawn(work)
+            self._spawn(work).add_done_callback(self._failed)
         log.info("listening", extra={"kv": {"name": self.name, "port": self.port}})
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
@@ -156,6 +159,12 @@
         if not task.cancelled() and (why := task.exception()):
             log.error("observer fault", extra={"kv": {"why": repr(why)}}, exc_info=why)
 
+    def _failed(self, task: asyncio.Task[None]) -> None:
+        """Guards against an observer that holds its lease and does only a part of its work: it ends."""
+        if not task.cancelled() and not self._ended:
+            self.fault = repr(task.exception())
+            self.over.set()
+
     async def stop(self) -> None:
         """Gives its lease up, where a keeper answers at once, and ends: its proxies move."""
         self._ended = True
@@ -257,7 +266,7 @@
             await self._take()
         elif now - self._renewed_at >= self.operator.leases.term // 3:
             self._renewed_at = now
-            result = await self._own.change(st.Renew(self.owner, ((self.lease, token),)), CHANGE_S)
+            result = await self._own.change(st.Renew(self.owner, ((self.lease, token),)), self._change_s)
             if result.lost:
                 self.holder.lost(self.lease)
                 self._lost(self.lease, "the store says so")
@@ -274,7 +283,7 @@
         sent = time.monotonic_ns()
         info = {"zone": self.part.zone, "region": self.part.region}
         take = st.Take(self.lease, self.owner, self.operator.leases.term // MS, info)
-        result = await self._own.change(take, CHANGE_S)
+        result = await self._own.change(take, self._change_s)
         if result.refused:
             return
         now = time.monotonic_ns()
@@ -287,7 +296,7 @@
 
     async def _batch(self, batch: Attach) -> None:
         try:
-            result = await self._own.change(batch, CHANGE_S)
+            result = await self._own.change(batch, self._change_s)
         except NoContact:
             self.presence.answered(batch, None, time.monotonic_ns())
             raise
@@ -353,8 +362,11 @@
             self._come(link, word)
             return
         guest = link.state
-        if guest is None or self._guests.get(guest.name) is not link:
+        if guest is None:
             raise ValueError("it asks before it is attached")
+        if self._guests.get(guest.name) is not link:
+            link.end("it is not attached here any more")
+            return
         if isinstance(word, tiercalls.Alive):
             if not self.presence.speak(guest.name, guest.owner, word.turn, time.monotonic_ns()):
                 link.send(msgspec.msgpack.encode(tiercalls.Turned(word.turn, "it is not known here")))
--- a/mothstall/observer/run.py
+++ b/mothstall/observer/run.py
@@ -1,4 +1,4 @@
-"""`mothstall observer`: one observer in the foreground, until SIGTERM or SIGINT."""
+"""`mothstall observer`: one observer in the foreground, until SIGTERM, SIGINT or a fault of its own."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 async def run(operator: Operator, name: str) -> None:
     """Raises OSError or OperatorError, of one line, if the observer cannot start."""
     observer = Observer(operator, name)
-    over = asyncio.Event()
+    over = observer.over
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, over.set)
@@ -24,3 +24,5 @@
     await over.wait()
     log.info("ending", extra={"kv": {"name": name}})
     await observer.stop()
+    if observer.fault:
+        raise OSError(f"observer {name} ended by a fault of its own: {observer.fault}")
--- a/tests/observer/test_observer.py
+++ b/tests/observer/test_observer.py
@@ -446,6 +446,23 @@
     asyncio.run(main())
 
 
+def test_an_observer_with_a_fault_of_its_own_ends(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with rig(tmp_path, o1="z1") as r:
+            await r.agent("p1")
+            await until(lambda: r.at("p1") == "o1", "member")
+
+            def faulty(self: Observer, now: int) -> None:
+                raise RuntimeError("a fault")
+
+            monkeypatch.setattr(Observer, "_tell", faulty)
+            async with asyncio.timeout(WAIT_S):
+                await r.observers["o1"].over.wait()
+            assert "a fault" in r.observers["o1"].fault
+
+    asyncio.run(main())
+
+
 def test_small_fleets_run_without_observers_as_before(tmp_path: Path) -> None:
     async def main() -> None:
         async with rig(tmp_path) as r:
