A proxy has moved before its observer may call it gone

The spans now stand together (presence.Spans): both speak three times a term, a proxy turns away after a term of silence and within a fifth of one, an observer gives a connection that stands one and a half terms, and one that went a term.

--- a/mothstall/fleet/attach.py
+++ b/mothstall/fleet/attach.py
@@ -16,7 +16,7 @@
 
 from mothstall.fleet.client import DIAL_S, LATER, TRY_S, NoContact, Store
 from mothstall.fleet.operator import Observer, Operator, OperatorError
-from mothstall.fleet.presence import Attachment
+from mothstall.fleet.presence import Attachment, Spans
 from mothstall.store import calls, tiercalls
 from mothstall.store.link import FrameLink
 from mothstall.store.state import Delta
@@ -48,7 +48,9 @@
         home, others = near(operator)
         self.proxy, self._fed = name, fed
         self._rows = {row.name: row for row in (*home, *others)}
-        self.ways = Attachment(random.Random(f"{owner} {secrets.randbits(32)}"))
+        spans = self._spans = Spans.of(int(operator.leases.term))
+        rng = random.Random(f"{owner} {secrets.randbits(32)}")
+        self.ways = Attachment(rng, silent_ns=spans.silent, spread_ns=spans.spread)
         self.ways.known([row.name for row in home], [row.name for row in others])
         self.turn = 0
         self.seated = False  # whether the log has this proxy where it is
@@ -89,7 +91,6 @@
             self.ways.left(self._left or "lost", time.monotonic_ns())
 
     async def _look(self) -> None:
-        term = self.operator.leases.term
         while True:
             await asyncio.sleep(LOOK_S)
             now = time.monotonic_ns()
@@ -98,7 +99,7 @@
             age = self._age_ms * MS if self._age_ms >= 0 else 1 << 62
             if why := self.ways.why_leave(age, now):
                 self.leave(why)
-            elif now - self._spoke >= term // 3:
+            elif now - self._spoke >= self._spans.beat:
                 self._spoke = now
                 self._link.send(msgspec.msgpack.encode(tiercalls.Alive(self.turn)))
 
--- a/mothstall/fleet/presence.py
+++ b/mothstall/fleet/presence.py
@@ -26,6 +26,27 @@
 Term = tuple[str, int]  # an observer's lease and its token
 
 
+@dataclass(slots=True, frozen=True)
+class Spans:
+    """What goes by between a proxy and its observer, by the term of leases; all in ns.
+
+    Guards against a proxy that is out of the log while it lives: who hears nothing goes to another observer
+    before this one may say that it is gone.
+    """
+
+    beat: int  # a proxy speaks this often,
+    heartbeat: int  # and an observer
+    silent: int  # without a word of its observer a proxy turns to another one,
+    spread: int  # at a moment of its own in this
+    seat: int  # without a word of a proxy, whose connection stands, an observer says that it is gone
+    unlinked: int  # and so long after its connection went
+
+    @classmethod
+    def of(cls, term_ns: int) -> Spans:
+        spread = min(400 * MS, term_ns // 5)
+        return cls(term_ns // 3, term_ns // 3, term_ns, spread, term_ns * 3 // 2, term_ns)
+
+
 @dataclass(slots=True)
 class Seat:
     """One proxy that is attached here. `token`: of the lease under which the log has it; 0: it does not."""
@@ -48,11 +69,11 @@
     """One observer's proxies. Every call is linear in what it is given and in what it returns."""
 
     def __init__(
-        self, lease: str, term_ns: int, *, most: int = MOST_SEATS, batch: int = MOST_BATCH,
+        self, lease: str, spans: Spans, *, most: int = MOST_SEATS, batch: int = MOST_BATCH,
         fenced: bool = True,
     ) -> None:  # fmt: skip
         """`fenced` is a guard; tests alone take it out."""
-        self.lease, self.term_ns, self.most, self.fenced = lease, term_ns, most, fenced
+        self.lease, self.spans, self.most, self.fenced = lease, spans, most, fenced
         self._size = batch
         self.token = 0  # of this observer's lease; 0: it has none
         # In the order in which they were last heard, so that a look ends at the first that is in time.
@@ -60,6 +81,7 @@
         self.out: Attach | None = None  # the batch that waits for its answer
         self._joins: OrderedDict[str, None] = OrderedDict()
         self._leaves: OrderedDict[Leave, None] = OrderedDict()
+        self._unlinked: deque[tuple[int, Seat]] = deque()  # when they are gone, should they not come back
         self._later: deque[tuple[int, str]] = deque()  # joins that were not taken, and when to ask again
         self._looked = 0
         self._patient = 0  # nobody is gone for being silent before this
@@ -113,13 +135,15 @@
         return True
 
     def unlinked(self, name: str, owner: str, turn: int, now: int, ended: bool) -> None:
-        """Its connection is gone. `ended`: it said that it ends; else it has a term to come back or move."""
+        """Its connection is gone. `ended`: it said that it ends; else it has a while to come back or move."""
         row = self.seats.get(name)
         if row is None or (row.owner, row.turn) != (owner, turn):
             return
-        row.linked = False
         if ended:
             self._depart(row)
+        elif row.linked:
+            row.linked = False
+            self._unlinked.append((now + self.spans.unlinked, row))
 
     def _depart(self, row: Seat) -> None:
         del self.seats[row.name]
@@ -140,15 +164,20 @@
             self._leaves[leave] = None
 
     def tick(self, now: int) -> list[str]:
-        """The proxies that are gone: silent for a term."""
-        if now - self._looked > self.term_ns // 2:
-            self._patient = now + self.term_ns
+        """The proxies that are gone: silent for too long, or without a connection."""
+        if now - self._looked > self.spans.seat // 2:
+            self._patient = now + self.spans.seat
         self._looked = now
         gone = []
         if now >= self._patient:
             for row in list(self._silent(now)):
                 gone.append(row.name)
                 self._depart(row)
+            while self._unlinked and self._unlinked[0][0] <= now:
+                _, row = self._unlinked.popleft()
+                if self.seats.get(row.name) is row:
+                    gone.append(row.name)
+                    self._depart(row)
         while self._later and self._later[0][0] <= now:
             _, name = self._later.popleft()
             if name in self.seats and not self.answers(name, self.token):
@@ -157,7 +186,7 @@
 
     def _silent(self, now: int) -> Iterable[Seat]:
         for row in self.seats.values():
-            if now - row.heard < self.term_ns:
+            if now - row.heard < self.spans.seat:
                 return
             yield row
 
@@ -211,7 +240,7 @@
     def _again(self, row: Seat, now: int) -> None:
         row.token, row.tries = 0, min(row.tries + 1, 5)
         if len(self._later) < 2 * self.most:
-            self._later.append((now + self.term_ns * row.tries // 4, row.name))
+            self._later.append((now + self.spans.unlinked * row.tries // 4, row.name))
 
     def seen(self, rows: Rows, now: int) -> list[Seat]:
         """Rows of the log that differ. The seats whose proxies have moved on, and are nobody's here now."""
--- a/mothstall/observer/process.py
+++ b/mothstall/observer/process.py
@@ -27,7 +27,7 @@
 from mothstall.fleet.gather import Gather
 from mothstall.fleet.leases import Holder
 from mothstall.fleet.operator import Operator
-from mothstall.fleet.presence import OBSERVER, Presence, Seat, Sweep
+from mothstall.fleet.presence import OBSERVER, Presence, Seat, Spans, Sweep
 from mothstall.store import calls, tiercalls
 from mothstall.store import state as st
 from mothstall.store.link import FrameLink
@@ -108,9 +108,10 @@
         self.lease = OBSERVER + name
         leases = operator.leases
         self.holder = Holder(leases.term // MS, leases.margin // MS, leases.drift)
-        self.presence = Presence(self.lease, int(leases.term))
+        self.spans = Spans.of(int(leases.term))
+        self.presence = Presence(self.lease, self.spans)
         self.sweep = Sweep(name, GRACE_TERMS * int(leases.term))
-        self.fanout = Fanout()
+        self.fanout = Fanout(heartbeat_ns=self.spans.heartbeat)
         self.counts = dict.fromkeys(COUNTS, 0)
         self._change_s = min(CHANGE_S, leases.term / 3e9)
         self._key = operator.key()
