An observer's own renewal is not given up before its term is over

Found by a test on a busy machine: renewals were given up after a third of the term and asked for a third later, so that one slow commit cost the lease and all of its proxies joined anew. A renewal now waits while the term lasts, and is asked for again at once where it failed.

--- a/mothstall/fleet/leases.py
+++ b/mothstall/fleet/leases.py
@@ -96,6 +96,11 @@
         row = self.held.get(name)
         return row.token if row and now < row.until else 0
 
+    def left_ns(self, name: str, now: int) -> int:
+        """How long it may act yet, as things stand; 0: no longer."""
+        row = self.held.get(name)
+        return max(0, row.until - now) if row else 0
+
     def over(self, now: int) -> list[str]:
         """Leases that ended by this owner's own count; they are forgotten."""
         found = [name for name, row in self.held.items() if row.until <= now]
--- a/mothstall/observer/process.py
+++ b/mothstall/observer/process.py
@@ -40,7 +40,7 @@
 TICK_S = 0.05
 STEP_S = 0.05  # between two looks at its own lease and batches
 TOLD = 512  # proxies told in one turn of the loop
-CHANGE_S = 1.0  # for a change of its own, or a third of its term: a late batch holds up no renewal
+CHANGE_S = 1.0  # for a batch, or a third of its lease's term: a late one holds up no renewal
 STALE_NS = 1_500_000_000  # without a keeper that hears a leader: another one is turned to, and asks refused
 MOST_LINKS = 4608
 MOST_ASKED = 256  # asks of proxies on their way to a keeper,
@@ -266,8 +266,10 @@
         if not token:
             await self._take()
         elif now - self._renewed_at >= self.operator.leases.term // 3:
+            # As long as it takes while the term lasts: a renewal that is given up early is asked for again.
+            renew, left = st.Renew(self.owner, ((self.lease, token),)), self.holder.left_ns(self.lease, now)
+            result = await self._own.change(renew, max(0.05, left / 1e9))
             self._renewed_at = now
-            result = await self._own.change(st.Renew(self.owner, ((self.lease, token),)), self._change_s)
             if result.lost:
                 self.holder.lost(self.lease)
                 self._lost(self.lease, "the store says so")
