A row that a later attachment never took over goes with it

An observer now knows the log's rows under its lease and takes out that one too, at the departure or when a join of the name is refused.

--- a/mothstall/fleet/presence.py
+++ b/mothstall/fleet/presence.py
@@ -78,6 +78,7 @@
         self.token = 0  # of this observer's lease; 0: it has none
         # In the order in which they were last heard, so that a look ends at the first that is in time.
         self.seats: OrderedDict[str, Seat] = OrderedDict()
+        self._rows: dict[str, Member] = {}  # the log's, under this observer's lease, as far as it was seen
         self.out: Attach | None = None  # the batch that waits for its answer
         self._joins: OrderedDict[str, None] = OrderedDict()
         self._leaves: OrderedDict[Leave, None] = OrderedDict()
@@ -155,6 +156,13 @@
         """Also where no join was answered yet: it may be applied all the same."""
         if self.token:
             self.ask(Leave(row.name, row.owner, row.turn, self.token))
+        self._clear(row.name, row.owner, row.turn)
+
+    def _clear(self, name: str, owner: str, turn: int) -> None:
+        """Guards against a row of an earlier attachment here, which a later one never took over."""
+        held = self._rows.get(name)
+        if held is not None and held.token == self.token and (held.owner, held.turn) != (owner, turn):
+            self.ask(Leave(name, held.owner, held.turn, held.token))
 
     def ask(self, leave: Leave) -> None:
         """A row that is to be taken out."""
@@ -239,6 +247,9 @@
 
     def _again(self, row: Seat, now: int) -> None:
         row.token, row.tries = 0, min(row.tries + 1, 5)
+        held = self._rows.get(row.name)
+        if held is not None and held.owner != row.owner:
+            self._clear(row.name, row.owner, row.turn)
         if len(self._later) < 2 * self.most:
             self._later.append((now + self.spans.unlinked * row.tries // 4, row.name))
 
@@ -247,6 +258,10 @@
         moved = []
         for name, (was, row) in rows.items():
             seat = self.seats.get(name)
+            if row is not None and row.lease == self.lease:
+                self._rows[name] = row
+            else:
+                self._rows.pop(name, None)
             if row is not None and (row.lease, row.token) == (self.lease, self.token):
                 if seat is None or seat.owner != row.owner:
                     # A word of this observer's that came late: nobody of that name is here.
--- a/tests/fleet/test_tier.py
+++ b/tests/fleet/test_tier.py
@@ -254,6 +254,24 @@
     assert _joined(presence, 0).leaves == (Leave("p1", "p1#a", 1, 1),)
 
 
+def test_a_row_that_a_later_attachment_never_took_over_goes_with_it() -> None:
+    """Found by seed 2228: it stayed for ever, and the name's next process was never taken."""
+    presence = Presence("observer/o1", SPANS)
+    presence.seated(1)
+    presence.arrive("p1", "p1#a", 1, "z1", 0)
+    _joined(presence, 0)
+    presence.seen({"p1": (None, Member("p1", "p1#a", 1, "z1", "observer/o1", 1))}, 0)
+    presence.arrive("p1", "p1#a", 2, "z1", 0)
+    presence.unlinked("p1", "p1#a", 2, 0, True)  # before its join went out
+    assert set(_joined(presence, 0).leaves) == {Leave("p1", "p1#a", turn, 1) for turn in (1, 2)}
+    presence.arrive("p1", "p1#b", 1, "z1", 0)
+    batch = presence.batch(0)
+    assert batch is not None and not batch.leaves
+    presence.answered(batch, ["p1"], 0)  # that departure was lost: the row still is the former process's
+    again = _joined(presence, TERM)
+    assert again.leaves == (Leave("p1", "p1#a", 1, 1),)
+
+
 def test_seats_and_departures_are_bounded() -> None:
     presence = Presence("observer/o1", SPANS, most=3)
     presence.seated(1)
