lab scale runs the plays of the proxy's own path too

Cause: `lab/scale/path.py` held ten plays that no command reached; its points were made by a script, and it worked out the revision by a second copy of the same function. Nobody could have measured them again. Change: `lab scale list` and `run` take both tables of plays; a step of the path may give several series, each is kept with the run's own revision and `--beside`, and a kept step is not played again. `revision` stands once, in lab/process.py. Measured: tests/lab/scale 110 passed; the new test fails on the text before ("no series 'list/backends'").

--- a/mothstall/lab/process.py
+++ b/mothstall/lab/process.py
@@ -8,6 +8,7 @@
 import os
 import re
 import signal
+import subprocess
 import sys
 from pathlib import Path
 from typing import Any
@@ -20,6 +21,20 @@
 _DOOR = re.compile(rb'event="fleet door" .*door=(\d+)')
 
 
+def revision() -> str:
+    """The last commit of the proxy's own text, without the lab, with a mark where that text differs."""
+
+    def git(*words: str) -> str:
+        asked = subprocess.run(
+            ["git", "-C", str(ROOT), *words, "--", "mothstall", ":!mothstall/lab"],
+            capture_output=True, text=True, check=False, timeout=30,
+        )  # fmt: skip
+        return asked.stdout.strip() if asked.returncode == 0 else ""
+
+    found = git("log", "-1", "--format=%h", "--abbrev=10") or "unknown"
+    return found + ("+changes" if git("status", "--porcelain") else "")
+
+
 class ServeProcess:
     """`python -O -m mothstall serve` on a port that the system gives."""
 
--- a/mothstall/lab/scale/command.py
+++ b/mothstall/lab/scale/command.py
@@ -10,17 +10,19 @@
 import json
 import math
 import os
-import subprocess
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from functools import partial
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from mothstall.lab.ledger import Unfinished
-from mothstall.lab.process import ROOT
+from mothstall.lab.process import ROOT, revision
 from mothstall.lab.scale import capacity, control, points, target
+from mothstall.lab.scale import path as own_path
 from mothstall.lab.scale.control import SERIES, Broken
 from mothstall.lab.scale.points import Point, PointsError
 from mothstall.lab.scale.target import Target
@@ -71,29 +73,62 @@
 def _list(args: argparse.Namespace) -> int:
     if args.json:
         tree = {
-            name: {"axis": row.axis, "sizes": row.sizes, "tells": row.tells} for name, row in SERIES.items()
+            name: {"axis": _axis(name), "sizes": _sizes(name), "tells": _tells(name)} for name in _names()
         }
         print(json.dumps(tree, indent=1))
         return 0
-    wide = max(map(len, SERIES))
-    for name, row in SERIES.items():
-        sizes = " ".join(map(str, row.sizes))
-        print(f"{name:<{wide}}  {row.tells}; {row.axis}: {sizes}")
+    wide = max(map(len, _names()))
+    for name in _names():
+        print(f"{name:<{wide}}  {_tells(name)}; {_axis(name)}: {' '.join(map(str, _sizes(name)))}")
     return 0
 
 
-def revision() -> str:
-    """The last commit of the proxy's own text, without the lab, with a mark where that text differs."""
+# Two tables of plays: control's give one point a step, those of the proxy's own path some of them.
+
+
+def _names() -> list[str]:
+    return [*SERIES, *own_path.PLAYS]
+
+
+def _axis(name: str) -> str:
+    return SERIES[name].axis if name in SERIES else name.partition("/")[2]
+
+
+def _sizes(name: str) -> tuple[int, ...]:
+    return SERIES[name].sizes if name in SERIES else own_path.SIZES[name]
+
 
-    def git(*words: str) -> str:
-        asked = subprocess.run(
-            ["git", "-C", str(ROOT), *words, "--", "mothstall", ":!mothstall/lab"],
-            capture_output=True, text=True, check=False, timeout=30,
-        )  # fmt: skip
-        return asked.stdout.strip() if asked.returncode == 0 else ""
+def _tells(name: str) -> str:
+    return SERIES[name].tells if name in SERIES else f"the proxy's own path; left out: {_left_out(name)}"
 
-    found = git("log", "-1", "--format=%h", "--abbrev=10") or "unknown"
-    return found + ("+changes" if git("status", "--porcelain") else "")
+
+def _left_out(name: str) -> str:
+    return SERIES[name].leaves_out if name in SERIES else own_path.LEFT_OUT[name.partition("/")[0]]
+
+
+def _played(rows: Iterable[Point], name: str, size: int, repeat: int, text: str) -> bool:
+    """Whether this step's points are there, also those of series that a play tells apart below its own."""
+    return any(
+        (row.series == name or row.series.startswith(f"{name}/"))
+        and row.axes.get(_axis(name)) == size and row.repeat == repeat and row.revision == text
+        for row in rows
+    )  # fmt: skip
+
+
+def _step(name: str, size: int, repeat: int, seed: int, say: control.Say) -> tuple[list[Point], list[str]]:
+    """The points of one step, without what the run knows, and what did not hold. Raises Unfinished."""
+    if name in own_path.PLAYS:
+        return own_path.PLAYS[name](seed, repeat, say, sizes=(size,)), []
+    one, wrong = SERIES[name], list[str]()
+    try:
+        values = one.play(size, seed + repeat - 1, say)
+    except Broken as why:
+        wrong, values = why.wrong, {**why.values, "wrong": (len(why.wrong), "1")}
+    point = Point(
+        series=name, axes={one.axis: float(size), **one.fixed}, repeat=repeat, values=values,
+        seed=seed + repeat - 1, revision="", cores=os.cpu_count() or 1, beside="", leaves_out=one.leaves_out,
+    )  # fmt: skip
+    return [point], wrong
 
 
 def read(path: Path) -> list[Point]:
@@ -118,8 +153,8 @@
     say = partial(print, file=sys.stderr, flush=True)
     if "short" in args.series:
         return _short(args, say)
-    if unknown := [name for name in args.series if name not in SERIES]:
-        raise ScaleError(f"no series {unknown[0]!r}: {', '.join(SERIES)}, short")
+    if unknown := [name for name in args.series if name not in _names()]:
+        raise ScaleError(f"no series {unknown[0]!r}: {', '.join(_names())}, short")
     if not 1 <= args.repeats <= 20 or any(not 1 <= size <= 1_000_000_000 for size in args.sizes or ()):
         raise ScaleError("--repeats must be 1 to 20, --sizes 1 or more")
     began, text = time.monotonic(), revision()
@@ -129,39 +164,36 @@
         (name, size, repeat)
         for repeat in range(1, args.repeats + 1)
         for name in args.series
-        for size in args.sizes or SERIES[name].sizes
+        for size in args.sizes or _sizes(name)
     ]
-    done = {point.name for point in rows}
     left = failed = broken = 0
     for i, (name, size, repeat) in enumerate(steps):
-        one = SERIES[name]
-        axes = {one.axis: float(size), **one.fixed}
-        if (name, tuple(sorted(axes.items())), repeat, text) in done:
+        if _played(rows, name, size, repeat, text):
             continue
         if args.most is not None and time.monotonic() - began > args.most:
             left += 1
             continue
-        say(f"[{i + 1}/{len(steps)}] {name}, {one.axis} {size}, repeat {repeat}")
+        say(f"[{i + 1}/{len(steps)}] {name}, {_axis(name)} {size}, repeat {repeat}")
         try:
-            values = one.play(size, args.seed + repeat - 1, lambda word: say(f"    {word}"))
+            found, wrong = _step(name, size, repeat, args.seed, lambda word: say(f"    {word}"))
         except Unfinished as why:
             failed += 1
             say(f"    not finished: {why}")
             continue
-        except Broken as why:
-            broken += 1
-            values = {**why.values, "wrong": (len(why.wrong), "1")}
-            say("".join(f"    WRONG: {line}\n" for line in why.wrong).rstrip())
-        point = Point(
-            series=name, axes=axes, repeat=repeat, seed=args.seed + repeat - 1, revision=text,
-            values={key: (float(f"{number:.6g}"), unit) for key, (number, unit) in values.items()},
-            cores=os.cpu_count() or 1, beside=args.beside, leaves_out=one.leaves_out,
-            command=f"mothstall lab scale run {name} --sizes {size} --seed {args.seed}",
-        )  # fmt: skip
-        rows = points.merged(rows, [point])
+        broken += bool(wrong)
+        for line in wrong:
+            say(f"    WRONG: {line}")
+        for played in found:
+            values = {key: (float(f"{number:.6g}"), unit) for key, (number, unit) in played.values.items()}
+            point = msgspec.structs.replace(
+                played, values=values, revision=text, beside=args.beside,
+                command=f"mothstall lab scale run {name} --sizes {size} --seed {args.seed}",
+            )  # fmt: skip
+            rows = points.merged(rows, [point])
+            told = ", ".join(f"{key} {number:g} {unit}" for key, (number, unit) in values.items())
+            say(f"    {point.series}: {told}")
         if kept:
             write(kept, rows)
-        say("    " + ", ".join(f"{key} {number:g} {unit}" for key, (number, unit) in point.values.items()))
     if args.json:
         _write_json(args.json, rows)
     if left or failed:
--- a/mothstall/lab/scale/path.py
+++ b/mothstall/lab/scale/path.py
@@ -27,14 +27,13 @@
 import multiprocessing
 import os
 import random
-import subprocess
 import tempfile
 import time
 from collections.abc import Callable, Sequence
 from multiprocessing.connection import Connection
 from pathlib import Path
 from statistics import median
-from typing import Any
+from typing import Any, Protocol
 
 from mothstall import config as configuration
 from mothstall import interface as io
@@ -43,14 +42,20 @@
 from mothstall.interface import NS, Health, Result, Scope
 from mothstall.lab import bench, scenario, wire
 from mothstall.lab.ledger import Unfinished
-from mothstall.lab.process import ROOT, ServeProcess
+from mothstall.lab.process import ServeProcess, revision
 from mothstall.lab.scale.points import Point
 from mothstall.net import protocol
 from mothstall.net.discovery import Told
 from mothstall.net.proxy import Proxy
 
 Say = Callable[[str], object]
-Play = Callable[[int, int, Say], list[Point]]
+
+
+class Play(Protocol):
+    """`sizes`: in place of the play's own."""
+
+    def __call__(self, seed: int, repeat: int, say: Say, *, sizes: Sequence[int] = ()) -> list[Point]: ...
+
 
 # The operators' target (docs/CAPACITY.md): what one proxy of it lists, and of how many it is one.
 ROWS_A_PROXY = 93_000 / 6_700
@@ -146,17 +151,7 @@
 
 @functools.cache
 def _revision() -> str:
-    """The last commit that touched the proxy's own files, and a mark where they differ from it."""
-    own = ("--", "mothstall", ":!mothstall/lab")
-
-    def git(*words: str) -> str:
-        asked = subprocess.run(
-            ["git", "-C", str(ROOT), *words], capture_output=True, text=True, check=False, timeout=30
-        )
-        return asked.stdout.strip() if asked.returncode == 0 else ""
-
-    found = git("log", "-1", "--format=%h", *own) or "unknown"
-    return found + ("+changes" if git("status", "--porcelain", *own) else "")
+    return revision()
 
 
 def _point(series: str, axes: dict[str, float], repeat: int, seed: int, values: dict[str, Any]) -> Point:
--- a/tests/lab/scale/test_short.py
+++ b/tests/lab/scale/test_short.py
@@ -11,7 +11,9 @@
 
 from mothstall.lab.command import main
 from mothstall.lab.ledger import Unfinished
+from mothstall.lab.process import revision
 from mothstall.lab.scale import command, control, faults, hollow
+from mothstall.lab.scale import path as own_path
 from mothstall.lab.scale.control import SERIES
 from mothstall.lab.scale.hollow import Crew
 
@@ -89,7 +91,21 @@
 
 def test_list_names_every_series(capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["scale", "list", "--json"]) == 0
-    assert list(json.loads(capsys.readouterr().out)) == list(SERIES)
+    assert list(json.loads(capsys.readouterr().out)) == [*SERIES, *own_path.PLAYS]
+
+
+def test_a_play_of_the_proxys_own_path_is_kept_by_what_the_run_knows(tmp_path: Path) -> None:
+    """One step of it may give several series; all are kept, and none is played again."""
+    kept = tmp_path / "scale-path.json"
+    words = ["scale", "run", "list/backends", "--sizes", "200", "--repeats", "1", "--kept", str(kept)]
+    assert main([*words, "--beside", "a test"]) == 0
+    rows = command.read(kept)
+    assert [row.series for row in rows] == ["list/backends/1", "list/backends/170", "list/backends/whole"]
+    assert {(row.beside, row.revision, row.repeat) for row in rows} == {("a test", revision(), 1)}
+    assert all(row.axes["backends"] == 200 and row.leaves_out for row in rows)
+    before = kept.read_bytes()
+    assert main([*words, "--most", "0"]) == 0
+    assert kept.read_bytes() == before
 
 
 @pytest.mark.skipif(not os.path.exists("/proc/self/statm"), reason="the system does not tell")
