CAPACITY.md: verdicts for the proxy's request path, from its points after the mends

Need: the page named no verdict for the path that clients see, though its slots and lists were measured. Change: nine lines with limit and run; what is not measured is named. Time added is not measured after.

--- a/mothstall/lab/scale/capacity.py
+++ b/mothstall/lab/scale/capacity.py
@@ -18,6 +18,7 @@
 from mothstall.lab.scale.fit import FitError, Slope
 from mothstall.lab.scale.points import Point
 from mothstall.lab.scale.target import Target
+from mothstall.net.discovery import MOST_LIST
 from mothstall.store.frames import MOST_FRAME
 from mothstall.store.state import MOST_ROWS, MOST_SESSIONS
 
@@ -108,7 +109,60 @@
         return f"**over, {_times(self.value / self.limit, up=True)}**"
 
 
+def backends(t: Target, part: float) -> float:
+    """Of the whole list, as a proxy has it today: it knows no services."""
+    return part * t.fleet.backends
+
+
+def tenants(t: Target, part: float) -> float:
+    return part * t.fleet.tenants
+
+
+def added(t: Target) -> float:
+    """ms: what holds the loop for longer is added to every request that comes meanwhile."""
+    return t.load.added_p99_ms
+
+
+PATH = "proxy's request path"
+LONE = "operators: added for 99 in 100"
+
 LINES: tuple[Line, ...] = (
+    Line(
+        PATH, "added for 99 in 100, by backends", "ms", added, LONE, "members, not the list",
+        "request/backends/70", "backends", ("added_p99",), backends,
+    ),
+    Line(
+        PATH, "a slot's end, by tenants", "ms", added, LONE, "missing: pace of those alone that ask",
+        "turn/tenants", "tenants", ("slot",), tenants,
+    ),
+    Line(
+        PATH, "a slot's end, by backends", "ms", added, LONE, "members, not the list", "turn/backends",
+        "backends", ("slot",), backends,
+    ),
+    Line(
+        PATH, "a request's decisions, by tenants", "us", lambda t: 1e3 * added(t), LONE, "those that wait",
+        "turn/tenants", "tenants", ("request",), tenants,
+    ),
+    Line(
+        PATH, "one row that changes", "ms", added, LONE, "its place in the ring", "list/backends/1",
+        "backends", ("back_stall",), backends,
+    ),
+    Line(
+        PATH, "a rack comes back, 170 rows", "ms", added, LONE, "missing: a list taken in by parts",
+        "list/backends/170", "backends", ("back_stall",), backends,
+    ),
+    Line(
+        PATH, "a zone comes back, 8,450 rows", "ms", added, LONE, "missing: a list taken in by parts",
+        "list/backends/8450", "backends", ("back_stall",), backends,
+    ),
+    Line(
+        PATH, "the whole list once more", "ms", added, LONE, "missing: services; a list by parts",
+        "list/backends/whole", "backends", ("stall",), backends,
+    ),
+    Line(
+        PATH, "the whole list, bytes", "MB", lambda t: MOST_LIST / 1e6, "`MOST_LIST`", "missing: services",
+        "list/backends/whole", "backends", ("size",), backends,
+    ),
     Line(
         "proxy's control", "processor time, quiet", "cores", lambda t: t.control.proxy_cores, "operators",
         "looks ten times a second at what is held", "control/proxies", "proxies", ("agent_cpu",),
