--- a/mothstall/lab/scale/capacity.py
+++ b/mothstall/lab/scale/capacity.py
@@ -125,6 +125,7 @@
 
 PATH = "proxy's request path"
 LONE = "operators: added for 99 in 100"
+TIER, TIER_BY = "behind observers, two a zone", "observers"
 
 LINES: tuple[Line, ...] = (
     Line(
@@ -291,6 +292,67 @@
         "changes", "until the last proxy has one", "s", lambda t: t.control.everywhere_s, "operators",
         "pushes, 64 in a turn", "control/proxies", "proxies", ("change_last",),
     ),
+    Line(
+        TIER, "proxy's processor time, quiet", "cores", lambda t: t.control.proxy_cores, "operators",
+        TIER_BY, "tier/proxies", "proxies", ("agent_cpu",),
+    ),
+    Line(
+        TIER, "proxy's processor time with reports", "cores", lambda t: t.control.proxy_cores, "operators",
+        TIER_BY, "tier/reports", "proxies", ("agent_cpu",),
+    ),
+    Line(
+        TIER, "proxy's bytes, quiet", "B/s", lambda t: t.control.proxy_bytes_per_s, "operators", TIER_BY,
+        "tier/proxies", "proxies", ("agent_in", "agent_out"),
+    ),
+    Line(
+        TIER, "proxy's bytes with reports", "B/s", lambda t: t.control.proxy_bytes_per_s, "operators",
+        TIER_BY, "tier/reports", "proxies", ("agent_in", "agent_out"),
+    ),
+    Line(
+        TIER, "processor time of the busiest keeper", "cores", lambda t: 1.0, "one thread", TIER_BY,
+        "tier/proxies", "proxies", ("keeper_cpu_most",),
+    ),
+    Line(
+        TIER, "the same with reports", "cores", lambda t: 1.0, "one thread", "sums by zone", "tier/reports",
+        "proxies", ("keeper_cpu_most",),
+    ),
+    Line(
+        TIER, "commits", "1/s", lambda t: 0.0, "the most that were measured, by callers at once", TIER_BY,
+        "tier/proxies", "proxies", ("commits",), most_of=("control/commits", "rate"),
+    ),
+    Line(
+        TIER, "processor time of the busiest observer", "cores", lambda t: 1.0, "one thread", TIER_BY,
+        "tier/proxies", "proxies", ("observer_cpu_most",),
+    ),
+    Line(
+        TIER, "the same with reports", "cores", lambda t: 1.0, "one thread", "sums by zone", "tier/reports",
+        "proxies", ("observer_cpu_most",),
+    ),
+    Line(
+        TIER, "an observer's memory", "MB", lambda t: 1024.0, "ours: one GB", TIER_BY, "tier/proxies",
+        "proxies", ("observer_memory",),
+    ),
+    Line(
+        TIER, "until the last proxy has a change", "s", lambda t: t.control.everywhere_s, "operators",
+        TIER_BY, "tier/proxies", "proxies", ("change_last",),
+    ),
+    Line(
+        TIER, "all proxies start anew, until the last is a member", "s", lambda t: t.control.everywhere_s,
+        "operators: as for a change", TIER_BY, "tier/proxies", "proxies", ("join_last",),
+    ),
+    Line(
+        TIER, "an observer is lost, until its proxies are members again", "s",
+        lambda t: t.control.everywhere_s, "operators: as for a change", TIER_BY, "tier/proxies", "proxies",
+        ("observer_kill_last",),
+    ),
+    Line(
+        TIER, "the leading keeper is lost: longest silence of a proxy", "s", lambda t: TERM_S,
+        "what a term leaves an owner", TIER_BY, "tier/proxies", "proxies", ("kill_silence_last",),
+    ),
+    Line(
+        TIER, "all keepers start anew: longest silence of a proxy", "s", lambda t: KEEP_S,
+        "a plan holds so long", TIER_BY, "tier/proxies", "proxies", ("restart_silence_last",),
+    ),
     Line(
         "operators' tools", "all of the state read, in one frame", "MB", lambda t: MOST_FRAME / 1e6,
         "`MOST_FRAME`", "missing: reads of a part", "pure/snapshot", "rows", ("snapshot",), state_rows,
