Capacity: a verdict for every number of the target, also for what nothing carries

Lines that were missing: requests' processor time, memory and time to ready, services, routes, settings, discovery, a prober's own work, an owner behind observers, bounds of observers. A play that did not come to its end is over from its size on, whatever the slope below it says. The added time was held in ms against points in us.

--- a/mothstall/lab/scale/capacity.py
+++ b/mothstall/lab/scale/capacity.py
@@ -13,6 +13,9 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
+from mothstall.fleet.evidence import MOST_PROXIES, MOST_ZONES
+from mothstall.fleet.operator import MOST_OBSERVERS
+from mothstall.fleet.presence import MOST_SEATS
 from mothstall.keeper.process import MOST_CONNECTIONS
 from mothstall.lab.scale import fit
 from mothstall.lab.scale.fit import FitError, Slope
@@ -20,6 +23,7 @@
 from mothstall.lab.scale.target import Target
 from mothstall.net.discovery import MOST_LIST
 from mothstall.store.frames import MOST_FRAME
+from mothstall.store.roster import MOST_MEMBERS
 from mothstall.store.state import MOST_ROWS, MOST_SESSIONS
 
 BUSY = 10.0  # the busiest hour against the mean of a day, for changes and restarts: our assumption
@@ -28,11 +32,16 @@
 ELECTION_S = 0.3  # a keeper that computes for longer is taken for dead: deploy/operator.toml
 LINK = 125e6  # bytes a second: one Gbit/s
 KEEPERS = 3  # that were played
+VOTERS = 5  # of the machines for control
+OBSERVERS = 2  # a zone, as they were played
 PLAYED = 100  # proxies, where changes were played
+PLAYED_TIER = 800  # the same behind observers
+CLASSES = 32  # of requests, at every proxy: the target has no such number, this one is ours
 LOOKS = 10  # of an agent, a second
 
 Size = Callable[[Target, float], float]
 Limit = Callable[[Target], float]
+Times = float | Callable[[Target, float], float]
 
 GONE = "no tier between keepers and proxies"
 
@@ -60,9 +69,25 @@
     return changes(t, part) * proxies(t, part) / PLAYED
 
 
+def tier_pushes(t: Target, part: float) -> float:
+    return changes(t, part) * proxies(t, part) / PLAYED_TIER
+
+
+def moves(t: Target, part: float) -> float:
+    """Joins and departures a second, in the busiest hour."""
+    return part * BUSY * 2 * t.restarts_per_s
+
+
+def observers(t: Target) -> int:
+    return OBSERVERS * t.fleet.zones
+
+
 @dataclass(slots=True, frozen=True)
 class Line:
-    """`series` empty: the value is the size itself, a count that stands against a bound in the code."""
+    """`series` empty: the value is the size itself, a count that stands against a bound in the code.
+
+    `nothing` and `unmeasured` say that there is no mechanism, or no play, and why; both stand for a verdict.
+    """
 
     role: str
     what: str
@@ -74,9 +99,15 @@
     axis: str = "proxies"
     values: tuple[str, ...] = ()  # added up
     size: Size = proxies
-    times: float = 1.0
+    times: Times = 1.0
     before: tuple[str, ...] = ()  # the value of the same meaning in points of the text before
     most_of: tuple[str, str] | None = None  # the limit is the most that this value of a series ever reached
+    gave_up: str = ""  # of the series: a size that has this value did not come to an end
+    nothing: str = ""
+    unmeasured: str = ""
+
+    def scale(self, t: Target, part: float) -> float:
+        return self.times(t, part) if callable(self.times) else self.times
 
 
 @dataclass(slots=True, frozen=True)
@@ -91,6 +122,7 @@
     crosses: float
     slopes: tuple[Slope, ...]
     missing: str = ""
+    ended: str = ""  # the size from which on a play did not come to its end, in words
 
     @property
     def far(self) -> bool:
@@ -98,6 +130,10 @@
 
     @property
     def verdict(self) -> str:
+        if self.line.nothing:
+            return f"**carried by nothing**: {self.line.nothing}"
+        if self.ended:
+            return f"**over: {self.ended}**"
         if self.missing:
             return f"not measured: {self.missing}"
         if self.best <= self.limit < self.value:
@@ -118,6 +154,15 @@
     return part * t.fleet.tenants
 
 
+def classes(t: Target, part: float) -> float:
+    return float(CLASSES)
+
+
+def voters_of_a_region(t: Target) -> float:
+    voters = [machine.region for machine in placement(t) if machine.keeper]
+    return float(max(map(voters.count, voters)))
+
+
 def added(t: Target) -> float:
     """ms: what holds the loop for longer is added to every request that comes meanwhile."""
     return t.load.added_p99_ms
@@ -129,8 +174,38 @@
 
 LINES: tuple[Line, ...] = (
     Line(
-        PATH, "added for 99 in 100, by backends", "ms", added, LONE, "members, not the list",
-        "request/backends/70", "backends", ("added_p99",), backends,
+        PATH, "added for 99 in 100 at 70 a second, by backends", "ms", added, LONE, "members, not the list",
+        "request/backends/70", "backends", ("added_p99",), backends, 0.001,
+    ),
+    Line(
+        PATH, "the same at 210 a second", "ms", added, LONE, "members, not the list",
+        "request/backends/210", "backends", ("added_p99",), backends, 0.001,
+    ),
+    Line(
+        PATH, "added for 99 in 100 at 70 a second, by tenants", "ms", added, LONE, "turns by tenant",
+        "request/tenants/70", "tenants", ("added_p99",), tenants, 0.001,
+    ),
+    Line(
+        PATH, "the same at 210 a second", "ms", added, LONE, "turns by tenant", "request/tenants/210",
+        "tenants", ("added_p99",), tenants, 0.001,
+    ),
+    Line(
+        PATH, "added for 99 in 100 at 70 a second, by classes", "ms", added, LONE, "classes by index",
+        "request/classes/70", "classes", ("added_p99",), classes, 0.001,
+    ),
+    Line(
+        PATH, "the same at 210 a second", "ms", added, LONE, "classes by index", "request/classes/210",
+        "classes", ("added_p99",), classes, 0.001,
+    ),
+    Line(
+        PATH, "processor time of its requests, at 70 a second", "cores", lambda t: 1.0, "one thread",
+        "one process a proxy", "request/backends/70", "backends", ("cpu_request",), backends,
+        lambda t, part: 1e-6 * t.requests_per_proxy,
+    ),
+    Line(
+        PATH, "the same at three times that", "cores", lambda t: 1.0, "one thread", "one process a proxy",
+        "request/backends/210", "backends", ("cpu_request",), backends,
+        lambda t, part: 3e-6 * t.requests_per_proxy,
     ),
     Line(
         PATH, "a slot's end, by tenants", "ms", added, LONE, "missing: pace of those alone that ask",
@@ -164,6 +239,70 @@
         PATH, "the whole list, bytes", "MB", lambda t: MOST_LIST / 1e6, "`MOST_LIST`", "missing: services",
         "list/backends/whole", "backends", ("size",), backends,
     ),
+    Line(
+        PATH, "processor time of rows that go and come, busiest hour", "cores",
+        lambda t: t.control.proxy_cores, "operators, of control", "its place in the ring", "list/backends/1",
+        "backends", ("gone_cpu", "back_cpu"), backends,
+        lambda t, part: 0.001 * part * BUSY * t.restarts_per_s,
+    ),
+    Line(
+        PATH, "memory after a start, by backends", "MB", lambda t: t.control.proxy_memory_mb,
+        "operators, of control; the whole process is held to it", "missing: services", "start/backends",
+        "backends", ("memory",), backends,
+    ),
+    Line(
+        PATH, "the most memory of a start, by backends", "MB", lambda t: t.control.proxy_memory_mb,
+        "operators, of control; the whole process is held to it", "missing: services; a list by parts",
+        "start/backends", "backends", ("memory_most",), backends,
+    ),
+    Line(
+        PATH, "memory after a start, by tenants", "MB", lambda t: t.control.proxy_memory_mb,
+        "operators, of control; the whole process is held to it", "missing: tenants of those alone that ask",
+        "start/tenants", "tenants", ("memory",), tenants,
+    ),
+    Line(
+        PATH, "time to ready, by backends", "s", lambda t: t.control.everywhere_s,
+        "operators: as for a change", "missing: services", "start/backends", "backends", ("ready",), backends,
+    ),
+    Line(
+        PATH, "time to ready, by tenants", "s", lambda t: t.control.everywhere_s,
+        "operators: as for a change", "missing: tenants of those alone that ask", "start/tenants", "tenants",
+        ("ready",), tenants,
+    ),
+    Line(
+        PATH, "services: the backends of those alone that a proxy serves", "1", lambda t: 0.0, "none",
+        "missing: services", size=lambda t, part: part * t.fleet.services,
+        nothing="a proxy knows no services and asks for the whole list",
+    ),
+    Line(
+        PATH, "routes", "1", lambda t: 0.0, "none", "missing: a table of routes",
+        size=lambda t, part: part * t.fleet.routes, nothing="a class is told by a header alone",
+    ),
+    Line(
+        "changes", "of settings: classes, tenants, shares", "1", lambda t: 0.0, "none",
+        "missing: settings through the keepers", size=lambda t, part: part * t.control.changes_a_day,
+        nothing="each proxy's own file and SIGHUP; the log carries drains, orders and plans",
+    ),
+    Line(
+        "discovery", "watch calls that wait at it", "1", lambda t: 0.0, "its own",
+        "each proxy asks for itself", unmeasured="its bound is not ours to know",
+    ),
+    Line(
+        "discovery", "all proxies start anew: the list to each, within a change's time", "B/s",
+        lambda t: LINK, "one Gbit/s, of one discovery", "missing: services; one proxy that asks for a zone",
+        "list/backends/whole", "backends", ("size",), backends,
+        lambda t, part: 1e6 * part * t.fleet.proxies / t.control.everywhere_s,
+    ),
+    Line(
+        "discovery", "rows that go and come to each proxy, busiest hour", "B/s", lambda t: LINK,
+        "one Gbit/s, of one discovery", "a delta to each", "list/backends/whole", "backends", ("size",),
+        backends, lambda t, part: 1e6 * moves(t, part) * part * t.fleet.proxies / (part * t.fleet.backends),
+    ),
+    Line(
+        "proxy's control", "bytes of rows that go and come, busiest hour", "B/s",
+        lambda t: t.control.proxy_bytes_per_s, "operators", "a delta to each", "list/backends/whole",
+        "backends", ("size",), backends, lambda t, part: 1e6 * moves(t, part) / (part * t.fleet.backends),
+    ),
     Line(
         "proxy's control", "processor time, quiet", "cores", lambda t: t.control.proxy_cores, "operators",
         "looks ten times a second at what is held", "control/proxies", "proxies", ("agent_cpu",),
@@ -209,6 +348,11 @@
         "operators: as for a change", "a witness for each backend", "pure/duties", "pairs", ("first_cpu",),
         pairs, 1.0, ("mine_cpu",),
     ),
+    Line(
+        "probers", "a proxy's whole control with its own backends' probes, by these", "cores",
+        lambda t: t.control.proxy_cores, "operators", "a probe a second, a lease each", "probe/backends",
+        "backends", ("idle_cpu", "probing_cpu"), lambda t, part: t.fleet.backends / t.fleet.proxies,
+    ),
     Line(
         "probers", "leases of probes and members", "1", lambda t: MOST_ROWS, "`MOST_ROWS`",
         "missing: a lease for many backends", size=state_rows,
@@ -281,13 +425,21 @@
     Line(
         "owner of plans", "processor time: reports read, a look a second", "cores",
         lambda t: t.control.proxy_cores, "operators: an owner is a proxy",
-        "missing: sums of zones instead of proxies", "pure/owner", "proxies", ("owner_cpu",),
+        "straight at keepers: each proxy's own report", "pure/owner", "proxies", ("owner_cpu",),
     ),
     Line(
         "owner of plans", "bytes of reports", "B/s", lambda t: t.control.proxy_bytes_per_s,
-        "operators: an owner is a proxy", "missing: sums of zones instead of proxies", "pure/owner",
+        "operators: an owner is a proxy", "straight at keepers: each proxy's own report", "pure/owner",
         "proxies", ("owner_in",),
     ),
+    Line(
+        "owner of plans", "proxies whose reports it weighs", "1", lambda t: MOST_PROXIES, "`MOST_PROXIES`",
+        "straight at keepers: each proxy's own report",
+    ),
+    Line(
+        "owner of plans", "zones of one plan", "1", lambda t: MOST_ZONES, "`MOST_ZONES`", "one plan",
+        size=lambda t, part: t.fleet.zones,
+    ),
     Line(
         "changes", "until the last proxy has one", "s", lambda t: t.control.everywhere_s, "operators",
         "pushes, 64 in a turn", "control/proxies", "proxies", ("change_last",),
@@ -328,6 +480,80 @@
         TIER, "the same with reports", "cores", lambda t: 1.0, "one thread", "sums by zone", "tier/reports",
         "proxies", ("observer_cpu_most",),
     ),
+    Line(
+        TIER, "an observer that adds reports up", "cores", lambda t: 1.0, "one thread", "sums by zone",
+        "pure/sums", "proxies", ("observer_cpu",),
+    ),
+    Line(
+        TIER, "owner's processor time: sums read, a look a second", "cores", lambda t: t.control.proxy_cores,
+        "operators: an owner is a proxy", "sums by zone", "pure/sums", "proxies", ("owner_cpu",),
+    ),
+    Line(
+        TIER, "owner's bytes of sums", "B/s", lambda t: t.control.proxy_bytes_per_s,
+        "operators: an owner is a proxy", "sums by zone", "pure/sums", "proxies", ("owner_in",),
+    ),
+    Line(
+        TIER, "sums that an owner weighs", "1", lambda t: MOST_PROXIES, "`MOST_PROXIES`", "sums by zone",
+        size=lambda t, part: observers(t),
+    ),
+    Line(
+        TIER, "proxy's processor time, by changes in the busiest hour", "cores",
+        lambda t: t.control.proxy_cores, "operators", TIER_BY, "tier/changes", "changes_per_s",
+        ("agent_cpu",), changes,
+    ),
+    Line(
+        TIER, "proxy's bytes, by changes in the busiest hour", "B/s", lambda t: t.control.proxy_bytes_per_s,
+        "operators", TIER_BY, "tier/changes", "changes_per_s", ("agent_in", "agent_out"), changes,
+    ),
+    Line(
+        TIER, "processor time of the busiest observer, pushes in the busiest hour", "cores", lambda t: 1.0,
+        "one thread", TIER_BY, "tier/changes", "changes_per_s", ("observer_cpu_most",), tier_pushes,
+    ),
+    Line(
+        TIER, "processor time of the busiest keeper, changes in the busiest hour", "cores", lambda t: 1.0,
+        "one thread", TIER_BY, "tier/changes", "changes_per_s", ("keeper_cpu_most",), changes,
+    ),
+    Line(
+        TIER, "keepers and observers together", "cores", lambda t: t.fleet.control_machines,
+        "ours: a core of each machine for control", TIER_BY, "tier/proxies", "proxies",
+        ("keepers_cpu", "observers_cpu"),
+    ),
+    Line(
+        TIER, "bytes out of the busiest keeper", "B/s", lambda t: LINK, "one Gbit/s", TIER_BY,
+        "tier/proxies", "proxies", ("keeper_out_most",),
+    ),
+    Line(
+        TIER, "connections of a keeper, all but one lost", "1", lambda t: MOST_CONNECTIONS,
+        "`MOST_CONNECTIONS`", TIER_BY, size=lambda t, part: observers(t),
+    ),
+    Line(
+        TIER, "observers", "1", lambda t: MOST_OBSERVERS, "`MOST_OBSERVERS`", TIER_BY,
+        size=lambda t, part: observers(t),
+    ),
+    Line(
+        TIER, "members", "1", lambda t: MOST_MEMBERS, "`MOST_MEMBERS`", "rows under an observer's lease",
+    ),
+    Line(
+        TIER, "sessions, once each proxy owns a probe's lease", "1", lambda t: MOST_SESSIONS,
+        "`MOST_SESSIONS`", "missing: one session for an observer's proxies",
+    ),
+    Line(
+        TIER, "proxies of an observer, the other one of its zone lost", "1", lambda t: MOST_SEATS,
+        "`MOST_SEATS`", TIER_BY, size=lambda t, part: part * t.proxies_of_a_zone,
+    ),
+    Line(
+        TIER, "the same, all others of its region lost", "1", lambda t: MOST_SEATS, "`MOST_SEATS`", TIER_BY,
+        size=lambda t, part: part * t.proxies_of_a_region,
+    ),
+    Line(
+        TIER, "joins and departures, busiest hour", "1/s", lambda t: 0.0,
+        "the most commits that were measured, were each one of its own", "batches", size=moves,
+        most_of=("control/commits", "rate"),
+    ),
+    Line(
+        TIER, "a region's proxies return while the others work", "s", lambda t: t.control.everywhere_s,
+        "operators: as for a change", TIER_BY, unmeasured="no play has it; all at once is above",
+    ),
     Line(
         TIER, "an observer's memory", "MB", lambda t: 1024.0, "ours: one GB", TIER_BY, "tier/proxies",
         "proxies", ("observer_memory",),
@@ -361,16 +587,22 @@
         "peak: a zone's proxies come at one instant", "until the last is a member", "s",
         lambda t: t.control.everywhere_s, "operators: as for a change", "sessions and leases of their own",
         "control/join", "proxies", ("join_last",), lambda t, part: part * t.proxies_of_a_zone,
+        gave_up="join_gave_up",
     ),
     Line(
         "peak: a region's proxies return", "until the last is a member", "s",
         lambda t: t.control.everywhere_s, "operators: as for a change", "sessions and leases of their own",
         "control/join", "proxies", ("join_last",), lambda t, part: part * t.proxies_of_a_region,
+        gave_up="join_gave_up",
     ),
     Line(
         "peak: all proxies start anew", "until the last is a member", "s",
         lambda t: t.control.everywhere_s, "operators: as for a change", "sessions and leases of their own",
-        "control/join", "proxies", ("join_last",),
+        "control/join", "proxies", ("join_last",), gave_up="join_gave_up",
+    ),
+    Line(
+        "peak: a region is lost", "voters lost with it, at most", "1", lambda t: (VOTERS - 1) // 2,
+        "what five keepers bear", "voters over regions in turn", size=lambda t, part: voters_of_a_region(t),
     ),
     Line(
         "peak: the leading keeper is lost", "longest silence of an agent", "s", lambda t: TERM_S,
@@ -386,9 +618,25 @@
 
 
 def slope_of(points: Sequence[Point], line: Line) -> tuple[Slope, ...]:
-    """Raises FitError."""
-    values = _values(points, line)
-    return tuple(fit.of_points(points, line.series, line.axis, value) for value in values)
+    """Of the sizes below the first at which a play did not come to its end. Raises FitError."""
+    values, below = _values(points, line), _gave_up(points, line)
+    rows = [point for point in points if point.axes.get(line.axis, 0.0) < below]
+    return tuple(fit.of_points(rows, line.series, line.axis, value) for value in values)
+
+
+def _gave_up(points: Sequence[Point], line: Line) -> float:
+    """The smallest size at which a play of the line's did not come to its end; inf: all did."""
+    return min(
+        (p.axes[line.axis] for p in points if p.series == line.series and line.gave_up in p.values),
+        default=math.inf,
+    )
+
+
+def _short_of(points: Sequence[Point], line: Line, size: float) -> str:
+    here = [p for p in points if p.series == line.series and p.axes[line.axis] == size]
+    late = [p.values[line.gave_up] for p in here if line.gave_up in p.values]
+    limit, unit = max(late)
+    return f"at {size:,.0f} not within {limit:g} {unit}, {len(late)} of {len(here)}"
 
 
 def _values(points: Sequence[Point], line: Line) -> tuple[str, ...]:
@@ -413,12 +661,20 @@
 
         def value(part: float, line: Line = line, slopes: tuple[Slope, ...] = slopes) -> float:
             at = line.size(target, part)
-            return line.times * sum(slope.worst(at) for slope in slopes) if line.series else at
+            return line.scale(target, part) * sum(slope.worst(at) for slope in slopes) if line.series else at
 
+        missing = line.unmeasured or missing
         crosses = math.inf if missing else _crossing(value, limit) * target.fleet.proxies
         top = 0.0 if missing else value(1.0)
-        best = line.times * sum(slope.best.at(size) for slope in slopes) if slopes else top
-        found.append(Held(line, size, top, best, limit, crosses, slopes, missing))
+        best = line.scale(target, 1.0) * sum(slope.best.at(size) for slope in slopes) if slopes else top
+        ended = ""
+        if (at := _gave_up(points, line)) <= size:
+            ended = _short_of(points, line, at)
+            part = _crossing(lambda part, line=line: line.size(target, part), at)  # type: ignore[misc]
+            crosses = min(crosses, part * target.fleet.proxies)
+        if line.nothing:
+            crosses = 0.0
+        found.append(Held(line, size, top, best, limit, crosses, slopes, missing, ended))
     return found
 
 
@@ -488,17 +744,21 @@
         value = "-" if row.missing else _amount(_up(row.value), line.unit)
         if row.best < row.value:
             value = f"{_amount(_up(row.best), line.unit)}; worst {value}"
-        run = f"`{line.series}`" if line.series else "counted"
+        run = f"`{line.series}`" if line.series else "none" if line.unmeasured else "counted"
         mark = " (far)" if row.far else ""
         rows.append(
             [
-                line.role, line.what, value + mark, f"{_amount(row.limit, line.unit)} ({line.why})",
+                line.role, line.what, value + mark, f"{_limit(row)} ({line.why})",
                 row.verdict, line.carried, run,
             ]
         )  # fmt: skip
     return _table(("role", "what", "at the target", "limit", "verdict", "carried by", "run"), rows)
 
 
+def _limit(row: Held) -> str:
+    return _amount(row.limit, row.line.unit) if row.limit else "-"
+
+
 def ranking_table(held: Sequence[Held], target: Target) -> str:
     broken = sorted((row for row in held if math.isfinite(row.crosses)), key=lambda row: row.crosses)
     rows = []
@@ -509,7 +769,7 @@
         rows.append(
             [
                 number(at) + (" (below all sizes played)" if _below(row, target) else ""),
-                f"{row.line.role}: {row.line.what}", _amount(row.limit, row.line.unit), row.verdict,
+                f"{row.line.role}: {row.line.what}", _limit(row), row.verdict,
                 row.line.carried,
             ]
         )  # fmt: skip
@@ -596,7 +856,7 @@
     keeper: bool
 
 
-def placement(target: Target, voters: int = 5) -> list[Machine]:
+def placement(target: Target, voters: int = VOTERS) -> list[Machine]:
     """Machines over zones in turn, regions in turn within that; voters over regions in turn."""
     fleet = target.fleet
     zones = [(zone % fleet.regions, zone) for zone in range(fleet.zones)]
@@ -676,6 +936,46 @@
 }  # fmt: skip
 
 
+STARTS = {
+    "ready": "ready, s", "cpu": "processor time, s", "memory": "memory, MB", "memory_most": "at most, MB",
+}  # fmt: skip
+
+
+CATCH_UP = {"keeper_start": "listens after, s", "caught_up": "has all after, s"}
+
+
+COMMITS = {
+    "rate": "commits a second", "took_median": "median, s", "took_p99": "99th, s",
+    "keeper_cpu_most": "busiest keeper, cores",
+}  # fmt: skip
+
+
+PROBING = {
+    "idle_cpu": "agent without, cores", "probing_cpu": "probing, cores", "probes": "probes a second",
+    "commits": "commits a second",
+}  # fmt: skip
+
+
+REQUESTS = {
+    "straight_p50": "straight p50, us", "straight_p99": "straight p99, us", "added_p50": "added p50, us",
+    "added_p99": "added p99, us", "cpu_request": "processor time a request, us", "memory": "memory, MB",
+    "bad": "not served",
+}  # fmt: skip
+
+
+def request_table(points: Sequence[Point], axis: str) -> str:
+    """Medians over repeats at both rates."""
+    names = sorted(
+        {p.series for p in points if p.series.startswith(f"request/{axis}/")},
+        key=lambda name: int(name.rpartition("/")[2]),
+    )
+    rows = []
+    for series in names:
+        for line in points_table(points, series, axis, REQUESTS).splitlines()[2:]:
+            rows.append([series.rpartition("/")[2], *line.strip("| ").split(" | ")])
+    return _table(("requests a second", axis, "repeats", *REQUESTS.values()), rows)
+
+
 def tables(sets: Sets, target: Target) -> dict[str, str]:
     """By the name of their markers."""
     held = hold(sets.now, target)
@@ -688,9 +988,19 @@
         "faults": points_table(sets.now, "control/faults", "proxies", FAULTS),
         "placement": placement_table(target),
         "runs": runs_table(sets.now),
+        **{
+            f"request-{axis}": request_table(sets.now, axis) for axis in ("backends", "tenants", "classes")
+        },
+        "starts": "\n\n".join(
+            points_table(sets.now, f"start/{axis}", axis, STARTS) for axis in ("backends", "tenants")
+        ),
+        "catch-up": points_table(sets.now, "control/catch-up", "changes", CATCH_UP),
+        "commits": points_table(sets.now, "control/commits", "callers", COMMITS),
+        "probing": points_table(sets.now, "probe/backends", "backends", PROBING),
     }
     if sets.before:
         found["before"] = before_table(sets, target)
+        found["mechanism"] = mechanism_table(sets, target)
         found["joining-before"] = points_table(sets.before, "control/join", "proxies", JOINING)
         found["runs-before"] = runs_table(sets.before)
     return found
@@ -718,6 +1028,52 @@
     return _table(head, rows)
 
 
+WAYS = (("straight, before", "control/proxies"), ("straight, now", "control/proxies"),
+        ("observers", "tier/proxies"))  # fmt: skip
+OF_THE_TIER: tuple[tuple[str, str, tuple[str, ...], Limit], ...] = (
+    ("busiest keeper's processor time", "cores", ("keeper_cpu_most",), lambda t: 1.0),
+    ("commits a second, of the most measured", "1/s", ("commits",), lambda t: 0.0),
+    ("bytes out of the busiest keeper", "B/s", ("keeper_out_most",), lambda t: LINK),
+    ("joining at one instant, the last", "s", ("join_last",), lambda t: t.control.everywhere_s),
+    ("a change, the last", "s", ("change_last",), lambda t: t.control.everywhere_s),
+    ("leading keeper lost, longest silence", "s", ("kill_silence_last",), lambda t: TERM_S),
+    ("all keepers anew, longest silence", "s", ("restart_silence_last",), lambda t: KEEP_S),
+    ("a proxy's processor time", "cores", ("agent_cpu",), lambda t: t.control.proxy_cores),
+    ("a proxy's bytes in and out", "B/s", ("agent_in", "agent_out"), lambda t: t.control.proxy_bytes_per_s),
+)  # fmt: skip
+
+
+def mechanism_table(sets: Sets, target: Target) -> str:
+    """Medians as measured at each size: straight at keepers before and now, and behind observers."""
+    kept = (sets.before, sets.now, sets.now)
+    sizes = sorted(
+        {p.axes["proxies"] for p in (*sets.before, *sets.now) if p.series in dict(WAYS).values()}
+    )  # fmt: skip
+    rows = []
+    for what, unit, values, limit in OF_THE_TIER:
+        for (way, series), points in zip(WAYS, kept, strict=True):
+            if not (bound := limit(target)):
+                bound = _most(sets.now, "control/commits", "rate") or math.inf
+            line = Line("", what, unit, lambda t, most=bound: most, "", "", series, "proxies", values)  # type: ignore[misc]
+            (held,) = hold(points, target, (line,))
+            forms = [" or ".join(form.name for form in slope.alike) for slope in held.slopes]
+            best, worst = _amount(_up(held.best), unit), _amount(_up(held.value), unit)
+            at = "-" if held.missing else f"{best}; worst {worst}"
+            breaks = number(math.floor(held.crosses)) if math.isfinite(held.crosses) else "-"
+            cells = [_median_at(points, series, values, size, unit) for size in sizes]
+            rows.append([what, way, *cells, "; ".join(forms), at, breaks])
+    head = (
+        "what", "way", *(f"{size:,.0f}" for size in sizes), "form", "at the target", "breaks at, proxies",
+    )  # fmt: skip
+    return _table(head, rows)
+
+
+def _median_at(points: Sequence[Point], series: str, values: Sequence[str], size: float, unit: str) -> str:
+    here = [p.values for p in points if p.series == series and p.axes["proxies"] == size]
+    there = [sum(row[value][0] for value in values) for row in here if set(values) <= set(row)]
+    return _amount(statistics.median(there), unit) if there else "-"
+
+
 _MARK = re.compile(r"(<!-- table: ([a-z-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
 
 
--- a/mothstall/lab/scale/hollow.py
+++ b/mothstall/lab/scale/hollow.py
@@ -361,6 +361,10 @@
         self._watch = asyncio.get_running_loop().create_task(self._watch_memory())
         try:
             await asyncio.gather(*(process.begin() for process in self.processes))
+        except Unfinished as why:
+            # One that the watch ended while it began has no answer either: what counts is why.
+            await self.__aexit__()
+            raise Unfinished(self.fault or str(why)) from why
         except BaseException:
             await self.__aexit__()
             raise
--- a/tests/lab/scale/test_capacity.py
+++ b/tests/lab/scale/test_capacity.py
@@ -80,6 +80,95 @@
     assert wide.value > wide.limit > wide.best and wide.verdict.startswith("**open**")
 
 
+def test_what_is_carried_by_nothing_breaks_first() -> None:
+    line = replace(LINE, series="", size=lambda t, part: part * t.fleet.routes, nothing="no table")
+    (row,) = hold([], AIM, (line,))
+    assert row.value == 96_000 and row.crosses == 0 and row.verdict == "**carried by nothing**: no table"
+    assert "| 0 | keeper: time | - |" not in capacity.ranking_table([row], AIM)  # a limit of its own is shown
+    (bare,) = hold([], AIM, (replace(line, limit=lambda t: 0.0),))
+    assert "| 0 | keeper: time | - |" in capacity.ranking_table([bare], AIM)
+
+
+def test_what_no_play_has_is_not_measured_and_does_not_rank() -> None:
+    (row,) = hold([], AIM, (replace(LINE, series="", unmeasured="no play has it"),))
+    assert row.verdict == "not measured: no play has it"
+    assert "keeper" not in capacity.ranking_table([row], AIM)
+
+
+def test_a_size_that_did_not_come_to_its_end_is_over_whatever_the_slope_says() -> None:
+    line = replace(LINE, gave_up="gave_up")
+    rows = made("c/p", "cpu", 0.0, 1e-6)
+    late = [
+        msgspec.structs.replace(rows[0], axes={"proxies": 1200.0}, repeat=repeat, values=values)
+        for repeat, values in enumerate(
+            ({"cpu": (9.0, "s")}, {"gave_up": (20.0, "s")}, {"gave_up": (20.0, "s")}), 1
+        )
+    ]
+    (row,) = hold([*rows, *late], AIM, (line,))
+    assert row.verdict == "**over: at 1,200 not within 20 s, 2 of 3**"
+    assert row.crosses == pytest.approx(1200.0)
+    # What lies below that size goes by the slope of the sizes below it.
+    (small,) = hold([*rows, *late], AIM, (replace(line, size=lambda t, part: part * t.proxies_of_a_zone),))
+    assert small.verdict.startswith("fits") and small.slopes[0].largest == 800.0
+
+
+def test_a_factor_may_come_of_the_target() -> None:
+    line = replace(LINE, times=lambda t, part: 2.0 * t.fleet.regions * part)
+    (row,) = hold(made("c/p", "cpu", 0.5, 0.0), AIM, (line,))
+    assert row.value == pytest.approx(4.0) and row.crosses == pytest.approx(AIM.fleet.proxies / 4)
+
+
+def played() -> list[Point]:
+    """Every series that a line asks for, growing linearly."""
+    found = {}
+    for line in capacity.LINES:
+        for value in line.values:
+            for number, size in enumerate((100.0, 200.0, 400.0, 800.0), 1):
+                for repeat in (1, 2, 3):
+                    found[line.series, size, repeat, value] = msgspec.structs.replace(
+                        made("c/p", value, 0.0, 1.0)[0], series=line.series, axes={line.axis: size},
+                        repeat=repeat, values={value: (number + repeat / 100, line.unit)},
+                    )  # fmt: skip
+    return list(found.values())
+
+
+@pytest.mark.parametrize(
+    "key", [f"{part}.{key}" for part in AIM.__struct_fields__ for key in getattr(AIM, part).__struct_fields__]
+)
+def test_every_number_of_the_target_has_a_verdict_that_hangs_on_it(key: str) -> None:
+    part, _, name = key.partition(".")
+    old = getattr(AIM, part)
+    double = type(getattr(old, name))(2 * getattr(old, name))
+    other = msgspec.structs.replace(AIM, **{part: msgspec.structs.replace(old, **{name: double})})
+    points = played()
+    both = zip(hold(points, AIM), hold(points, other), strict=True)
+    assert any(
+        (a.value, a.limit) != (b.value, b.limit) and (a.line.nothing or not a.missing) for a, b in both
+    )
+
+
+def test_the_mechanism_is_held_against_what_was_before_it() -> None:
+    now = [*made("control/proxies", "commits", 0.0, 2.0, "1/s"), *made("tier/proxies", "commits", 9.0, 0.0)]
+    sets = capacity.Sets(now, made("control/proxies", "commits", 0.0, 3.0, "1/s"))
+    table = capacity.mechanism_table(sets, AIM)
+    rows = [line for line in table.splitlines() if line.startswith("| commits")]
+    assert [row.split(" | ")[1] for row in rows] == ["straight, before", "straight, now", "observers"]
+    assert [row.split(" | ")[2] for row in rows] == ["300 1/s", "200 1/s", "9 1/s"]
+
+
+def test_requests_stand_by_rate() -> None:
+    rows = [
+        msgspec.structs.replace(
+            made("c/p", "added_p99", 0.0, 1.0, "us")[0], series=f"request/tenants/{rate}",
+            axes={"tenants": 10.0, "rate": float(rate)}, values={"added_p99": (rate * 10.0, "us")},
+        )
+        for rate in (210, 70)
+    ]  # fmt: skip
+    lines = capacity.request_table(rows, "tenants").splitlines()
+    assert [line.split(" | ")[0] for line in lines[2:]] == ["| 70", "| 210"]
+    assert "| 700 |" in lines[2] and "2,100" in lines[3]
+
+
 def test_bounds_in_the_code_are_counted() -> None:
     held = {row.line.what: row for row in hold([], AIM)}
     leases = held["leases of probes and members"]
@@ -91,7 +180,8 @@
     held = hold(made("c/p", "cpu", 0.0, 0.01), AIM, (*capacity.LINES, LINE))
     lines = capacity.ranking_table(held, AIM).splitlines()[2:]
     sizes = [float(line.split("|")[1].split("(")[0].replace(",", "")) for line in lines]
-    assert sizes == sorted(sizes) and sizes[0] == 99
+    nothing = sum(bool(line.nothing) for line in capacity.LINES)
+    assert sizes == sorted(sizes) and sizes[:nothing] == [0] * nothing and sizes[nothing] == 99
 
 
 @pytest.mark.parametrize(
--- a/tests/lab/scale/test_short.py
+++ b/tests/lab/scale/test_short.py
@@ -38,6 +38,19 @@
         asyncio.run(play())
 
 
+@pytest.mark.processes
+def test_a_crew_over_its_memory_while_it_begins_says_so(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The watch looks so often that a process is ended before its first answer."""
+    monkeypatch.setattr(hollow, "WATCH_S", 0.001)
+
+    async def play() -> None:
+        async with Crew(TREE, 2, seed=1, zones=1, most_kb=1):
+            pass
+
+    with pytest.raises(Unfinished, match="MB are more than"):
+        asyncio.run(play())
+
+
 def test_more_hollows_than_processes_may_hold_are_refused() -> None:
     with pytest.raises(Unfinished, match="processes"):
         Crew(TREE, hollow.MOST_PROCESSES * hollow.PER_PROCESS + 1, seed=1, zones=1)
