--- a/mothstall/lab/scale/capacity.py
+++ b/mothstall/lab/scale/capacity.py
@@ -870,6 +870,21 @@
     return [Machine(f"c{i + 1}", r, z, i in chosen) for i, (r, z) in enumerate(given)]
 
 
+def observed(target: Target, each: int = OBSERVERS) -> dict[str, list[int]]:
+    """Zones whose observers each machine runs: of its own zone, and of others of its region for the rest.
+
+    So two observers of one zone stand on two machines wherever a region has two.
+    """
+    machines = placement(target)
+    found: dict[str, list[int]] = {machine.name: [] for machine in machines}
+    for zone in range(target.fleet.zones):
+        near = [m for m in machines if m.region == zone % target.fleet.regions]
+        first = next((i for i, m in enumerate(near) if m.zone == zone), 0)
+        for i in range(each if near else 0):
+            found[near[(first + i) % len(near)].name].append(zone)
+    return found
+
+
 def placement_table(target: Target) -> str:
     machines = placement(target)
     voters = [m for m in machines if m.keeper]
@@ -879,17 +894,22 @@
         here = [m for m in machines if m.region == region]
         left = sum(m.region != region for m in voters)
         zones = sorted({m.zone for m in here})
+        of = observed(target)
+        seen = [zone for m in here for zone in of[m.name]]
+        least = min((seen.count(z) - of[m.name].count(z) for m in here for z in of[m.name]), default=0)
         worst = min((sum(m.zone != zone for m in voters) for zone in zones), default=len(voters))
         rows.append(
             [
                 f"region {region + 1}", ", ".join(f"zone {zone + 1}" for zone in zones) or "none",
                 ", ".join(m.name + (" (keeper)" if m.keeper else "") for m in here) or "none",
+                "; ".join(f"{m.name}: {', '.join(str(z + 1) for z in of[m.name])}" for m in here) or "none",
                 f"{len(voters) - 1} of {len(voters)}", _left(worst, len(voters), quorum),
-                _left(left, len(voters), quorum),
+                _left(left, len(voters), quorum), f"{least} of {OBSERVERS}",
             ]
         )  # fmt: skip
     head = (
-        "where", "zones", "machines", "keepers left when one machine goes", "a zone", "the region",
+        "where", "zones", "machines", "observers of zones", "keepers left when one machine goes", "a zone",
+        "the region", "observers left to a zone when one machine goes",
     )  # fmt: skip
     return _table(head, rows)
 
--- a/tests/lab/scale/test_capacity.py
+++ b/tests/lab/scale/test_capacity.py
@@ -208,6 +208,18 @@
     assert "no quorum" not in capacity.placement_table(AIM)
 
 
+def test_a_zone_s_observers_stand_on_two_machines_of_its_region() -> None:
+    of, machines = capacity.observed(AIM), {m.name: m for m in capacity.placement(AIM)}
+    for zone in range(AIM.fleet.zones):
+        where = [machines[name] for name, zones in of.items() for z in zones if z == zone]
+        assert len({m.name for m in where}) == 2 and {m.region for m in where} == {zone % AIM.fleet.regions}
+    # A region of one machine has both on it, and the table says that none is left.
+    lone = msgspec.structs.replace(AIM, fleet=msgspec.structs.replace(AIM.fleet, zones=1, regions=1))
+    assert "0 of 2" not in capacity.placement_table(AIM)
+    one = msgspec.structs.replace(lone, fleet=msgspec.structs.replace(lone.fleet, control_machines=1))
+    assert "0 of 2" in capacity.placement_table(one)
+
+
 def test_tables_come_between_their_markers() -> None:
     page = "a\n<!-- table: target -->\nold\n<!-- end -->\nb\n"
     fresh = capacity.written(page, {"target": "new"})
