--- a/mothstall/lab/scale/capacity.py
+++ b/mothstall/lab/scale/capacity.py
@@ -178,7 +178,7 @@
         "request/backends/70", "backends", ("added_p99",), backends, 0.001,
     ),
     Line(
-        PATH, "the same at 210 a second", "ms", added, LONE, "members, not the list",
+        PATH, "added for 99 in 100 at 210 a second, by backends", "ms", added, LONE, "members, not the list",
         "request/backends/210", "backends", ("added_p99",), backends, 0.001,
     ),
     Line(
@@ -186,16 +186,16 @@
         "request/tenants/70", "tenants", ("added_p99",), tenants, 0.001,
     ),
     Line(
-        PATH, "the same at 210 a second", "ms", added, LONE, "turns by tenant", "request/tenants/210",
-        "tenants", ("added_p99",), tenants, 0.001,
+        PATH, "added for 99 in 100 at 210 a second, by tenants", "ms", added, LONE, "turns by tenant",
+        "request/tenants/210", "tenants", ("added_p99",), tenants, 0.001,
     ),
     Line(
         PATH, "added for 99 in 100 at 70 a second, by classes", "ms", added, LONE, "classes by index",
         "request/classes/70", "classes", ("added_p99",), classes, 0.001,
     ),
     Line(
-        PATH, "the same at 210 a second", "ms", added, LONE, "classes by index", "request/classes/210",
-        "classes", ("added_p99",), classes, 0.001,
+        PATH, "added for 99 in 100 at 210 a second, by classes", "ms", added, LONE, "classes by index",
+        "request/classes/210", "classes", ("added_p99",), classes, 0.001,
     ),
     Line(
         PATH, "processor time of its requests, at 70 a second", "cores", lambda t: 1.0, "one thread",
@@ -203,7 +203,7 @@
         lambda t, part: 1e-6 * t.requests_per_proxy,
     ),
     Line(
-        PATH, "the same at three times that", "cores", lambda t: 1.0, "one thread", "one process a proxy",
+        PATH, "processor time of its requests, at 210 a second", "cores", lambda t: 1.0, "one thread", "one process a proxy",
         "request/backends/210", "backends", ("cpu_request",), backends,
         lambda t, part: 3e-6 * t.requests_per_proxy,
     ),
@@ -362,7 +362,7 @@
         f"renewals through the log: {GONE}", "control/proxies", "proxies", ("keeper_cpu_most",),
     ),
     Line(
-        "keeper", "the same with reports", "cores", lambda t: 1.0, "one thread",
+        "keeper", "processor time of the busiest, with reports", "cores", lambda t: 1.0, "one thread",
         f"each report to each listener: {GONE}", "control/reports", "proxies", ("keeper_cpu_most",),
     ),
     Line(
@@ -465,8 +465,8 @@
         "tier/proxies", "proxies", ("keeper_cpu_most",),
     ),
     Line(
-        TIER, "the same with reports", "cores", lambda t: 1.0, "one thread", "sums by zone", "tier/reports",
-        "proxies", ("keeper_cpu_most",),
+        TIER, "processor time of the busiest keeper, with reports", "cores", lambda t: 1.0, "one thread",
+        "sums by zone", "tier/reports", "proxies", ("keeper_cpu_most",),
     ),
     Line(
         TIER, "commits", "1/s", lambda t: 0.0, "the most that were measured, by callers at once", TIER_BY,
@@ -477,8 +477,8 @@
         "tier/proxies", "proxies", ("observer_cpu_most",),
     ),
     Line(
-        TIER, "the same with reports", "cores", lambda t: 1.0, "one thread", "sums by zone", "tier/reports",
-        "proxies", ("observer_cpu_most",),
+        TIER, "processor time of the busiest observer, with reports", "cores", lambda t: 1.0, "one thread",
+        "sums by zone", "tier/reports", "proxies", ("observer_cpu_most",),
     ),
     Line(
         TIER, "an observer that adds reports up", "cores", lambda t: 1.0, "one thread", "sums by zone",
@@ -542,8 +542,8 @@
         "`MOST_SEATS`", TIER_BY, size=lambda t, part: part * t.proxies_of_a_zone,
     ),
     Line(
-        TIER, "the same, all others of its region lost", "1", lambda t: MOST_SEATS, "`MOST_SEATS`", TIER_BY,
-        size=lambda t, part: part * t.proxies_of_a_region,
+        TIER, "proxies of an observer, all others of its region lost", "1", lambda t: MOST_SEATS,
+        "`MOST_SEATS`", TIER_BY, size=lambda t, part: part * t.proxies_of_a_region,
     ),
     Line(
         TIER, "joins and departures, busiest hour", "1/s", lambda t: 0.0,
