--- a/mothstall/lab/scale/capacity.py
+++ b/mothstall/lab/scale/capacity.py
@@ -203,8 +203,8 @@
         lambda t, part: 1e-6 * t.requests_per_proxy,
     ),
     Line(
-        PATH, "processor time of its requests, at 210 a second", "cores", lambda t: 1.0, "one thread", "one process a proxy",
-        "request/backends/210", "backends", ("cpu_request",), backends,
+        PATH, "processor time of its requests, at 210 a second", "cores", lambda t: 1.0, "one thread",
+        "one process a proxy", "request/backends/210", "backends", ("cpu_request",), backends,
         lambda t, part: 3e-6 * t.requests_per_proxy,
     ),
     Line(
