--- a/mothstall/lab/scale/path.py
+++ b/mothstall/lab/scale/path.py
@@ -61,7 +61,7 @@
 ROWS_A_PROXY = 93_000 / 6_700
 ZONES = 11
 RATES = (70, 210)  # requests a second a proxy: the target's mean, and three times it
-SECONDS = {70: 3.0, 210: 2.0}  # of load that counts, at each rate
+SECONDS = {70: 6.0, 210: 3.0}  # of load that counts, at each rate: some 420 and 630 answers
 WARM_S = 0.7
 LAST_S = 1.6  # for answers that are still to come at a load's end; a request waits 1.4 s at most
 BASE_ROWS = 800  # backends known where something else is varied
