One profile has all members: the last of the ring and newcomers get turns of their own

Cause: _split leaves one backend at least to the other profiles, also where there is one profile (one class and no tenants, or one tenant): the last by hashed id stood in a group that no request calls its own and got borrowed turns alone. _choose_members let newcomers join that group too, as long as neither latency ratio was over the other (both are nought at first). Change: with one profile the split keeps all members in its group, newcomers join it, and every request is of it.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -172,7 +172,7 @@
         self.priority = max(range(len(self.flows)), key=lambda i: (self._claim(i, 0.0), -i))
         self.turn, self.ratio, self.version, self.in_flight, self.waiting = [0, 0], [0.0, 0.0], -1, 0, 0
         self.calm = [[0.0, 0.0, 0.0] for _ in settings.classes]  # a class's mean latency, the calmest, count
-        self.most_worth = max(c.worth for c in settings.classes)
+        self.most_worth, self.sole = max(c.worth for c in settings.classes), len(self.flows) == 1
         self.lag = [0.0 for _ in settings.classes]  # mean latency of late, what ended in silence at its age
         self.told, self.least = [0 for _ in settings.classes], [0.0 for _ in settings.classes]
         self.errors = [0.0 for _ in settings.classes]  # part of each class's answers of late that are errors
@@ -364,7 +364,7 @@
         if 2 * len(news) >= len(chosen):
             self.members = chosen
             return self._split()
-        side = int(self.ratio[1] > self.ratio[0])
+        side = int(self.ratio[1] > self.ratio[0] or self.sole)
         peers = [p for p in self.groups[side] if p.est1 >= 0]
         for b in news:
             if peers:
@@ -402,11 +402,11 @@
         return flow.quota / part if self.cfg.tenants else flow.quota
 
     def _split(self) -> None:
-        """Start: the priority profile's part of the requests, of the backends in order of hashed id."""
+        """Start: the priority profile's part of requests, of backends by hashed id; of one profile, all."""
         order, flow = sorted(self.members, key=lambda b: b.place), self.flows[self.priority]
         seen = sum(f.seen for f in self.flows)
         share = flow.seen / seen if seen > 0 else flow.weight / sum(f.weight for f in self.flows)
-        count = min(max(1, round(share * len(order))), len(order) - 1)
+        count = min(max(1, round(share * len(order))), len(order) - (not self.sole))
         for i, b in enumerate(order):
             b.priority, b.member = i < count, True
         self.groups = (order[count:], order[:count])
@@ -668,7 +668,7 @@
             return
         index = ev.tenant if self.cfg.tenants else ev.cls
         flow = self.flows[index if index < len(self.flows) else 0]
-        req = Request(ev, self.cfg.classes[ev.cls], flow, index == self.priority, self.now)
+        req = Request(ev, self.cfg.classes[ev.cls], flow, self.sole or index == self.priority, self.now)
         self.requests[ev.request] = req
         if req.cost:
             mean = self.work[ev.cls]
