Tests' ports for processes stay bound until they are listened at

free_port() bound port 0, closed it and told the number to a process started later: any connection of the machine could be given the port in between, and the proxy then ended with 'address in use'. The socket stays bound with SO_REUSEADDR as the proxy's is, so that the kernel gives it to nobody else (as tests/peers.py does for the directory's).

--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -32,11 +32,17 @@
     return subprocess.run([*MAIN, *words], cwd=ROOT, env=full, capture_output=True, text=True, timeout=20)
 
 
+_held: list[socket.socket] = []
+
+
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """A port for a process to listen at; it stays bound here, so that nobody else gets it meanwhile."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    _held.append(sock)
+    port: int = sock.getsockname()[1]
+    return port
 
 
 class Started:
