--- a/tests/observer/test_command.py
+++ b/tests/observer/test_command.py
@@ -5,7 +5,6 @@
 import json
 import re
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -15,6 +14,7 @@
 
 from mothstall import cli, operate
 from mothstall.config import ConfigError
+from tests.ports import free_port
 
 pytestmark = pytest.mark.processes
 _PORT = re.compile(r"event=listening .*port=(\d+)")
@@ -29,12 +29,6 @@
     return str(path)
 
 
-def _free() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 def _started(*words: str) -> subprocess.Popen[str]:
     process = subprocess.Popen(
         [sys.executable, "-m", "mothstall", *words], stderr=subprocess.PIPE, text=True
@@ -47,7 +41,7 @@
 
 
 def test_observers_shows_each_by_its_own_account(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
-    file = _file(tmp_path, keeper=_free(), observer=_free())
+    file = _file(tmp_path, keeper=free_port(), observer=free_port())
     assert operate.main(["observers", "--operator", file, "--wait", "1"]) == 1
     assert "o1: " in capsys.readouterr().err
     keeper = _started("keeper", "--operator", file, "--name", "k1")
--- a/tests/observer/test_observer.py
+++ b/tests/observer/test_observer.py
@@ -28,6 +28,7 @@
 from mothstall.store import state as st
 from mothstall.store.link import FrameLink
 from mothstall.store.roster import Attach
+from tests.ports import free_port
 
 pytestmark = pytest.mark.processes
 WAIT_S = 30.0
@@ -40,22 +41,12 @@
         await asyncio.sleep(0.02)
 
 
-def _ports(count: int) -> list[int]:
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    found = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return found
-
-
 class Rig:
     """One keeper, observers by name and zone, agents."""
 
     def __init__(self, folder: Path, zones: dict[str, str], term: str = "1s") -> None:
         self.folder = folder
-        ports = _ports(1 + len(zones))
+        ports = [free_port() for _ in range(1 + len(zones))]
         self.tree: dict[str, Any] = {
             "cluster": "test",
             "keepers": [{"name": "k1", "address": f"127.0.0.1:{ports[0]}"}],
--- a/tests/test_net_descriptors.py
+++ b/tests/test_net_descriptors.py
@@ -26,7 +26,8 @@
     rig,
     serves,
 )
-from tests.test_net_process import MAIN, ROOT, free_port
+from tests.ports import free_port
+from tests.test_net_process import MAIN, ROOT
 from tests.test_net_shutdown import configuration
 
 LOW = 96  # descriptors of a process
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -21,6 +21,7 @@
 from mothstall.net.proxy import Proxy
 from tests.peers import Client, Directory, StandIn, answer, request_bytes, serves, tree_of
 from tests.peers import settings as nested
+from tests.ports import free_port
 
 ROOT = Path(__file__).parent.parent
 CLASS = {"name": "a", "aim-ns": 200_000_000, "deadline-ns": 900_000_000, "worth": 1, "effect": "pure"}
@@ -32,19 +33,6 @@
     return subprocess.run([*MAIN, *words], cwd=ROOT, env=full, capture_output=True, text=True, timeout=20)
 
 
-_held: list[socket.socket] = []
-
-
-def free_port() -> int:
-    """A port for a process to listen at; it stays bound here, so that nobody else gets it meanwhile."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(("127.0.0.1", 0))
-    _held.append(sock)
-    port: int = sock.getsockname()[1]
-    return port
-
-
 class Started:
     def __init__(self, process: asyncio.subprocess.Process, port: int) -> None:
         self.process, self.port = process, port
--- a/tests/test_net_shutdown.py
+++ b/tests/test_net_shutdown.py
@@ -33,7 +33,8 @@
     silent,
     tree_of,
 )
-from tests.test_net_process import MAIN, ROOT, free_port
+from tests.ports import free_port
+from tests.test_net_process import MAIN, ROOT
 
 LONG = "3900m"
 
