--- a/mothstall/lab/scale/control.py
+++ b/mothstall/lab/scale/control.py
@@ -581,6 +581,12 @@
     return {**values, "wrong": (0, "1")}
 
 
+def _real(size: int, seed: int, say: Say) -> Values:
+    from mothstall.lab.scale import real  # plays with what stands here
+
+    return real.play(size, say, seed=seed)
+
+
 SERIES: dict[str, Series] = {
     "control/proxies": Series(
         "proxies", (100, 200, 400, 800), "a fleet without changes, then with some; losses of keepers",
@@ -620,6 +626,13 @@
         lambda size, seed, say: _faults(size, seed, say, True), {},
         LEAVES_OUT + "; of real proxies: probes, and their own terms as owners of plans",
     ),
+    "tier/real": Series(
+        "proxies", (100, 200, 400, 800),
+        "a real proxy with and without its agent, at an observer that carries so many; news all the while",
+        _real, {"zones": 1},
+        LEAVES_OUT + "; of the real proxy: probes; backends answer at once and 800 rows name four of them; "
+        "no bodies, no TLS",
+    ),
     "control/commits": Series(
         "callers", (16, 64, 256, 512), "writes of so many callers at once",
         lambda size, seed, say: asyncio.run(commit_rate(size, say, seed=seed)),
--- a/mothstall/lab/scale/hollow.py
+++ b/mothstall/lab/scale/hollow.py
@@ -39,7 +39,10 @@
     "the file that keeps drains and tokens; traffic sums are made up; one interpreter holds many agents"
 )
 CLASSES = ("search", "read", "file", "sign")
-RATE = 70  # requests a second that a made-up sum tells of
+# Requests a second that a made-up sum tells of, as many as its attempts, to backends that bear far more: of
+# sums that ask more than what they say zones bear a plan is made that turns requests away, real ones too.
+RATE = 12
+UTIL = (0.2, 0.4)
 PER_PROCESS = 200
 MOST_PROCESSES = 290  # keepers and tools stand beside them
 STALE_MS = 1500  # an observer's word that is older is none of a keeper that leads
@@ -221,9 +224,10 @@
             for i, agent in enumerate(self.agents):
                 if agent.pilot is None:
                     continue
-                for n in range(12):
+                for n in range(RATE):
                     zone = zone_of(self._first + i + n % 4, self.zones)
-                    agent.pilot.ended(zone, n % len(CLASSES), Result.OK, 20_000_000, self._rng.random())
+                    util = self._rng.uniform(*UTIL)
+                    agent.pilot.ended(zone, n % len(CLASSES), Result.OK, 20_000_000, util)
                 if i % 16 == 15:
                     await asyncio.sleep(0)
             await asyncio.sleep(1.0)
--- a/mothstall/lab/scale/path.py
+++ b/mothstall/lab/scale/path.py
@@ -166,7 +166,7 @@
 # A real proxy that is watched
 
 
-class _Watched(ServeProcess):
+class Watched(ServeProcess):
     """A proxy whose processor time and memory are read from the system."""
 
     def cpu_ns(self) -> int:
@@ -182,7 +182,7 @@
         return {key: int(found[key].split()[0]) / 1024 for key in ("VmRSS", "VmHWM")}
 
 
-class _Silence(asyncio.Protocol):
+class Silence(asyncio.Protocol):
     """Discovery that has nothing new: the list that a proxy began with stands."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -203,13 +203,13 @@
 class _Started:
     """A proxy that was started, with what its start took."""
 
-    def __init__(self, proxy: _Watched, wall_s: float) -> None:
+    def __init__(self, proxy: Watched, wall_s: float) -> None:
         self.proxy, self.wall_s, self.cpu_s = proxy, wall_s, proxy.cpu_ns() / 1e9
 
 
 async def _start(folder: str, tree: dict[str, Any]) -> _Started:
     """Raises Unfinished."""
-    proxy = _Watched("proxy", Path(folder))
+    proxy = Watched("proxy", Path(folder))
     began = time.monotonic()
     try:
         await proxy.start(tree)
@@ -292,26 +292,34 @@
     return sorted(values)[max(0, math.ceil(part * len(values)) - 1)]
 
 
-async def _load(
-    started: _Started, port: int, rate: int, seconds: float, seed: int, tenants: int, classes: int
-) -> dict[str, Any]:
-    """One rate: times through the proxy and straight, and what the proxy used. Raises Unfinished."""
+async def ask_in_turn(
+    ports: tuple[int, int], rate: int, seconds: float, seed: int, tenants: int, classes: int
+) -> tuple[list[list[float]], list[int]]:
+    """By port, the microseconds of the good answers, and how many were asked. Raises Unfinished."""
     loop = asyncio.get_running_loop()
     mine, theirs = multiprocessing.get_context("spawn").Pipe()
-    args = (theirs, seed, (started.proxy.port, port), rate, seconds, tenants, classes)
+    args = (theirs, seed, ports, rate, seconds, tenants, classes)
     client = multiprocessing.get_context("spawn").Process(target=_ask_in_turn, args=args, daemon=True)
-    cpu = started.proxy.cpu_ns()
     client.start()
     theirs.close()
     try:
-        said = await asyncio.wait_for(loop.run_in_executor(None, mine.recv), seconds + MOST_WAIT_S)
+        spent, asked = await asyncio.wait_for(loop.run_in_executor(None, mine.recv), seconds + MOST_WAIT_S)
     except (EOFError, TimeoutError) as why:
         raise Unfinished("a client ended without a word") from why
     finally:
         client.terminate()
         client.join(2.0)
         mine.close()
-    (through, straight), asked = said
+    return spent, asked
+
+
+async def _load(
+    started: _Started, port: int, rate: int, seconds: float, seed: int, tenants: int, classes: int
+) -> dict[str, Any]:
+    """One rate: times through the proxy and straight, and what the proxy used. Raises Unfinished."""
+    cpu = started.proxy.cpu_ns()
+    ports = (started.proxy.port, port)
+    (through, straight), asked = await ask_in_turn(ports, rate, seconds, seed, tenants, classes)
     used = started.proxy.cpu_ns() - cpu
     if not through or len(straight) < asked[1]:
         came = f"{len(through)} of {asked[0]} answers came through, {len(straight)} of {asked[1]} straight"
@@ -329,7 +337,7 @@
     return figures
 
 
-def _with_stand_ins(play: Callable[[Sequence[int]], Any]) -> Any:
+def with_stand_ins(play: Callable[[Sequence[int]], Any]) -> Any:
     """Runs `play` beside instant stand-ins in a process of their own; it is given their ports."""
     context = multiprocessing.get_context("spawn")
     mine, theirs = context.Pipe()
@@ -359,7 +367,7 @@
     async def one(size: int, ports: Sequence[int]) -> list[Point]:
         backends, tenants, classes = shape(axis, size)
         loop, found = asyncio.get_running_loop(), []
-        discovery = await loop.create_server(_Silence, "127.0.0.1", 0)
+        discovery = await loop.create_server(Silence, "127.0.0.1", 0)
         with tempfile.TemporaryDirectory(prefix="mothstall-scale-") as folder:
             number = discovery.sockets[0].getsockname()[1]
             started = await _start(folder, proxy_tree(backends, tenants, classes, ports, number, seed))
@@ -380,7 +388,7 @@
         drawn = order(sizes or SIZES[series], seed, repeat)
         return [point for size in drawn for point in asyncio.run(one(size, ports))]
 
-    found: list[Point] = _with_stand_ins(play)
+    found: list[Point] = with_stand_ins(play)
     return found
 
 
@@ -393,7 +401,7 @@
 
     async def one(size: int) -> Point:
         loop = asyncio.get_running_loop()
-        discovery = await loop.create_server(_Silence, "127.0.0.1", 0)
+        discovery = await loop.create_server(Silence, "127.0.0.1", 0)
         with tempfile.TemporaryDirectory(prefix="mothstall-scale-") as folder:
             number = discovery.sockets[0].getsockname()[1]
             started = await _start(folder, proxy_tree(*shape(axis, size), (1,), number, seed))
