--- a/mothstall/lab/scale/hollow.py
+++ b/mothstall/lab/scale/hollow.py
@@ -369,8 +369,10 @@
         self._watch = asyncio.get_running_loop().create_task(self._watch_memory())
         try:
             await asyncio.gather(*(process.begin() for process in self.processes))
-        except BaseException:
+        except BaseException as why:
             await self.__aexit__()
+            if self.fault and isinstance(why, Unfinished):
+                raise Unfinished(self.fault) from why  # killed for its memory before it had begun
             raise
         return self
 
--- a/tests/lab/scale/test_short.py
+++ b/tests/lab/scale/test_short.py
@@ -38,6 +38,23 @@
         asyncio.run(play())
 
 
+def test_a_crew_that_is_ended_while_it_begins_says_so_too(monkeypatch: pytest.MonkeyPatch) -> None:
+    """On a busy machine its processes begin so late that they are killed before their first answer."""
+
+    async def begin(process: hollow.Process) -> None:
+        await asyncio.sleep(0.1)
+        raise Unfinished("a process of hollows does not answer")
+
+    monkeypatch.setattr(hollow.Process, "begin", begin)
+
+    async def play() -> None:
+        async with Crew(TREE, 2, seed=1, zones=1, most_kb=1):
+            pass
+
+    with pytest.raises(Unfinished, match="MB are more than"):
+        asyncio.run(play())
+
+
 def test_more_hollows_than_processes_may_hold_are_refused() -> None:
     with pytest.raises(Unfinished, match="processes"):
         Crew(TREE, hollow.MOST_PROCESSES * hollow.PER_PROCESS + 1, seed=1, zones=1)
