--- a/mothstall/lab/scale/capacity.py
+++ b/mothstall/lab/scale/capacity.py
@@ -554,6 +554,21 @@
         TIER, "a region's proxies return while the others work", "s", lambda t: t.control.everywhere_s,
         "operators: as for a change", TIER_BY, unmeasured="no play has it; all at once is above",
     ),
+    Line(
+        TIER, "a real proxy's clients, 99th at 70 a second, with its agent over without", "1",
+        lambda t: 1.05, "ours: within 5%", TIER_BY, "tier/real", "proxies", ("p99_ratio_70",),
+        lambda t, part: part * t.proxies_of_a_zone,
+    ),
+    Line(
+        TIER, "a real proxy's clients, 99th at 210 a second, with its agent over without", "1",
+        lambda t: 1.05, "ours: within 5%", TIER_BY, "tier/real", "proxies", ("p99_ratio_210",),
+        lambda t, part: part * t.proxies_of_a_zone,
+    ),
+    Line(
+        TIER, "a real proxy's agent beside its requests at 70 a second", "cores",
+        lambda t: t.control.proxy_cores, "operators", TIER_BY, "tier/real", "proxies", ("agent_cpu_70",),
+        lambda t, part: part * t.proxies_of_a_zone,
+    ),
     Line(
         TIER, "an observer's memory", "MB", lambda t: 1024.0, "ours: one GB", TIER_BY, "tier/proxies",
         "proxies", ("observer_memory",),
@@ -970,6 +985,33 @@
 }  # fmt: skip
 
 
+TIER_FAULTS = {
+    "rack_gone": "a rack's are no members, s", "rack_back": "are back, s",
+    "zone_gone": "a zone's with its observers, s", "zone_back": "are back, s",
+    "observer_moved": "a killed observer's are another's, s", "rolling": "settled after restarts, s",
+    "rolling_leases_lost": "leases lost by them", "cut_back": "settled after a region's cut, s",
+    "majority_back": "after the majority's loss, s", "wrong": "wrong",
+}  # fmt: skip
+
+
+SPANS = ("rack", "zone", "rolling", "cut", "majority", "observer", "after")
+CLIENTS = {
+    "before_p99": "99th before, ms", **{f"{span}_p99_ratio": f"{span}, over before" for span in SPANS},
+    **{f"{span}_served": f"{span}, served" for span in SPANS},
+}  # fmt: skip
+
+
+REAL = {
+    f"{key}_{rate}": f"{words}, {rate} a second"
+    for rate in (70, 210)
+    for key, words in (
+        ("p99_off", "99th without, us"), ("p99_on", "99th with, us"), ("p99_ratio", "with over without"),
+        ("p99_ratio_low", "at least"), ("p99_ratio_high", "at most"), ("agent_cpu", "agent, cores"),
+        ("bad_on", "not served with"), ("bad_off", "without"),
+    )
+}  # fmt: skip
+
+
 PROBING = {
     "idle_cpu": "agent without, cores", "probing_cpu": "probing, cores", "probes": "probes a second",
     "commits": "commits a second",
@@ -996,6 +1038,26 @@
     return _table(("requests a second", axis, "repeats", *REQUESTS.values()), rows)
 
 
+def pooled_table(points: Sequence[Point]) -> str:
+    """All points of `tier/real` as one: the geometric mean of what is with over without, and its interval."""
+    rows = []
+    for rate in (70, 210):
+        for key in ("p50", "p99", "cpu"):
+            logs = [
+                math.log(point.values[f"{key}_ratio_{rate}"][0])
+                for point in points
+                if point.series == "tier/real" and f"{key}_ratio_{rate}" in point.values
+            ]
+            if len(logs) < 2:
+                continue
+            middle = statistics.fmean(logs)
+            half = fit.student(len(logs) - 1) * statistics.stdev(logs) / math.sqrt(len(logs))
+            cells = [f"{math.exp(value):.3f}" for value in (middle, middle - half, middle + half)]
+            what = "processor time a request" if key == "cpu" else key
+            rows.append([str(rate), what, str(len(logs)), *cells])
+    return _table(("requests a second", "what", "points", "with over without", "at least", "at most"), rows)
+
+
 def tables(sets: Sets, target: Target) -> dict[str, str]:
     """By the name of their markers."""
     held = hold(sets.now, target)
@@ -1016,6 +1078,10 @@
         ),
         "catch-up": points_table(sets.now, "control/catch-up", "changes", CATCH_UP),
         "commits": points_table(sets.now, "control/commits", "callers", COMMITS),
+        "tier-faults": points_table(sets.now, "tier/faults", "proxies", TIER_FAULTS),
+        "tier-clients": points_table(sets.now, "tier/faults", "proxies", CLIENTS),
+        "tier-real": points_table(sets.now, "tier/real", "proxies", REAL),
+        "tier-real-pooled": pooled_table(sets.now),
         "probing": points_table(sets.now, "probe/backends", "backends", PROBING),
     }
     if sets.before:
--- a/tests/lab/scale/test_capacity.py
+++ b/tests/lab/scale/test_capacity.py
@@ -169,6 +169,18 @@
     assert "| 700 |" in lines[2] and "2,100" in lines[3]
 
 
+def test_pairs_of_all_sizes_are_pooled() -> None:
+    rows = [
+        msgspec.structs.replace(p, values={"p99_ratio_70": (1.04 if i % 2 else 1.0, "1")})
+        for i, p in enumerate(made("tier/real", "x", 1.0, 0.0))
+    ]
+    (line,) = capacity.pooled_table(rows).splitlines()[2:]
+    rate, what, count, middle, low, high = line.strip("| ").split(" | ")
+    assert (rate, what, count, middle) == ("70", "p99", "12", "1.020")
+    assert 1.0 < float(low) < 1.02 < float(high) < 1.04
+    assert capacity.pooled_table(rows[:1]).count("\n") == 1
+
+
 def test_bounds_in_the_code_are_counted() -> None:
     held = {row.line.what: row for row in hold([], AIM)}
     leases = held["leases of probes and members"]
