An observer that returns joins nobody whose connection to it is gone

At a region's return an observer that took its lease anew joined all of its seats, also one whose proxy had gone to a neighbour meanwhile that had no lease yet. A term after that connection went it said that the proxy was gone, and so ended a row that had been moving, while the proxy lived at the neighbour.

Now a batch holds joins of connected proxies alone; the row goes on moving until somebody has it or its five terms are over.

--- a/mothstall/fleet/presence.py
+++ b/mothstall/fleet/presence.py
@@ -210,7 +210,10 @@
             leaves.append(self._leaves.popitem(last=False)[0])
         while self._joins and len(leaves) + len(joins) < self._size:
             name, _ = self._joins.popitem(last=False)
-            if (row := self.seats.get(name)) and row.token != self.token:
+            # Guards against a proxy that is taken out of the log while it lives: one whose connection here is
+            # gone may be with an observer that is not back yet. To join it and then to say that it is gone
+            # would end a row that is moving.
+            if (row := self.seats.get(name)) and row.token != self.token and row.linked:
                 joins.append(row.join)
         if not (leaves or joins):
             return None
--- a/mothstall/lab/tier.py
+++ b/mothstall/lab/tier.py
@@ -183,6 +183,9 @@
             self._ask(st.Renew(self.owner, ((self.lease, token),)), now)
         elif batch := self.presence.batch(now):
             self.batch = batch
+            for join in batch.joins:
+                if not self.presence.seats[join.name].linked:
+                    self.world.breach(f"{self.name} asks for {join.name}, whose connection is gone")
             self._ask(batch, now)
 
     def _ask(self, change: st.Change, now: int) -> None:
--- a/tests/fleet/test_tier.py
+++ b/tests/fleet/test_tier.py
@@ -236,6 +236,27 @@
     assert _joined(presence, 0).token == 2 and presence.answers("p1", 2)
 
 
+def test_a_proxy_whose_connection_went_is_not_joined_anew_only_to_be_called_gone() -> None:
+    """Found by processes (observer-region-alone, seed 9): out of the log while its next observer was not back."""
+    log = _Log("o1", "o2")
+    log.join("o2", Join("p1", "p1#a", 1))
+    log.end("o2")  # a region's hour alone: the row is moving
+    presence = Presence("observer/o1", SPANS)
+    presence.arrive("p1", "p1#a", 2, "z1", 0)
+    presence.tick(0)
+    presence.unlinked("p1", "p1#a", 2, TERM // 10, False)  # it went to o2, which has no lease yet either
+    presence.seated(log.tokens["o1"])
+    for now in range(TERM // 10, 2 * TERM, TERM // 10):
+        presence.tick(now)
+        if batch := presence.batch(now):
+            presence.answered(batch, log.change(batch).lost, now)
+        assert log.at("p1") == "o2", "moving, until somebody has it or five terms are over"
+    assert not presence.seats
+    presence.arrive("p1", "p1#a", 4, "z1", 2 * TERM)  # here it is again
+    batch = presence.batch(2 * TERM)
+    assert batch is not None and log.change(batch).lost == () and log.at("p1") == "o1"
+
+
 def test_a_proxy_that_moved_on_is_nobodys_here() -> None:
     presence = Presence("observer/o1", SPANS)
     presence.seated(1)
