--- a/tests/fleet/test_tier.py
+++ b/tests/fleet/test_tier.py
@@ -237,7 +237,7 @@
 
 
 def test_a_proxy_whose_connection_went_is_not_joined_anew_only_to_be_called_gone() -> None:
-    """Found by processes (observer-region-alone, seed 9): out of the log while its next observer was not back."""
+    """Found by processes (observer-region-alone, seed 9): out of the log while its next one was not back."""
     log = _Log("o1", "o2")
     log.join("o2", Join("p1", "p1#a", 1))
     log.end("o2")  # a region's hour alone: the row is moving
