A proxy goes home at a moment of its own, and leaves a home without keepers at once

Two faults of the proxies' side of the tier, found by reading. All proxies of a zone that its neighbour had taken in went home 30 s after they had come, within the 0.4 s in which they had come; now each draws its moment from 30 to 45 s. And one that left a sound neighbour for a home observer that was cut off from the keepers waited there for 1.5 s and more: with its two waits that is the term after which the neighbour says that it is gone, so that it was out of the log while it lived, every 30 s. Now it goes back at the next look.

--- a/mothstall/fleet/presence.py
+++ b/mothstall/fleet/presence.py
@@ -374,7 +374,7 @@
     rng: random.Random
     silent_ns: int = 2_500_000_000  # without a word, until another one is turned to
     stale_ns: int = 1_500_000_000  # that an observer may be without a keeper that hears a leader
-    home_ns: int = 30_000_000_000  # from when on one of another zone is left for the own zone's
+    home_ns: int = 30_000_000_000  # from then on, or half as long again, another zone's is left for its own
     most_wait_ns: int = 5_000_000_000
     spread_ns: int = 400_000_000  # in which all proxies of one observer that is gone go to another
     ways: list[_Way] = field(default_factory=list)
@@ -385,6 +385,9 @@
     linked: bool = False
     due: int = 0  # not before
     tries: int = 0  # observers left because their word was old, in a row
+    home_due: int = 0  # when it may go home
+    fresh: bool = False  # what it was told last was not old
+    trial: bool = False  # it left one that was sound to go home, and has heard nothing fresh there yet
 
     def known(self, home: Sequence[str], near: Sequence[str]) -> None:
         """Those of its own zone first, then the region's, each in an order of its own."""
@@ -403,13 +406,14 @@
         """Connected; the turn of this attachment."""
         self.turn, self.linked = self.turn + 1, True
         self.since = self.heard = now
+        self.home_due = now + int(self.home_ns * (1.0 + 0.5 * self.rng.random()))
         return self.turn
 
     def fed(self, age_ns: int, now: int) -> None:
         """It was told something that was this old."""
-        self.heard = now
-        if age_ns < self.stale_ns:
-            self.tries = 0
+        self.heard, self.fresh = now, age_ns < self.stale_ns
+        if self.fresh:
+            self.tries, self.trial = 0, False
             for way in self.ways:
                 if way.name == self.at:
                     way.fails = 0
@@ -418,24 +422,26 @@
         """Why it should turn to another one; empty: it stays."""
         if now - self.heard > self.silent_ns:
             return "it says nothing"
+        if self.trial and age_ns > self.stale_ns:
+            # Guards against a proxy that is called gone by the sound one that it left, while it waits here.
+            return "it is without keepers"
         patience = self.stale_ns << min(self.tries, 6)
         if age_ns > patience and now - self.since > patience and len(self.ways) > 1:
             return "it is without keepers"
         away = any(way.name == self.at and not way.home for way in self.ways)
         free = any(way.home and way.barred <= now for way in self.ways)
-        if away and free and now - self.since > self.home_ns:
+        if away and free and now > self.home_due:
             return "one of the own zone is to be had again"
         return ""
 
     def left(self, why: str, now: int) -> None:
         """It was left, or lost, or never reached."""
+        home = why.startswith("one of the own zone")
+        self.trial = home and self.fresh
         if why == "it is without keepers":
             self.tries += 1
         for way in self.ways:
-            if way.name != self.at:
-                continue
-            if why.startswith("one of the own zone"):
-                self.since = now
+            if way.name != self.at or home:
                 continue
             way.fails += 1
             wait = min(self.most_wait_ns, 50 * MS << min(way.fails - 1, 8))
