Off is off for observers too, and a proxy tells in one line what is no observer

A proxy with an operator file that names no observers loaded fleet/gather.py by its pilot, for one question: whether a sum is one of an observer. That question stands in evidence.py now, and a test runs an agent by such a file and finds no module of the tier loaded; the start's list of what is never loaded has the observer too.

--- a/mothstall/fleet/attach.py
+++ b/mothstall/fleet/attach.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import secrets
 import time
@@ -21,6 +22,8 @@
 from mothstall.store.link import FrameLink
 from mothstall.store.state import Delta
 
+log = logging.getLogger("mothstall.fleet")
+
 LOOK_S = 0.2  # between two looks at whether to stay
 PAUSE_S = 0.4  # between two asks where keepers are not to be had, drawn between half and one and a half
 MS = 1_000_000
@@ -105,6 +108,7 @@
 
     def _on_met(self, link: FrameLink) -> None:
         if link.role != "observer":
+            log.warning("not an observer", extra={"kv": {"peer": link.peer, "role": link.role}})
             link.end(f"{link.peer} is no observer")
             return
         now = time.monotonic_ns()
@@ -124,6 +128,7 @@
         try:
             word = msgspec.msgpack.decode(payload, type=tiercalls.FromObserver)
         except (msgspec.DecodeError, ValueError) as why:
+            log.warning("payload refused", extra={"kv": {"peer": link.peer, "why": why}})
             link.end(f"a payload that cannot be read: {why}")
             return
         if link is not self._link:
--- a/mothstall/fleet/evidence.py
+++ b/mothstall/fleet/evidence.py
@@ -28,6 +28,7 @@
 KEPT = 3  # reports of each proxy that count
 MOST_HEADS = 16_384  # proxies in one sum
 MOST_BINS = 16  # of one zone in a sum
+MARK = "observer/"  # names of sums begin so
 
 
 class Row(msgspec.Struct, frozen=True, array_like=True):
@@ -89,6 +90,17 @@
     return found if _sane(found) else None
 
 
+def named(report: Report, observers: Sequence[str]) -> bool:
+    """Whether a sum is one of these observers'; what is no sum is anybody's.
+
+    Guards against a proxy that speaks for hundreds.
+    """
+    if not report.heads:
+        return True
+    name, _, zone = report.proxy.removeprefix(MARK).partition("@")
+    return report.proxy.startswith(MARK) and zone == report.zone and name in observers
+
+
 def _sane(it: Report) -> bool:
     counts = [it.number, it.plan, it.asked, it.refused]
     for rows in it.rows.values():
--- a/mothstall/fleet/gather.py
+++ b/mothstall/fleet/gather.py
@@ -13,6 +13,7 @@
 from collections.abc import Sequence
 
 from mothstall.fleet.evidence import (
+    MARK,
     MOST_COUNT,
     MOST_HEADS,
     MOST_SPAN_MS,
@@ -27,18 +28,6 @@
 
 EDGES = (0.02, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.35, 0.5, 0.75)  # parts that go badly, between two bins
 KEPT = 4  # reports of one proxy in one sum, at most
-MARK = "observer/"  # names of sums begin so
-
-
-def named(report: Report, observers: Sequence[str]) -> bool:
-    """Whether a sum is one of these observers'; what is no sum is anybody's.
-
-    Guards against a proxy that speaks for hundreds.
-    """
-    if not report.heads:
-        return True
-    name, _, zone = report.proxy.removeprefix(MARK).partition("@")
-    return report.proxy.startswith(MARK) and zone == report.zone and name in observers
 
 
 class Gather:
--- a/mothstall/fleet/pilot.py
+++ b/mothstall/fleet/pilot.py
@@ -14,9 +14,8 @@
 
 from mothstall.fleet import failover
 from mothstall.fleet.course import Course, Helm
-from mothstall.fleet.evidence import Board, Evidence, read_report, weigh
+from mothstall.fleet.evidence import Board, Evidence, named, read_report, weigh
 from mothstall.fleet.failover import Orders, Plan, Terms
-from mothstall.fleet.gather import named
 from mothstall.fleet.operator import Operator
 from mothstall.fleet.sums import Sums
 from mothstall.fleet.view import View
--- a/mothstall/fleet/zones.py
+++ b/mothstall/fleet/zones.py
@@ -16,9 +16,8 @@
 
 from mothstall.fleet import failover
 from mothstall.fleet.client import Store
-from mothstall.fleet.evidence import Board, Evidence, read_report, weigh
+from mothstall.fleet.evidence import Board, Evidence, named, read_report, weigh
 from mothstall.fleet.failover import Orders, Plan
-from mothstall.fleet.gather import named
 from mothstall.fleet.operator import Operator, OperatorError
 from mothstall.fleet.pilot import terms
 from mothstall.spans import span
--- a/mothstall/lab/fleetcommand.py
+++ b/mothstall/lab/fleetcommand.py
@@ -45,6 +45,7 @@
         "--of", choices=("store", "tier"), default="store", help="keepers (default), or observers and proxies"
     )
     sim.add_argument("--first", type=int, default=1, help="the first seed")
+    sim.add_argument("--side-by-side", type=int, metavar="N", help="processes; default: as many as cores")
     sim.add_argument("--json", metavar="FILE", help="as JSON; - for standard output")
     every = commands.add_parser("explore", help="every state of the core within small bounds", epilog=EPILOG)
     every.add_argument("--terms", type=int, default=2)
@@ -136,11 +137,13 @@
     return seed, "", {name: getattr(world, name) for name in names}
 
 
-def simulate(seeds: Sequence[int], of: str = "store") -> tuple[list[str], dict[str, int]]:
-    """Plays worlds on all cores: breaches, and sums of what was played."""
+def simulate(
+    seeds: Sequence[int], of: str = "store", at_once: int | None = None
+) -> tuple[list[str], dict[str, int]]:
+    """Plays worlds in so many processes, by default one a core: breaches, and sums of what was played."""
     breaches: list[str] = []
     sums: dict[str, int] = {}
-    with ProcessPoolExecutor() as pool:
+    with ProcessPoolExecutor(at_once) as pool:
         for _, why, figures in pool.map(_simulated_tier if of == "tier" else _simulated, seeds, chunksize=4):
             if why:
                 breaches.append(why)
@@ -152,8 +155,10 @@
 def _simulate(args: argparse.Namespace) -> int:
     if args.seeds < 1:
         raise fleet.FleetError("--seeds must be 1 or more")
+    if args.side_by_side is not None and not 1 <= args.side_by_side <= 64:
+        raise fleet.FleetError("--side-by-side must be 1 to 64")
     began = time.monotonic()
-    breaches, sums = simulate(range(args.first, args.first + args.seeds), args.of)
+    breaches, sums = simulate(range(args.first, args.first + args.seeds), args.of, args.side_by_side)
     tree: dict[str, Any] = {"seeds": args.seeds, "seconds": round(time.monotonic() - began, 1), **sums}
     if args.json != "-":
         print("\n".join([*breaches, *(f"{key} {value}" for key, value in tree.items())]))
--- a/tests/fleet/test_gather.py
+++ b/tests/fleet/test_gather.py
@@ -10,8 +10,19 @@
 from hypothesis import given
 from hypothesis import strategies as some
 
-from mothstall.fleet.evidence import MOST_BINS, Bin, Board, Evidence, Report, Row, read_report, typical, weigh
-from mothstall.fleet.gather import Gather, named
+from mothstall.fleet.evidence import (
+    MOST_BINS,
+    Bin,
+    Board,
+    Evidence,
+    Report,
+    Row,
+    named,
+    read_report,
+    typical,
+    weigh,
+)
+from mothstall.fleet.gather import Gather
 from mothstall.fleet.pilot import Pilot
 
 ZONES = ("a", "b", "c")
--- a/tests/observer/test_command.py
+++ b/tests/observer/test_command.py
@@ -86,3 +86,34 @@
     with pytest.raises(ConfigError, match=r"\$\.observers: none stands in 'z7' or its region"):
         cli._attaches(cli._operator(str(away)))
     cli._attaches(cli._operator(file))
+
+
+def test_where_no_observers_are_named_nothing_of_them_is_loaded(tmp_path: Path) -> None:
+    """A small fleet's proxy, by its operator file: the same agent, and no module of the tier."""
+    file = tmp_path / "operator.toml"
+    file.write_text('cluster = "c"\n[[keepers]]\nname = "k1"\naddress = "127.0.0.1:1"\n')
+    said = subprocess.run(
+        [sys.executable, "-c", _LOADED, str(file)], capture_output=True, text=True, timeout=60, check=True
+    )
+    loaded = set(json.loads(said.stdout))
+    assert "mothstall.fleet.agent" in loaded, "it ran"
+    tier = {"mothstall.observer", "mothstall.store.tiercalls"}
+    tier |= {f"mothstall.fleet.{name}" for name in ("attach", "presence", "fanout", "gather")}
+    assert loaded & tier == set()
+
+
+_LOADED = """
+import asyncio, json, sys
+from mothstall import cli
+operator = cli._operator(sys.argv[1])
+cli._attaches(operator)
+from mothstall.net import together  # what `serve` loads with an operator file
+from mothstall.fleet.agent import Agent
+async def main():
+    agent = Agent(operator, "p1", loop=asyncio.get_running_loop(), changed=lambda: None)
+    await agent.start()
+    await asyncio.sleep(0.2)
+    await agent.stop()
+asyncio.run(main())
+print(json.dumps(list(sys.modules)))
+"""
--- a/tests/observer/test_observer.py
+++ b/tests/observer/test_observer.py
@@ -423,6 +423,44 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("role", "word", "event"),
+    [("observer", b"\xc1 no msgpack", "payload refused"), ("keeper", b"", "not an observer")],
+)
+def test_a_proxy_leaves_what_is_no_observer_with_one_line_each_time(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture, role: str, word: bytes, event: str
+) -> None:
+    async def main() -> None:
+        rig, came, ended = Rig(tmp_path, {"o1": "z1"}), [], asyncio.Event()
+
+        def met(link: FrameLink) -> None:
+            came.append(link)
+            if word:
+                link.send(word)
+
+        def accept() -> FrameLink:
+            return FrameLink(
+                "test", b"", "o1", role, dialled=False, met=met, taken=lambda link, payload: None,
+                lost=lambda link, why: ended.set(),
+            )  # fmt: skip
+
+        at = rig.operator().observers[0].at
+        server = await asyncio.get_running_loop().create_server(accept, at.host, at.port)
+        agent = await rig.agent("p1")
+        try:
+            async with asyncio.timeout(WAIT_S):
+                await ended.wait()
+            await until(lambda: len(came) >= 3, "it tries again")
+            await until(lambda: not agent.is_member, "and is nobody's")
+            rows = [row for row in caplog.records if row.getMessage() == event]
+            assert 1 <= len(rows) <= len(came) and "\n" not in str(rows[0].__dict__["kv"])
+        finally:
+            await agent.stop()
+            server.close()
+
+    asyncio.run(main())
+
+
 def test_status_tells_who_is_attached_how_old_it_is_and_what_was_left_out(tmp_path: Path) -> None:
     async def main() -> None:
         async with rig(tmp_path, o1="z1") as r:
--- a/tests/test_net_start.py
+++ b/tests/test_net_start.py
@@ -65,7 +65,8 @@
     "argparse", "aiohttp.web", "aiohttp.web_app", "aiohttp.web_fileresponse", "aiohttp.web_runner",
     "aiohttp.web_urldispatcher", "aiohttp.web_ws", "aiohttp.pytest_plugin", "aiohttp.test_utils",
     "msgspec", "numpy", "rich", "matplotlib", "hdrh", "sqlite3", "cryptography", "xxhash", "unittest",
-    "mothstall.operate", "mothstall.lab", "mothstall.fleet", "mothstall.keeper", "mothstall.store",
+    "mothstall.operate", "mothstall.lab", "mothstall.fleet", "mothstall.keeper", "mothstall.observer",
+    "mothstall.store",
     "mothstall.simhost", "mothstall.simwire", "mothstall.net.together", "mothstall.net.handover",
     "mothstall.net.admin", "mothstall.net.passage",
 }  # fmt: skip
