--- a/mothstall/lab/fleetplay.py
+++ b/mothstall/lab/fleetplay.py
@@ -62,6 +62,10 @@
         return "\n".join(rows)
 
 
+class Late(Unfinished):
+    """A run that could not be finished, on a machine that was late: it tells nothing of the processes."""
+
+
 class Play:
     """One run in a folder of its own."""
 
@@ -283,8 +287,11 @@
     # Playing
 
     async def play(self) -> Result:
+        """Raises Unfinished, and Late where the machine was late meanwhile."""
+        self._spawn(self._watch())
         try:
             await self._start()
+            self.late_s = 0.0  # what it was while processes began concerns no verdict
             self.began = self.loop.time()
             for name in self.proxies:
                 port = partial(getattr, self.proxies[name], "port")
@@ -292,7 +299,6 @@
                 if self.s.rate:
                     self._spawn(client.run())
             self._spawn(self._write())
-            self._spawn(self._watch())
             if self.s.loss:
                 self._spawn(self._break_links())
             for fault in sorted(self.s.faults, key=lambda f: f.at):
@@ -300,6 +306,10 @@
                 await self._do(fault)
             await asyncio.sleep(max(0.0, self.s.seconds - self.now()))
             await self._last_read()
+        except Unfinished as why:
+            if self.late_s > LATE_S:
+                raise Late(f"{why} (the machine was late by {self.late_s:.1f} s)") from why
+            raise
         finally:
             await self._end()
         verdict = fleetjudge.judge(self.s, self.seen, self.told)
@@ -726,7 +736,7 @@
 
 
 def run(s: Fleet, seed: int, logs: Path | None = None, keeps_tokens: bool = True) -> Result:
-    """Plays one run; with `logs` its folder stays there. Raises Unfinished."""
+    """Plays one run; with `logs` its folder stays there. Raises Unfinished, Late among them."""
 
     async def main(folder: Path) -> Result:
         # Guards against a busy disk of the machine, which took 1.2 s for a write and made keepers lose the
