--- a/mothstall/lab/scale/capacity.py
+++ b/mothstall/lab/scale/capacity.py
@@ -215,6 +215,14 @@
         PATH, "a slot's end, by backends", "ms", added, LONE, "members, not the list", "turn/backends",
         "backends", ("slot",), backends,
     ),
+    Line(
+        PATH, "a slot's end, by classes", "ms", added, LONE, "classes by index", "turn/classes", "classes",
+        ("slot",), classes,
+    ),
+    Line(
+        PATH, "a request's decisions, by classes", "us", lambda t: 1e3 * added(t), LONE, "classes by index",
+        "turn/classes", "classes", ("request",), classes,
+    ),
     Line(
         PATH, "a request's decisions, by tenants", "us", lambda t: 1e3 * added(t), LONE, "those that wait",
         "turn/tenants", "tenants", ("request",), tenants,
