The simulation judges who is called gone where proxies and their ways are sound

Worlds whose faults are the keepers' side alone (observers cut off, leaders, copies that lag, a region alone): an observer that takes a living proxy out of the log under its own lease is a breach.

--- a/mothstall/lab/tier.py
+++ b/mothstall/lab/tier.py
@@ -33,6 +33,7 @@
 TICK = 50 * MS
 BACK_NS = 8_000 * MS  # after the last fault, until every living proxy is a member
 MOST_UNSAID = 2  # frames on their way to one reader
+KEEPERS_SIDE = ("observer cut", "lag", "leader", "region")  # proxies and their observers are sound
 FAULTS = (
     "observer", "observer stalls", "observer cut", "proxy", "proxy stalls", "proxy cut", "slow reader", "lag",
     "leader", "region",
@@ -66,6 +67,12 @@
     kinds: tuple[str, ...] = FAULTS
     guards: Guards = field(default_factory=Guards)
 
+    @property
+    def proxies_sound(self) -> bool:
+        """Whether nothing happens to proxies, nor between them and their observers."""
+        said = self.loss or self.doubled or self.late or self.crash_odds
+        return not said and set(self.kinds) <= set(KEEPERS_SIDE)
+
 
 @dataclass(slots=True)
 class Call:
@@ -635,6 +642,9 @@
 
     def _departed(self, name: str, was: roster.Member, change: roster.Attach) -> None:
         if (was.lease, was.token) == (change.lease, change.token):
+            proxy = self.proxies[name]
+            if self.plan.proxies_sound and proxy.up and proxy.owner == was.owner:
+                self.breach(f"{was.lease} called {name} gone, who lives, at {proxy.at or 'no observer'}")
             return
         since = self.over.get((was.lease, was.token))
         if since is None:
--- a/tests/fleet/test_tier.py
+++ b/tests/fleet/test_tier.py
@@ -29,6 +29,17 @@
     assert sum(w.swept for w in worlds) > 0 and sum(w.crashes for w in worlds) > 30
 
 
+def test_where_faults_are_the_keepers_side_alone_no_proxy_is_called_gone() -> None:
+    """Observers lose keepers, leaders change, copies lag; proxies and their ways to observers are sound."""
+    plans = [
+        Plan(seed, loss=0.0, doubled=0.0, late=0.0, crash_odds=0.0, kinds=tier.KEEPERS_SIDE)
+        for seed in range(1, 31)
+    ]
+    assert all(plan.proxies_sound for plan in plans) and not Plan(1).proxies_sound
+    worlds = [tier.play(plan) for plan in plans]
+    assert sum(w.moved for w in worlds) > 30 and sum(w.joined for w in worlds) > 500
+
+
 def test_a_seed_plays_the_same_world_again() -> None:
     one, other = (tier.play(Plan(7)) for _ in range(2))
     assert (one.steps, one.joined, one.log) == (other.steps, other.joined, other.log)
