A subscriber that knows more than its observer holds up nobody

An observer tells its proxies in the order in which they were told, and ended its look at the first that lacked nothing. Now the look goes on past it. Found by reading; the test fails without the change.

--- a/mothstall/fleet/fanout.py
+++ b/mothstall/fleet/fanout.py
@@ -213,6 +213,9 @@
             row = self.readers[name]
             fresh = row.version < self.version if self.newer_only else row.version != self.version
             if not fresh and now - row.told < self.heartbeat_ns:
+                # Guards against one that claims, or knows, more than this copy and would hold up the rest.
+                if row.version > self.version:
+                    continue
                 return
             # Guards against a slow reader's backlog: nothing is made for who still has something on its way.
             if self.bounded and unsaid(name) > 0:
--- a/tests/fleet/test_tier.py
+++ b/tests/fleet/test_tier.py
@@ -424,6 +424,22 @@
     assert view is not None and view.version == version + 5 and told.drains == {}
 
 
+@pytest.mark.parametrize("more", [5, 1 << 61])
+def test_a_reader_that_knows_more_than_the_copy_holds_up_nobody(more: int) -> None:
+    """Found by reading: it came to stand before the others, who then heard news at its heartbeats alone."""
+    log, fanout = _Log("o1"), Fanout(heartbeat_ns=TERM)
+    fanout.take(log.state.delta(0))
+    fanout.join("ahead", Subscription("z1"), fanout.version + more)
+    for name in ("p1", "p2"):
+        fanout.join(name, Subscription("z1"), 0)
+    assert set(_fed(fanout, 0)) == {"ahead", "p1", "p2"}
+    for now in range(1, 4):
+        log.change(st.PutDrain(st.Drain("box", f"b{now}", "lab", "", "")))
+        fanout.take(log.state.delta(fanout.version))
+        assert set(_fed(fanout, now)) == {"p1", "p2"}
+    assert set(_fed(fanout, TERM)) == {"ahead"} and not _fed(fanout, TERM + 1)
+
+
 def test_a_reader_between_two_versions_of_the_copy_gets_all_anew() -> None:
     """Found by the world: a row that came and went between two looks of a copy stayed where it was told."""
     log, fanout = _Log("o1"), Fanout()
