--- a/tests/fleet/test_tier.py
+++ b/tests/fleet/test_tier.py
@@ -29,6 +29,17 @@
     assert sum(w.swept for w in worlds) > 0 and sum(w.crashes for w in worlds) > 30
 
 
+def test_where_faults_are_the_keepers_side_alone_no_proxy_is_called_gone() -> None:
+    """Observers lose keepers, leaders change, copies lag; proxies and their ways to observers are sound."""
+    plans = [
+        Plan(seed, loss=0.0, doubled=0.0, late=0.0, crash_odds=0.0, kinds=tier.KEEPERS_SIDE)
+        for seed in range(1, 31)
+    ]
+    assert all(plan.proxies_sound for plan in plans) and not Plan(1).proxies_sound
+    worlds = [tier.play(plan) for plan in plans]
+    assert sum(w.moved for w in worlds) > 30 and sum(w.joined for w in worlds) > 500
+
+
 def test_a_seed_plays_the_same_world_again() -> None:
     one, other = (tier.play(Plan(7)) for _ in range(2))
     assert (one.steps, one.joined, one.log) == (other.steps, other.joined, other.log)
@@ -413,6 +424,22 @@
     assert view is not None and view.version == version + 5 and told.drains == {}
 
 
+@pytest.mark.parametrize("more", [5, 1 << 61])
+def test_a_reader_that_knows_more_than_the_copy_holds_up_nobody(more: int) -> None:
+    """Found by reading: it came to stand before the others, who then heard news at its heartbeats alone."""
+    log, fanout = _Log("o1"), Fanout(heartbeat_ns=TERM)
+    fanout.take(log.state.delta(0))
+    fanout.join("ahead", Subscription("z1"), fanout.version + more)
+    for name in ("p1", "p2"):
+        fanout.join(name, Subscription("z1"), 0)
+    assert set(_fed(fanout, 0)) == {"ahead", "p1", "p2"}
+    for now in range(1, 4):
+        log.change(st.PutDrain(st.Drain("box", f"b{now}", "lab", "", "")))
+        fanout.take(log.state.delta(fanout.version))
+        assert set(_fed(fanout, now)) == {"p1", "p2"}
+    assert set(_fed(fanout, TERM)) == {"ahead"} and not _fed(fanout, TERM + 1)
+
+
 def test_a_reader_between_two_versions_of_the_copy_gets_all_anew() -> None:
     """Found by the world: a row that came and went between two looks of a copy stayed where it was told."""
     log, fanout = _Log("o1"), Fanout()
