--- a/mothstall/lab/scale/real.py
+++ b/mothstall/lab/scale/real.py
@@ -4,7 +4,8 @@
 it at this one observer: restarts of hollows, and drains of backends that the proxy lists. For each pair two
 proxies are started, one with an operator file and one without; one client asks both in turn, request by
 request, before the same stand-ins, so that both meet the same moments of the machine. Which of them is asked
-first changes from pair to pair. Raises Unfinished.
+first changes from pair to pair; a few pairs are played at a time, each with a client of its own. Raises
+Unfinished.
 """
 
 from __future__ import annotations
@@ -31,11 +32,11 @@
 from mothstall.lab.scale.tier import Observers
 from mothstall.store import state as st
 
-PAIRS = 5
+PAIRS, ABREAST = 8, 2  # and so many of them at a time
 SECONDS = {70: 6.0, 210: 4.0}  # of load that counts, at each rate: the target's mean, and three times it
 CHANGES_S, RESTARTS_S = 0.84, 2.11  # the target's busiest hour, over the whole fleet
 MEMBER_S = 10.0  # until a proxy is a member
-ON = "real"
+ON, OFF = "real", "alone"  # and the pair's number
 
 
 @dataclass(slots=True, frozen=True)
@@ -163,18 +164,22 @@
 
 
 async def _pair(
-    keepers: Keepers, operator: Path, ports: Sequence[int], discovery: int, seed: int, on_first: bool,
+    keepers: Keepers, operator: Path, ports: Sequence[int], discovery: int, seed: int, number: int,
     seconds: dict[int, float],
 ) -> tuple[dict[int, tuple[Side, Side]], tuple[float, float]]:  # fmt: skip
     """Both sides by rate, and what both hold in MB."""
-    on = path.Watched(ON, keepers.folder, more=("--operator", str(operator)))
-    off = path.Watched("alone", keepers.folder)
+    name, on_first = f"{ON}-{number}", number % 2 == 0
+    seed = seed * 100 + number
+    on = path.Watched(name, keepers.folder, more=("--operator", str(operator)))
+    off = path.Watched(f"{OFF}-{number}", keepers.folder)
     both = (on, off) if on_first else (off, on)
     found: dict[int, tuple[Side, Side]] = {}
     try:
-        for proxy in both:  # the same seed, so that they differ in the agent alone
-            await proxy.start(configured(ports, discovery, seed, proxy.name))
-        await _member(keepers, ON, MEMBER_S)
+        # The same seed, so that they differ in the agent alone.
+        await asyncio.gather(
+            *(proxy.start(configured(ports, discovery, seed, proxy.name)) for proxy in both)
+        )
+        await _member(keepers, name, MEMBER_S)
         for rate, span in seconds.items():
             cpu, began = [proxy.cpu_ns() for proxy in both], time.monotonic()
             ways = (both[0].port, both[1].port)
@@ -192,7 +197,7 @@
                 for i in (0, 1)
             ]  # fmt: skip
             found[rate] = (sides[0], sides[1]) if on_first else (sides[1], sides[0])
-        await _member(keepers, ON, 0.0)  # no figure of an agent that took no part
+        await _member(keepers, name, 0.0)  # no figure of an agent that took no part
         return found, (on.memory()["VmRSS"], off.memory()["VmRSS"])
     finally:
         await asyncio.gather(on.stop(), off.stop())
@@ -222,13 +227,17 @@
             operator.write_text(as_toml(operator_tree(tier.tree, 0, path.ZONES, True)), encoding="utf-8")
             async with News(crew, keepers) as news:
                 cpu, began = sum(tier.cpu().values()), time.monotonic()
-                for i in range(pairs):
-                    say(f"pair {i + 1} of {pairs}")
-                    more = (seed * 100 + i, i % 2 == 0, seconds)
-                    found, held = await _pair(keepers, operator, ports, number, *more)
+                for first in range(0, pairs, ABREAST):
+                    numbers = range(first, min(first + ABREAST, pairs))
+                    say(f"pairs {first + 1} to {numbers.stop} of {pairs}")
+                    work = (_pair(keepers, operator, ports, number, seed, i, seconds) for i in numbers)
+                    done = await asyncio.gather(*work, return_exceptions=True)
                     news.check()
-                    rows.append(found)
-                    memory.append(held)
+                    for one in done:
+                        if isinstance(one, BaseException):
+                            raise one
+                        rows.append(one[0])
+                        memory.append(one[1])
                 span = time.monotonic() - began
                 values = {
                     **news.values(), "pairs": (pairs, "1"),
