A proxy renews no observer's lease

An observer turns away what proxies ask in an observer's name: to take, drop, seize its lease, to write who is attached. A renewal with that lease among its names went through, and so could keep a lost observer's members counted as live. It is turned away too; the test of these has the renewal, and fails without the change.

--- a/mothstall/observer/process.py
+++ b/mothstall/observer/process.py
@@ -424,9 +424,7 @@
         self.counts["asks"] += 1
         if why := self._alone():
             self._refuse(link, ask.number, why)
-        elif isinstance(change, Attach | st.Expire) or (
-            isinstance(change, st.Take | st.Drop | st.Seize) and change.name.startswith(OBSERVER)
-        ):
+        elif _speaks_for_observers(change):
             self._refuse(link, ask.number, "a proxy answers for no observer")
         elif len(self._waiting) + len(self._renewals.rows) >= MOST_WAITING:
             self._refuse(link, ask.number, "too many callers wait at the observer")
@@ -555,3 +553,9 @@
         }  # fmt: skip
 
 
+def _speaks_for_observers(change: st.Change) -> bool:
+    """Guards against a proxy that ends, takes or keeps up an observer's lease, and so who is a member."""
+    if isinstance(change, st.Renew):
+        return any(name.startswith(OBSERVER) for name, _ in change.held)
+    named = isinstance(change, st.Take | st.Drop | st.Seize) and change.name.startswith(OBSERVER)
+    return named or isinstance(change, Attach | st.Expire)
--- a/tests/observer/test_observer.py
+++ b/tests/observer/test_observer.py
@@ -241,6 +241,7 @@
             for change in (
                 Attach("observer/o1", token), st.Drop("observer/o1", token),
                 st.Take("observer/o2", "me", 1000), st.Seize("observer/o1", "me", "why"),
+                st.Renew("me", (("probe/b1", 1), ("observer/o1", token))),
             ):  # fmt: skip
                 said = await agent._store.change(change, 5.0)
                 assert said.refused == "a proxy answers for no observer", change
