--- a/mothstall/lab/scale/hollow.py
+++ b/mothstall/lab/scale/hollow.py
@@ -39,7 +39,10 @@
     "the file that keeps drains and tokens; traffic sums are made up; one interpreter holds many agents"
 )
 CLASSES = ("search", "read", "file", "sign")
-RATE = 70  # requests a second that a made-up sum tells of
+# Requests a second that a made-up sum tells of, as many as its attempts, to backends that bear far more: of
+# sums that ask more than what they say zones bear a plan is made that turns requests away, real ones too.
+RATE = 12
+UTIL = (0.2, 0.4)
 PER_PROCESS = 200
 MOST_PROCESSES = 290  # keepers and tools stand beside them
 STALE_MS = 1500  # an observer's word that is older is none of a keeper that leads
@@ -52,6 +55,14 @@
     return f"zone-{number % max(1, zones):02}"
 
 
+def operator_tree(tree: dict[str, Any], number: int, zones: int, reports: bool) -> dict[str, Any]:
+    """The operator file of the proxy with this number: that of all, and where it stands."""
+    names = [zone_of(i, zones) for i in range(zones)]
+    regions = [{"name": name, "zones": [name]} for name in names]
+    failing = {"on": reports, "regions": regions}
+    return {**tree, "zone": zone_of(number, zones), "probing": {"on": False}, "failover": failing}
+
+
 class Seat:
     """What a pilot needs of its proxy, without one: a constant rate, everything warm."""
 
@@ -128,6 +139,8 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._tier:
+            self._tier.turn = 0  # it says no farewell to its observer
         if self._store:
             await self._store.close()
 
@@ -146,19 +159,13 @@
     def __init__(self, spec: dict[str, Any], loop: asyncio.AbstractEventLoop) -> None:
         self.zones, self.reports = int(spec["zones"]), bool(spec["reports"])
         self._rng = random.Random(spec["seed"] * 7919 + spec["first"])
-        rows = [
-            {"name": zone_of(i, self.zones), "zones": [zone_of(i, self.zones)]} for i in range(self.zones)
-        ]
         cut = spec["cut_tree"] or spec["tree"]
-        operators = []
-        for i in range(self.zones):
-            tree = cut if i in spec["cut_zones"] else spec["tree"]
-            failing = {"on": self.reports, "regions": rows}
-            operators.append(
-                from_tree(
-                    {**tree, "zone": zone_of(i, self.zones), "probing": {"on": False}, "failover": failing}
-                )
+        operators = [
+            from_tree(
+                operator_tree(cut if i in spec["cut_zones"] else spec["tree"], i, self.zones, self.reports)
             )
+            for i in range(self.zones)
+        ]
         self._operators, self._loop, self._first = operators, loop, int(spec["first"])
         self.agents = [self._agent(i) for i in range(spec["first"], spec["first"] + spec["count"])]
         self._terms: list[tuple[float, float]] = []  # as owners, of those that are gone
@@ -217,9 +224,10 @@
             for i, agent in enumerate(self.agents):
                 if agent.pilot is None:
                     continue
-                for n in range(12):
+                for n in range(RATE):
                     zone = zone_of(self._first + i + n % 4, self.zones)
-                    agent.pilot.ended(zone, n % len(CLASSES), Result.OK, 20_000_000, self._rng.random())
+                    util = self._rng.uniform(*UTIL)
+                    agent.pilot.ended(zone, n % len(CLASSES), Result.OK, 20_000_000, util)
                 if i % 16 == 15:
                     await asyncio.sleep(0)
             await asyncio.sleep(1.0)
@@ -361,8 +369,10 @@
         self._watch = asyncio.get_running_loop().create_task(self._watch_memory())
         try:
             await asyncio.gather(*(process.begin() for process in self.processes))
-        except BaseException:
+        except BaseException as why:
             await self.__aexit__()
+            if self.fault and isinstance(why, Unfinished):
+                raise Unfinished(self.fault) from why  # killed for its memory before it had begun
             raise
         return self
 
