--- a/mothstall/observer/process.py
+++ b/mothstall/observer/process.py
@@ -23,6 +23,7 @@
 
 from mothstall.config import parse_address
 from mothstall.fleet.client import NoContact, Store
+from mothstall.fleet.evidence import write_report
 from mothstall.fleet.fanout import Fanout, subscription
 from mothstall.fleet.gather import Gather
 from mothstall.fleet.leases import Holder
@@ -424,9 +425,7 @@
         self.counts["asks"] += 1
         if why := self._alone():
             self._refuse(link, ask.number, why)
-        elif isinstance(change, Attach | st.Expire) or (
-            isinstance(change, st.Take | st.Drop | st.Seize) and change.name.startswith(OBSERVER)
-        ):
+        elif _speaks_for_observers(change):
             self._refuse(link, ask.number, "a proxy answers for no observer")
         elif len(self._waiting) + len(self._renewals.rows) >= MOST_WAITING:
             self._refuse(link, ask.number, "too many callers wait at the observer")
@@ -525,7 +524,7 @@
                 continue
             due = max(due + self.operator.failover.every / 1e9, self.loop.time())
             for report in self._gather.sums():
-                sent = self._store.report(msgspec.msgpack.encode(report))
+                sent = self._store.report(write_report(report))
                 self.counts["sums" if sent else "reports_left_out"] += 1
 
     # Operators
@@ -555,3 +554,9 @@
         }  # fmt: skip
 
 
+def _speaks_for_observers(change: st.Change) -> bool:
+    """Guards against a proxy that ends, takes or keeps up an observer's lease, and so who is a member."""
+    if isinstance(change, st.Renew):
+        return any(name.startswith(OBSERVER) for name, _ in change.held)
+    named = isinstance(change, st.Take | st.Drop | st.Seize) and change.name.startswith(OBSERVER)
+    return named or isinstance(change, Attach | st.Expire)
