--- a/mothstall/lab/scale/capacity.py
+++ b/mothstall/lab/scale/capacity.py
@@ -979,6 +979,14 @@
 }  # fmt: skip
 
 
+REPORTS = {
+    "joined": "members", "join_last": "the last after, s", "join_gave_up": "given up after, s",
+    "join_commits": "commits a proxy", "agent_cpu": "a proxy, cores", "observer_cpu_most": "busiest observer",
+    "keeper_cpu_most": "busiest keeper", "change_last": "a change, the last, s",
+    "observer_kill_last": "an observer lost, s",
+}  # fmt: skip
+
+
 STARTS = {
     "ready": "ready, s", "cpu": "processor time, s", "memory": "memory, MB", "memory_most": "at most, MB",
 }  # fmt: skip
@@ -1084,6 +1092,7 @@
         "starts": "\n\n".join(
             points_table(sets.now, f"start/{axis}", axis, STARTS) for axis in ("backends", "tenants")
         ),
+        "tier-reports": points_table(sets.now, "tier/reports", "proxies", REPORTS),
         "catch-up": points_table(sets.now, "control/catch-up", "changes", CATCH_UP),
         "commits": points_table(sets.now, "control/commits", "callers", COMMITS),
         "tier-faults": points_table(sets.now, "tier/faults", "proxies", TIER_FAULTS),
