A slot's end goes through the tenants that asked lately, not through all

Cause: _note_rates went five times through all flows by the clock (decay, sum, sorted paces, claims, best): 586 ms at 510,000 tenants (docs/CAPACITY.md). _split summed over all of them too. Change: only flows that asked lately are kept in `active`; all others have nought of everything, so their paces and claims follow from orders by quota made at the start (lower median by bisection over both, first by quota of those with under a thousandth of the traffic). A flow is dropped below 1e-16 of a request, or, past 1,000 kept, below half of one; the sum of all keeps what it was seen for. Lines are folded elsewhere without a change of what they do.

--- a/mothstall/choice.py
+++ b/mothstall/choice.py
@@ -9,7 +9,7 @@
 import heapq
 import math
 import random
-from bisect import bisect_left
+from bisect import bisect_left, bisect_right
 from collections import Counter, deque
 from collections.abc import Callable
 from functools import partial
@@ -54,6 +54,7 @@
 SLOW_GAIN, SLOW_NS = 0.3, 8 * NS  # weight of one answer in how slow a member is, and how soon that fades
 SLOW_MOST, SLOW_POWER = 4.0, -6  # the turns it keeps: that power of what is over the usual noise of answers
 STAY_MOST, DUE_MOST = 8.0, 2.0  # a plan's refusals owed before any request is taken; turns a zone is behind
+MANY, FADED, GONE = 1000, 0.5, 1e-16  # tenants active; below which number of requests one is not: many; else
 FINE, FULL, ILL, SLOW = range(4)
 
 
@@ -91,8 +92,7 @@
     def __init__(self, ev: io.RequestArrived, cls: io.RequestClass, flow: Flow, prio: bool, now: int) -> None:
         self.id, self.cls_index, self.cls, self.flow, self.priority = ev.request, ev.cls, cls, flow, prio
         self.arrived, self.deadline = now, now + ev.left_ns
-        self.aim, self.cost = max(1, cls.aim_ns), ev.cost_ns
-        self.attempts: list[Attempt] = []
+        self.aim, self.cost, self.attempts = max(1, cls.aim_ns), ev.cost_ns, list[Attempt]()
         self.done = self.started = self.beyond = False  # beyond: past its tenant's share here
         # Until when it waits for room (0: it does not); when and where the first that may have run went.
         self.out = self.waiting = self.ran_at = 0
@@ -106,9 +106,8 @@
 
     def __init__(self, number: int, weight: float, quota: float, first: float) -> None:
         self.number, self.weight, self.quota = number, max(weight, 1e-6), quota
-        self.queue: list[Request] = []
         self.served, self.tag, self.rate, self.seen, self.good = 0, 0.0, 0.0, 0.0, 0.0
-        self.tokens, self.tokens_at = first, 0  # what the flow may still ask inside its share
+        self.queue, self.tokens, self.tokens_at = list[Request](), first, 0  # tokens: left inside its share
 
 
 class Latency:
@@ -153,9 +152,8 @@
 
     def __init__(self, settings: io.Settings, seed: int) -> None:
         self.cfg = settings
-        self.rng, self.now = random.Random(seed), -1
-        self.acts: list[io.Action] = []
-        self.backends: dict[int, Backend] = {}
+        self.rng, self.now, self.acts = random.Random(seed), -1, list[io.Action]()
+        self.backends, self.requests = dict[int, Backend](), dict[int, Request]()
         self.ring: list[Backend] = []  # the list in order of hashed id
         self.weights = Counter[float]()  # how many of the list have each weight
         self.members: list[Backend] = []  # those of the list that this proxy sends to
@@ -163,13 +161,17 @@
         self.size, self.rate, self.sick, self.ask_due, self.asks_failed = 0, 0.0, 0, 0, 0
         self.ask_most, self.ask_turn = min(ASK_NS, max(HERD_NS, settings.ask_within_ns // 2)), 0
         self.groups: tuple[list[Backend], list[Backend]] = ([], [])  # B, P
-        self.requests: dict[int, Request] = {}
         # Guards against starting sums that all proxies spend at once: they are drawn at random.
         first = self.rng.random()
         rows = [(t.share, t.allowance_per_s) for t in settings.tenants]
         rows = rows or [(c.worth, c.worth) for c in settings.classes]
         self.flows, self.queued = [Flow(i, *row, first) for i, row in enumerate(rows)], dict[int, Flow]()
-        self.priority = max(range(len(self.flows)), key=lambda i: (self._claim(i, 0.0), -i))
+        self.priority = self.first = max(range(len(rows)), key=lambda i: (self._claim(i, 0.0), -i))
+        self.weight, self.order = sum(f.weight for f in self.flows), list(range(len(rows)))
+        self.order.sort(key=lambda i: -self.flows[i].quota)
+        self.place = sorted(range(len(rows)), key=self.order.__getitem__)  # of each flow in that order
+        self.active = dict[int, Flow]()  # who asked lately: of all others served, rate, seen, good are nought
+        self.seen = self.past = 0.0  # requests seen of late of all flows, and of those no longer active
         self.turn, self.ratio, self.version, self.in_flight, self.waiting = [0, 0], [0.0, 0.0], -1, 0, 0
         self.calm = [[0.0, 0.0, 0.0] for _ in settings.classes]  # a class's mean latency, the calmest, count
         self.most_worth, self.sole = max(c.worth for c in settings.classes), len(self.flows) == 1
@@ -188,8 +190,7 @@
         self.work = [0.0 for _ in settings.classes]  # a class's mean cost, as told
         self.kinds: dict[int, float] = {}  # latency of each kind of machine over the calmest mean
         self.spread, self.follows = 0.0, 0.0  # of costs about that, and how far latency follows them
-        self.latency, self.e = (Latency(), Latency()), T_NS / (T_NS // 10)
-        self.slots: deque[int] = deque()
+        self.latency, self.e, self.slots = (Latency(), Latency()), T_NS / (T_NS // 10), deque[int]()
         self.heap: list[tuple[int, int, Callable[[], object]]] = []
         self.slot_at = self.seq = self.timer_at = self.nudge_at = self.sent = self.began = 0
         self.thin = self.watching = self.made_way = False  # thin: each proxy sees too little of a backend
@@ -365,11 +366,10 @@
             self.members = chosen
             return self._split()
         side = int(self.ratio[1] > self.ratio[0] or self.sole)
-        peers = [p for p in self.groups[side] if p.est1 >= 0]
+        count = len(peers := [p for p in self.groups[side] if p.est1 >= 0])
         for b in news:
             if peers:
-                b.est1 = sum(p.est1 for p in peers) / len(peers)
-                b.est2 = sum(p.est2 for p in peers) / len(peers)
+                b.est1, b.est2 = sum(p.est1 for p in peers) / count, sum(p.est2 for p in peers) / count
             self.members.append(b)
             self._join(b, side)
 
@@ -404,8 +404,7 @@
     def _split(self) -> None:
         """Start: the priority profile's part of requests, of backends by hashed id; of one profile, all."""
         order, flow = sorted(self.members, key=lambda b: b.place), self.flows[self.priority]
-        seen = sum(f.seen for f in self.flows)
-        share = flow.seen / seen if seen > 0 else flow.weight / sum(f.weight for f in self.flows)
+        share = flow.seen / self.seen if self.seen > 0 else flow.weight / self.weight
         count = min(max(1, round(share * len(order))), len(order) - (not self.sole))
         for i, b in enumerate(order):
             b.priority, b.member = i < count, True
@@ -435,11 +434,10 @@
         self.slots.append(now)
         while self.slots[0] <= now - T_NS:
             self.slots.popleft()
-        high, low = 0.0, 1.0 if self.members else 0.0
         for b in self.members:
             self._measure(b, span)
             b.slow = 1.0 + (b.slow - 1.0) * math.exp(-span / SLOW_NS)
-            high, low = max(high, b.b), min(low, b.b)
+        bursts = [b.b for b in self.members] or [0.0]
         self._note_rates(span)
         self._choose_members()
         if len(self.slots) == 1 and now - self.slot_at == T_NS // 10:
@@ -449,7 +447,7 @@
             self._move(1)
         elif self.ratio[1] < 0.5 and self.ratio[0] > 1.0:
             self._move(0)
-        self.e, self.b_low, self.slot_at = self._next_e(high, low), low, now
+        self.e, self.b_low, self.slot_at = self._next_e(max(bursts), min(bursts)), min(bursts), now
         self._at(now + int(T_NS / self.e), self._close_slot)
 
     def _next_e(self, high: float, low: float) -> float:
@@ -464,12 +462,10 @@
         while marks[0][0] <= now - T_NS:
             marks.pop(0)
         mean = sum(m[2] for m in marks) / sum(m[1] for m in marks)
-        if b.arrivals / span > mean:
-            marks[-1] = (now, span, b.arrivals, True)
+        marks[-1] = (now, span, b.arrivals, b.arrivals / span > mean)
         burst = sum(m[3] for m in marks) / len(marks)  # (2)
         x = b.done * NS / span
-        if b.in_flight:
-            b.busy_ns += now - max(b.busy_since, self.slot_at)
+        b.busy_ns += now - max(b.busy_since, self.slot_at) if b.in_flight else 0
         if b.est1 < 0:
             b.est1 = b.est2 = x
         else:
@@ -483,27 +479,29 @@
 
     def _note_rates(self, span: int) -> None:
         """Per profile: traffic shares and service rates; and what a warm backend does for this proxy."""
-        keep = math.exp(-span / (3 * T_NS))
-        for f in self.flows:
+        keep, least = math.exp(-span / (3 * T_NS)), FADED if len(self.active) > MANY else GONE
+        # Guards against a slot's end that takes longer with each tenant there is, though few of them ask.
+        rows, least = [self.active[i] for i in sorted(self.active)], least * min(1.0, self.seen)
+        self.active, self.past, self.seen_ns = {}, self.past * keep, self.seen_ns * keep + span
+        for f in rows:
             f.rate += 0.5 * (f.served * NS / span - f.rate)
             f.served, f.seen, f.good = 0, f.seen * keep, f.good * keep
-        self.seen_ns = self.seen_ns * keep + span
-        # Guards against clients' repeats (only the served counts) and few requests (an even part is PRIOR).
-        paces = sorted(
-            (f.good + PRIOR) / (max(f.quota, 1e-6) * self.seen_ns / NS + PRIOR * self.cfg.proxies)
-            for f in self.flows
-        )
-        self.part = paces[(len(paces) - 1) // 2]
+            if f.seen >= least or f.good >= least or f.queue:
+                self.active[f.number] = f
+            else:
+                self.past, f.rate, f.seen, f.good = self.past + f.seen, 0.0, 0.0, 0.0
+        self.seen, self.part = self.past + sum(f.seen for f in self.active.values()), self._typical_pace()
         for calm in self.calm:
             calm[1] *= 1.0 + CALM_RISE * span / NS
         self.least = [x * (1.0 + CALM_RISE * span / NS) for x in self.least]
         self.queued = {i: f for i, f in self.queued.items() if f.queue}
-        seen = sum(f.seen for f in self.flows)
-        claims = [self._claim(i, seen) for i in range(len(self.flows))]
-        best = max(range(len(claims)), key=lambda i: (claims[i], -i))
+        # Of those with a thousandth of the traffic at most, the first by quota claims most.
+        large = {i for i, f in self.active.items() if f.seen >= 1e-3 * self.seen}
+        small = next((i for i in self.order if i not in large), self.first)
+        best = max([self.first, small, *large], key=lambda i: (self._claim(i, self.seen), -i))
         # A near tie must not swap the priority profile back and forth.
-        if len(self.slots) == 1 or claims[best] > 1.25 * claims[self.priority]:
-            self.priority = best
+        claims = self._claim(best, self.seen), 1.25 * self._claim(self.priority, self.seen)
+        self.priority = best if len(self.slots) == 1 or claims[0] > claims[1] else self.priority
         warm = [b for b in self.members if self._warmth(b) >= 1 and not b.out_until]
         pace = self.sent * NS / span
         if warm:
@@ -518,6 +516,23 @@
         self.rate += (1 - math.exp(-3 * span / T_NS)) * (pace - self.rate) if self.rate else pace
         self.rate, self.sent = max(self.rate, pace) if self.sent >= LEAST_SEEN else self.rate, 0
 
+    def _typical_pace(self) -> float:
+        """The lower median, over all profiles, of served requests for what the quota lets expect."""
+        # Guards against clients' repeats (only the served counts) and few requests (an even part is PRIOR).
+        span, even, count = self.seen_ns, PRIOR * self.cfg.proxies, len(self.flows)
+        rows, places = self.active.values(), sorted([self.place[i] for i in self.active])
+        paces = sorted([(f.good + PRIOR) / (max(f.quota, 1e-6) * span / NS + even) for f in rows])
+
+        def idle(at: int) -> float:  # the pace at this place of those that are not active: ascending
+            return PRIOR / (max(self.flows[self.order[at]].quota, 1e-6) * span / NS + even)
+
+        def below(at: int) -> int:  # how many there are up to that pace
+            return at + 1 - bisect_right(places, at) + bisect_right(paces, idle(at))
+
+        at = bisect_left(range(count), nth := (count + 1) // 2, key=below)
+        rest = nth - (at - bisect_left(places, at))
+        return min(idle(at) if at < count else math.inf, paces[rest - 1] if rest <= len(paces) else math.inf)
+
     # Skips
 
     def _warmth(self, b: Backend) -> float:
@@ -540,9 +555,8 @@
             return FULL
         if b.out_until:
             return FINE
-        if b.in_flight >= b.limit or now < b.rest_until:
-            return FULL
-        if b.in_flight > SPREAD * (self.in_flight / max(1, len(self.members))) * warmth + SPREAD_FREE:
+        even = SPREAD * (self.in_flight / max(1, len(self.members))) * warmth + SPREAD_FREE
+        if b.in_flight >= b.limit or now < b.rest_until or b.in_flight > even:
             return FULL
         # Guards against crowding by others, as far as probes tell of it, or answers where our own are few.
         fresh = max(0.0, 1.0 - (now - b.told_at) / TOLD_NS)
@@ -675,7 +689,7 @@
             self.work[ev.cls] = mean + USUAL_GAIN * (req.cost - mean) if mean else float(req.cost)
         self.latency[int(req.priority)].take(req)
         req.beyond = self._beyond(flow)
-        flow.seen += 1
+        flow.seen, self.seen, self.active[flow.number] = flow.seen + 1, self.seen + 1, flow
         self.staying = min(STAY_MOST + 1.0, self.staying + self.advice.stays * self._advised())
         if self.staying >= (1.0 if req.beyond else STAY_MOST):
             self.staying -= 1.0  # what fits nowhere: what is beyond a share or of less worth goes first
@@ -728,10 +742,9 @@
             self._at(self.nudge_at, bool)
 
     def _admit(self, req: Request, b: Backend) -> None:
-        self.virtual = max(self.virtual, req.flow.tag)
+        flow, self.virtual = req.flow, max(self.virtual, req.flow.tag)
         if not req.attempts:
-            req.flow.tag += 1.0 / req.flow.weight
-            req.flow.served += 1
+            flow.tag, flow.served = flow.tag + 1.0 / flow.weight, flow.served + 1
         self._send(req, b)
 
     def _send(self, req: Request, b: Backend) -> None:
@@ -800,8 +813,7 @@
 
     def _no_longer_out(self, b: Backend) -> None:
         b.in_flight, self.in_flight = b.in_flight - 1, self.in_flight - 1
-        if not b.in_flight:
-            b.busy_ns += self.now - max(b.busy_since, self.slot_at)
+        b.busy_ns += 0 if b.in_flight else self.now - max(b.busy_since, self.slot_at)
 
     def _on_left(self, ev: io.ClientLeft) -> None:
         if (req := self.requests.get(ev.request)) and not req.done:
@@ -821,11 +833,9 @@
     def _give_up(self, req: Request) -> None:
         """Refuse where trying again is harmless, else fail; at once, and counted as late."""
         harmless = req.ran_on is None or req.cls.effect == Effect.SAFE
-        if harmless or (req.cls.effect == Effect.KEYED and req.cls.group == Group.ALL):
-            after = min(req.aim // 4, self.cfg.max_retry_after_ns) if self.cfg.retry_after else 0
-            self.acts.append(io.Refuse(req.id, after))
-        else:
-            self.acts.append(io.Fail(req.id))
+        harmless = harmless or (req.cls.effect == Effect.KEYED and req.cls.group == Group.ALL)
+        after = min(req.aim // 4, self.cfg.max_retry_after_ns) if self.cfg.retry_after else 0
+        self.acts.append(io.Refuse(req.id, after) if harmless else io.Fail(req.id))
         self._finish(req, max(self.now - req.arrived, req.cls.deadline_ns))
 
     def _on_ended(self, ev: io.AttemptEnded) -> None:
@@ -838,17 +848,13 @@
             a.never_ran, a.rejected = True, ev.result == Result.REJECTED
             ran = next((x for x in req.attempts if not x.never_ran), None)
             req.ran_on, req.ran_at = (ran.backend, ran.sent) if ran else (None, 0)
-        if req.done:
-            if not req.out:
-                self.requests.pop(req.id, None)
-        elif ev.finished or ev.result == Result.OK:
+        if req.done and not req.out:
+            self.requests.pop(req.id, None)
+        elif not req.done and (ev.finished or ev.result == Result.OK):
             spent = self.now - req.arrived
             self._finish(req, spent if ev.result == Result.OK else max(spent, req.cls.deadline_ns))
-        elif not req.out:
-            if ev.again:
-                self._again(req, ev.result)
-            else:
-                self._give_up(req)
+        elif not (req.done or req.out):
+            return self._again(req, ev.result) if ev.again else self._give_up(req)
 
     def _again(self, req: Request, result: Result) -> None:
         """Another try where the class allows it, the time suffices and the budget pays for it."""
@@ -860,10 +866,8 @@
             return self._give_up(req)
         b = self._pick(req)
         if b is None:
-            (self._hold if free and req.ran_on is None else self._give_up)(req)
-            return
-        if not free:
-            self.budget -= 1.0
+            return (self._hold if free and req.ran_on is None else self._give_up)(req)
+        self.budget -= 0.0 if free else 1.0
         self._send(req, b)
 
     def _learn(self, a: Attempt, req: Request, ev: io.AttemptEnded) -> None:
@@ -879,6 +883,7 @@
             self._compare(req.cls_index, now - a.sent)
             self._blame(req.cls_index, 0.0)
             b.done, b.rests, b.progress, req.flow.good = b.done + 1, 1.0, now, req.flow.good + 1.0
+            self.active[req.flow.number] = req.flow
             left = b.fails * FAIL_KEEP if b.fails > FAIL_LEAST else 0.0  # one good answer is no cure
             self.sick -= b.fails > left == 0.0 and self.backends.get(b.id) is b
             b.fails, b.out_until, b.backoff = left, 0, max(EJECT_NS, b.backoff // 2)
@@ -967,10 +972,9 @@
         if self._warmth(b) >= 1 and (not sick or 2 * self.sick >= len(self.members)):
             # A cold or sick backend tells nothing of the fleet's room, unless most are sick: overload.
             self._learn_fleet(late, crowded, part * (TOO_LATE if self.now - a.sent > req.aim else 1.0))
-        if late:
-            if a.sent >= b.cut_at and used > b.limit / 2 and part >= OWN:
-                b.limit, b.cut_at = max(1.0, b.limit * CUT), self.now
-        elif used > b.limit - 1:
+        if late and a.sent >= b.cut_at and used > b.limit / 2 and part >= OWN:
+            b.limit, b.cut_at = max(1.0, b.limit * CUT), self.now
+        elif not late and used > b.limit - 1:
             b.limit += 1.0 / b.limit
 
     def _learn_fleet(self, late: bool, crowded: bool, weight: float) -> None:
--- /dev/null
+++ b/tests/test_tenants.py
@@ -0,0 +1,202 @@
+"""What a slot's end keeps of each tenant: the short way, over those that ask, against the long one."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterator
+from typing import Any, SupportsIndex
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from mothstall import choice
+from mothstall import interface as io
+from mothstall.choice import FADED, PRIOR, T_NS, Balancer
+from mothstall.interface import NS
+from tests.helpers import MS, START, Drive, cls, entry, sends, settings
+
+PURE = (cls(),)
+SAME = pytest.approx
+
+
+class Long:
+    """The long way: every flow is gone through at each slot's end, whether it asked or not."""
+
+    def __init__(self, balancer: Balancer) -> None:
+        self.balancer, self.short = balancer, balancer._note_rates
+        self.count = len(balancer.flows)
+        self.seen, self.good, self.rate = ([0.0] * self.count for _ in range(3))
+        self.seen_ns, self.part, self.priority = 0.0, balancer.part, balancer.priority
+        self.slots = 0
+        balancer._note_rates = self.close  # type: ignore[method-assign]
+
+    def claim(self, i: int, seen: float) -> float:
+        flow = self.balancer.flows[i]
+        part = max(self.seen[i] / seen if seen > 0 else flow.weight, 1e-3)
+        return flow.quota / part if self.balancer.cfg.tenants else flow.quota
+
+    def close(self, span: int) -> None:
+        flows, keep = self.balancer.flows, math.exp(-span / (3 * T_NS))
+        for i, f in enumerate(flows):
+            self.rate[i] += 0.5 * (f.served * NS / span - self.rate[i])
+            self.seen[i], self.good[i] = self.seen[i] * keep, self.good[i] * keep
+        self.seen_ns = self.seen_ns * keep + span
+        even = PRIOR * self.balancer.cfg.proxies
+        paces = sorted(
+            (self.good[i] + PRIOR) / (max(f.quota, 1e-6) * self.seen_ns / NS + even)
+            for i, f in enumerate(flows)
+        )
+        self.part = paces[(len(paces) - 1) // 2]
+        seen = sum(self.seen)
+        claims = [self.claim(i, seen) for i in range(self.count)]
+        best = max(range(self.count), key=lambda i: (claims[i], -i))
+        if len(self.balancer.slots) == 1 or claims[best] > 1.25 * claims[self.priority]:
+            self.priority = best
+        self.slots += 1
+        self.short(span)
+        assert all(f.served == 0 for f in flows)
+
+
+def play(
+    tenants: list[io.Tenant], proxies: int, rng: random.Random, calls: int, quiet: int
+) -> Iterator[tuple[Balancer, Long]]:
+    """Random traffic, most of it from a few; now and then `quiet` seconds of silence at most."""
+    classes = PURE if tenants else tuple(cls(worth=rng.choice((1.0, 2.0, 5.0))) for _ in range(4))
+    drive = Drive(5, seed=rng.randrange(2**32), classes=classes, tenants=tuple(tenants), proxies=proxies)
+    long = Long(drive.balancer)
+    count = long.count
+    few = [rng.randrange(count) for _ in range(3)]
+    for _ in range(calls):
+        drive.now += rng.randrange(1, 400) * MS
+        if rng.random() < 0.02:
+            few[rng.randrange(3)] = rng.randrange(count)
+        if rng.random() < 0.02:  # all fall idle, or all but one
+            until, one = drive.now + rng.randrange(quiet) * NS, rng.randrange(2)
+            while drive.now < until:
+                drive.now += 2 * NS
+                drive.feed(io.TimerFired(drive.now))
+                if one and rng.random() < 0.3:
+                    ask(drive, long, few[0], rng)
+        ask(drive, long, few[rng.randrange(3)] if rng.random() < 0.8 else rng.randrange(count), rng)
+        yield drive.balancer, long
+
+
+def ask(drive: Drive, long: Long, flow: int, rng: random.Random) -> None:
+    """One request, seen, and most often served."""
+    drive.balancer.room = drive.balancer.spare = 500.0
+    by_tenant = bool(drive.balancer.cfg.tenants)
+    drive.feed(io.TimerFired(drive.now))  # a slot that ends now ends before it
+    rid, acts = drive.ask(0 if by_tenant else flow, tenant=flow if by_tenant else 0)
+    long.seen[flow] += 1
+    for act in sends(acts):
+        drive.now += 20 * MS
+        drive.feed(io.TimerFired(drive.now))
+        good = rng.random() < 0.9
+        long.good[flow] += good
+        drive.end(rid, act.backend, io.Result.OK if good else io.Result.ERROR)
+        drive.balancer.backends[act.backend].fails = 0.0
+
+
+QUOTAS = st.one_of(st.sampled_from((0.0, 1.0, 5.0, 5.0, 40.0)), st.floats(1e-9, 1e4))
+TENANTS = st.lists(st.tuples(st.floats(1e-6, 1.0), QUOTAS), max_size=30)
+
+
+@hypothesis_settings(max_examples=40)
+@given(rows=TENANTS, proxies=st.sampled_from((1, 2, 300)), seed=st.integers(0, 2**32))
+def test_the_short_way_gives_what_the_long_way_gives(
+    rows: list[tuple[float, float]], proxies: int, seed: int
+) -> None:
+    """Rates, traffic, typical pace and priority, while flows fall idle, are forgotten, and come back."""
+    tenants = [io.Tenant(*row) for row in rows]
+    for balancer, long in play(tenants, proxies, random.Random(seed), 120, 3000):
+        assert balancer.part == SAME(long.part, rel=1e-12)
+        assert balancer.priority == long.priority
+        assert balancer.seen == SAME(sum(long.seen), rel=1e-12)
+        for i, f in enumerate(balancer.flows):
+            assert f.seen == SAME(long.seen[i], rel=1e-12, abs=1e-15 * max(1.0, balancer.seen))
+            assert f.good == SAME(long.good[i], rel=1e-12, abs=1e-15)
+            assert f.rate == SAME(long.rate[i], rel=1e-12, abs=1e-15)
+            assert i in balancer.active or f.seen == f.good == f.rate == f.served == 0
+    assert long.slots > 10
+
+
+def test_while_nobody_was_idle_for_long_the_short_way_is_the_same_to_the_digit() -> None:
+    rng = random.Random(3)
+    tenants = [io.Tenant(1 / 20, rng.choice((2.0, 7.5, 40.0))) for _ in range(20)]
+    for balancer, long in play(tenants, 30, rng, 400, 60):
+        assert (balancer.part, balancer.priority) == (long.part, long.priority)
+        assert [f.rate for f in balancer.flows] == long.rate
+        assert [f.seen for f in balancer.flows] == long.seen
+
+
+def test_tenants_are_forgotten_in_the_plays_above() -> None:
+    """So that what they hold is held of flows that left and came back."""
+    rng, left, back = random.Random(1), 0, 0
+    tenants = [io.Tenant(1 / 20, 5.0) for _ in range(20)]
+    before: set[int] = set()
+    gone: set[int] = set()
+    for balancer, _ in play(tenants, 30, rng, 400, 3000):
+        left += len(new := before - set(balancer.active))
+        back += len(gone & set(balancer.active))
+        gone = (gone | new) - set(balancer.active)
+        before = set(balancer.active)
+    assert left > 20 and back > 20
+
+
+@hypothesis_settings(max_examples=25)
+@given(seed=st.integers(0, 2**32), rows=st.lists(QUOTAS, min_size=10, max_size=40))
+def test_where_many_ask_the_pace_is_off_by_what_is_forgotten_at_most(seed: int, rows: list[float]) -> None:
+    """Past MANY those with less than FADED requests of late count as idle: their paces by that over PRIOR."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(choice, "MANY", 4)
+        tenants = [io.Tenant(1 / len(rows), quota) for quota in rows]
+        for balancer, long in play(tenants, 30, random.Random(seed), 150, 120):
+            assert balancer.seen == SAME(sum(long.seen), rel=1e-9)
+            for i, f in enumerate(balancer.flows):
+                # What it leaves with is lost to it once in the time in which that would have faded anyway.
+                assert long.good[i] - 2 * FADED <= f.good <= long.good[i] + 1e-12
+            assert long.part * PRIOR / (PRIOR + 2 * FADED) <= balancer.part <= long.part * (1 + 1e-12)
+
+
+class Counted(list[Any]):
+    """A list that counts what is looked at."""
+
+    looks = 0
+
+    def __getitem__(self, at: SupportsIndex | slice) -> Any:
+        self.looks += 1
+        return super().__getitem__(at)
+
+    def __iter__(self) -> Iterator[Any]:
+        for one in super().__iter__():
+            self.looks += 1
+            yield one
+
+
+def test_a_slots_end_looks_at_those_that_ask_and_not_at_all_tenants() -> None:
+    """A loop over all tenants, of which a fleet may have half a million, stops all requests meanwhile."""
+    rng, looks = random.Random(5), []
+    for count in (2_000, 20_000):
+        tenants = tuple(io.Tenant(1 / count, rng.uniform(1.0, 50.0)) for _ in range(count))
+        balancer = Balancer(settings(classes=PURE, tenants=tenants, proxies=300), 1)
+        balancer.handle(START, [io.BackendList(io.Scope.FULL, 1, [entry(i) for i in range(1, 41)])])
+        kept = [Counted(balancer.flows), Counted(balancer.order), Counted(balancer.place)]
+        balancer.flows, balancer.order, balancer.place = kept
+        now = START
+        for number in range(400):
+            now += 50 * MS
+            came = io.RequestArrived(number, 0, rng.randrange(count), 0, NS, 0, False)
+            for act in balancer.handle(now, [came]):
+                if isinstance(act, io.SendAttempt):
+                    done = io.AttemptEnded(number, 0, act.backend, io.Result.OK, MS, True, ())
+                    balancer.handle(now, [done])
+        assert len(balancer.active) > 300 and len(balancer.slots) > 3
+        for rows in kept:
+            rows.looks = 0
+        balancer._note_rates(NS)
+        balancer._split()
+        looks.append(sum(rows.looks for rows in kept))
+    assert looks[1] < 2000 and looks[1] < 1.5 * looks[0]
