--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -291,12 +291,14 @@
         assert {m.id for m in b.members} == {m.id for m in turned[: b.size]}
 
 
-def test_a_slots_end_goes_through_the_profiles_a_few_times_and_not_for_each() -> None:
-    """Guards against tenants squared at each slot's end."""
+def test_a_slots_end_goes_through_no_profiles_but_those_that_asked() -> None:
+    """Guards against all tenants, and the more against their square, at each slot's end."""
     drive = Drive(4, tenants=tuple(io.Tenant(0.02, 2.0) for _ in range(50)))
     flows = drive.balancer.flows = Counted(drive.balancer.flows)
+    drive.ask(tenant=7)
     drive.wait(T_NS // 10 + 1)
-    assert 0 < flows.passes < 10
+    assert drive.balancer.slots and set(drive.balancer.active) == {7}
+    assert flows.passes == 0
 
 
 def test_a_request_goes_through_no_profiles_but_those_that_wait() -> None:
