The module's fault in a test comes at the next request, not at a tick before it

The broken module was put in place and raised at whatever came first. It raises at a request's arrival now.

--- a/tests/test_net_failures.py
+++ b/tests/test_net_failures.py
@@ -12,7 +12,7 @@
 import pytest
 
 from mothstall import config
-from mothstall.interface import Event, Result
+from mothstall.interface import Event, RequestArrived, Result
 from mothstall.net import backend as peer
 from mothstall.net import frontend
 from tests.peers import (
@@ -509,9 +509,13 @@
             held = asyncio.create_task(r.ask("order", remaining="3000m"))
             await r.until(lambda: len(r.backends[0].seen) == 1)
             balancer = r.proxy._decider._balancer
+            handle = balancer.handle
 
             def broken(now: int, events: list[Event]) -> list[Any]:
-                raise RuntimeError("broken")
+                # At the next request and not at a tick before it, which the module that follows would take.
+                if any(isinstance(event, RequestArrived) for event in events):
+                    raise RuntimeError("broken")
+                return handle(now, events)
 
             balancer.handle = broken  # type: ignore[method-assign]
             assert (await r.ask("search")).status == 502
