--- a/mothstall/fleet/gather.py
+++ b/mothstall/fleet/gather.py
@@ -13,6 +13,7 @@
 from collections.abc import Sequence
 
 from mothstall.fleet.evidence import (
+    MARK,
     MOST_COUNT,
     MOST_HEADS,
     MOST_SPAN_MS,
@@ -27,18 +28,6 @@
 
 EDGES = (0.02, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.35, 0.5, 0.75)  # parts that go badly, between two bins
 KEPT = 4  # reports of one proxy in one sum, at most
-MARK = "observer/"  # names of sums begin so
-
-
-def named(report: Report, observers: Sequence[str]) -> bool:
-    """Whether a sum is one of these observers'; what is no sum is anybody's.
-
-    Guards against a proxy that speaks for hundreds.
-    """
-    if not report.heads:
-        return True
-    name, _, zone = report.proxy.removeprefix(MARK).partition("@")
-    return report.proxy.startswith(MARK) and zone == report.zone and name in observers
 
 
 class Gather:
@@ -83,7 +72,7 @@
         name, span_ms = f"{MARK}{self._observer}@{zone}", min(MOST_SPAN_MS, max(1, round(span)))
         return Report(
             name, zone, self._number, span_ms, plan, _whole(asked), _whole(refused), {},
-            _typical([one.last.warm for one in group]), _typical([one.last.util for one in group]),
+            _short(_typical([one.last.warm for one in group])), _typical([one.last.util for one in group]),
             len(group), on, {to: rows for to, rows in bins.items() if rows},
         )  # fmt: skip
 
@@ -138,3 +127,11 @@
 def _typical(rows: Sequence[dict[str, float]]) -> dict[str, float]:
     names = sorted({name for row in rows for name in row})
     return {name: typical([(1, row[name]) for row in rows if name in row]) for name in names}
+
+
+def _short(rows: dict[str, float]) -> dict[str, float]:
+    """Weights as they travel: whole numbers are shorter, and from 100 on the next one is told.
+
+    An owner hears each zone's weight from every observer every second: a third of what it heard.
+    """
+    return {name: round(v) if v >= 100 or v.is_integer() else v for name, v in rows.items()}
