--- a/Makefile
+++ b/Makefile
@@ -20,5 +20,5 @@
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/mypy
 	$(VENV)/bin/lint-imports --no-logo
-	$(VENV)/bin/python -m pytest -n 4 -m "not processes"
+	$(VENV)/bin/python -m pytest -n 8 -m "not processes"
 	$(VENV)/bin/python -m pytest -m processes
