--- a/mothstall/lab/fleetjudge.py
+++ b/mothstall/lab/fleetjudge.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 from mothstall.lab import zonejudge
@@ -173,15 +173,18 @@
 def _served(s: Fleet, seen: Seen, told: Told) -> list[Breach]:
     """Clients' traffic flows throughout, but for those whose proxy stood still or was gone."""
     seconds: dict[int, list[bool]] = defaultdict(list)
+    missed: dict[int, Counter[str]] = defaultdict(Counter)
     for row in seen.asked:
         if row.at >= s.seconds:
             continue  # the run is over, and its processes end
         if not _away(told, row.proxy, row.at - 0.5, row.at + max(row.took_s, 0.5)):
             seconds[int(row.at)].append(row.status == 200)
+            missed[int(row.at)][f"{row.status} at {row.proxy}"] += row.status != 200
     found = []
     for second, rows in sorted(seconds.items()):
         if len(rows) >= 5 and sum(rows) < s.expects.served * len(rows):
-            what = f"{sum(rows)} of {len(rows)} requests answered in second {second}"
+            how = ", ".join(f"{count} {kind}" for kind, count in sorted(missed[second].items()) if count)
+            what = f"{sum(rows)} of {len(rows)} requests answered in second {second} ({how})"
             found.append(Breach("traffic flows", float(second), what))
     return found
 
--- a/tests/lab/test_fleetjudge.py
+++ b/tests/lab/test_fleetjudge.py
@@ -55,6 +55,7 @@
         (lambda seen, told: told.drains.append(Drained("b2", "", 3.0, 9.0)), "drain: "),
         (lambda seen, told: told.drains.append(Drained("b2", "p1", 3.0, 9.0)), "drain: p1 sent to b2"),
         (lambda seen, told: seen.asked.extend([Asked(5.0, "p1", 503, 0.1)] * 40), "traffic flows"),
+        (lambda seen, told: seen.asked.extend([Asked(5.0, "p1", 503, 0.1)] * 40), "(40 503 at p1)"),
         (lambda seen, told: seen.effects.extend([Effect(11.9, "b1", "p1", "probe/b1", 4, "")] * 9), "probes"),
         (lambda seen, told: told.unmet.append("drain b1: no quorum"), "operators"),
         (
