--- a/tests/lab/scale/test_beside.py
+++ b/tests/lab/scale/test_beside.py
@@ -152,3 +152,12 @@
     )
     assert wrong == [] and {"observer_moved", "observer_back"} <= set(values)
     assert values["requests"][0] > 100 and values["real_moves"][0] >= 3
+
+
+@pytest.mark.processes
+def test_a_real_proxy_is_asked_in_turn_with_one_that_has_no_agent() -> None:
+    """Whoever has the agent is a member throughout, or the play does not finish."""
+    values = real.play(6, lambda _: None, seed=1, pairs=2, seconds={70: 0.5})
+    assert values["pairs"] == (2, "1") and values["restarts"][0] > 0 and values["changes"][0] > 0
+    assert all(values[f"{key}_70"][0] > 0 for key in ("p99_on", "p99_off", "p99_ratio", "cpu_on"))
+    assert values["p99_ratio_low_70"] <= values["p99_ratio_70"] <= values["p99_ratio_high_70"]
