--- a/mothstall/lab/scale/tierfaults.py
+++ b/mothstall/lab/scale/tierfaults.py
@@ -168,7 +168,7 @@
     first = 0.0
     for key, since, until in spans:
         saw = beside.seen(ledger, since, until)
-        values[f"{key}_served"] = (saw.served, "1")
+        values |= {f"{key}_asked": (saw.asked, "1"), f"{key}_served": (saw.served, "1")}
         if saw.served > 0:
             values |= {f"{key}_p50": (saw.p50, "ms"), f"{key}_p99": (saw.p99, "ms")}
             first = first or saw.p99
--- a/tests/lab/scale/test_beside.py
+++ b/tests/lab/scale/test_beside.py
@@ -107,6 +107,7 @@
     assert none.asked == 0 and math.isnan(none.p99)
     values = tierfaults.told(found, [("before", 0, NS), ("cut", NS, 2 * NS), ("idle", 5 * NS, 6 * NS)])
     assert values["cut_p99_ratio"] == (9.0, "1") and values["before_served"] == (1.0, "1")
+    assert values["cut_asked"] == (100, "1")
     assert "before_p99_ratio" not in values and "idle_p99" not in values
 
 
