--- a/mothstall/lab/scale/capacity.py
+++ b/mothstall/lab/scale/capacity.py
@@ -208,7 +208,7 @@
         lambda t, part: 3e-6 * t.requests_per_proxy,
     ),
     Line(
-        PATH, "a slot's end, by tenants", "ms", added, LONE, "missing: pace of those alone that ask",
+        PATH, "a slot's end, by tenants", "ms", added, LONE, "the tenants that asked lately",
         "turn/tenants", "tenants", ("slot",), tenants,
     ),
     Line(
