--- a/mothstall/lab/scale/capacity.py
+++ b/mothstall/lab/scale/capacity.py
@@ -102,7 +102,7 @@
     times: Times = 1.0
     before: tuple[str, ...] = ()  # the value of the same meaning in points of the text before
     most_of: tuple[str, str] | None = None  # the limit is the most that this value of a series ever reached
-    gave_up: str = ""  # of the series: a size that has this value did not come to an end
+    gave_up: tuple[str, str] | None = None  # a size of this series with this value did not come to its end
     nothing: str = ""
     unmeasured: str = ""
 
@@ -609,19 +609,19 @@
     Line(
         "peak: a zone's proxies come at one instant", "until the last is a member", "s",
         lambda t: t.control.everywhere_s, "operators: as for a change", "sessions and leases of their own",
-        "control/join", "proxies", ("join_last",), lambda t, part: part * t.proxies_of_a_zone,
-        gave_up="join_gave_up",
+        "control/proxies", "proxies", ("join_last",), lambda t, part: part * t.proxies_of_a_zone,
+        gave_up=("control/join", "join_gave_up"),
     ),
     Line(
         "peak: a region's proxies return", "until the last is a member", "s",
         lambda t: t.control.everywhere_s, "operators: as for a change", "sessions and leases of their own",
-        "control/join", "proxies", ("join_last",), lambda t, part: part * t.proxies_of_a_region,
-        gave_up="join_gave_up",
+        "control/proxies", "proxies", ("join_last",), lambda t, part: part * t.proxies_of_a_region,
+        gave_up=("control/join", "join_gave_up"),
     ),
     Line(
         "peak: all proxies start anew", "until the last is a member", "s",
         lambda t: t.control.everywhere_s, "operators: as for a change", "sessions and leases of their own",
-        "control/join", "proxies", ("join_last",), gave_up="join_gave_up",
+        "control/proxies", "proxies", ("join_last",), gave_up=("control/join", "join_gave_up"),
     ),
     Line(
         "peak: a region is lost", "voters lost with it, at most", "1", lambda t: (VOTERS - 1) // 2,
@@ -649,15 +649,16 @@
 
 def _gave_up(points: Sequence[Point], line: Line) -> float:
     """The smallest size at which a play of the line's did not come to its end; inf: all did."""
+    series, value = line.gave_up or ("", "")
     return min(
-        (p.axes[line.axis] for p in points if p.series == line.series and line.gave_up in p.values),
-        default=math.inf,
+        (p.axes[line.axis] for p in points if p.series == series and value in p.values), default=math.inf
     )
 
 
 def _short_of(points: Sequence[Point], line: Line, size: float) -> str:
-    here = [p for p in points if p.series == line.series and p.axes[line.axis] == size]
-    late = [p.values[line.gave_up] for p in here if line.gave_up in p.values]
+    series, value = line.gave_up or ("", "")
+    here = [p for p in points if p.series == series and p.axes[line.axis] == size]
+    late = [p.values[value] for p in here if value in p.values]
     limit, unit = max(late)
     return f"at {size:,.0f} not within {limit:g} {unit}, {len(late)} of {len(here)}"
 
--- a/tests/lab/scale/test_capacity.py
+++ b/tests/lab/scale/test_capacity.py
@@ -96,7 +96,7 @@
 
 
 def test_a_size_that_did_not_come_to_its_end_is_over_whatever_the_slope_says() -> None:
-    line = replace(LINE, gave_up="gave_up")
+    line = replace(LINE, gave_up=("c/p", "gave_up"))
     rows = made("c/p", "cpu", 0.0, 1e-6)
     late = [
         msgspec.structs.replace(rows[0], axes={"proxies": 1200.0}, repeat=repeat, values=values)
