--- a/mothstall/fleet/agent.py
+++ b/mothstall/fleet/agent.py
@@ -117,6 +117,11 @@
     def member(self) -> str:
         return f"{duties.MEMBER}{self.name}"
 
+    @property
+    def is_member(self) -> bool:
+        """Whether the log has this proxy: by its lease, or by the observer that it is attached to."""
+        return self._tier.seated if self._tier else self.member in self.holder.held
+
     def drained(self) -> Drained:
         return Drained.of(self.view.drains, self.here.values())
 
--- a/mothstall/fleet/attach.py
+++ b/mothstall/fleet/attach.py
@@ -53,6 +53,7 @@
         self.turn = 0
         self.seated = False  # whether the log has this proxy where it is
         self.moves = 0
+        self.seated_at = 0.0  # when that was first so, on the machine's steady clock, s; 0: never
         self._age_ms = 0
         self._spoke = 0
         self._left = ""
@@ -132,6 +133,7 @@
             self._fed(word.delta, word.age_ms)
         elif isinstance(word, tiercalls.Seated):
             self.seated = self.seated or word.turn == self.turn
+            self.seated_at = self.seated_at or time.monotonic()
         elif isinstance(word, tiercalls.Turned):
             if word.turn == self.turn:
                 self.leave(word.why)
--- a/mothstall/observer/process.py
+++ b/mothstall/observer/process.py
@@ -17,6 +17,7 @@
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from typing import Any
+from weakref import WeakSet
 
 import msgspec
 
@@ -52,7 +53,7 @@
 GRACE_TERMS = 5  # for which proxies of a lost observer count as moving
 COUNTS = (
     "asks", "asks_dropped", "asks_refused", "renewals", "renewed", "reports", "reports_left_out", "sums",
-    "frames_unreadable", "links_turned_away", "leases_lost", "told_bytes",
+    "frames_unreadable", "links_turned_away", "leases_lost", "told_bytes", "bytes_in", "bytes_out",
 )  # fmt: skip
 
 
@@ -113,6 +114,7 @@
         self.counts = dict.fromkeys(COUNTS, 0)
         self._key = operator.key()
         self._links: set[FrameLink] = set()
+        self._open: WeakSet[FrameLink] = WeakSet()  # of proxies and tools, from the first byte on
         self._guests: dict[str, FrameLink] = {}
         self._listeners: set[FrameLink] = set()
         self._waiting: deque[Asked] = deque()
@@ -301,10 +303,12 @@
     # Proxies
 
     def _accept(self) -> FrameLink:
-        return FrameLink(
+        link = FrameLink(
             self.operator.cluster, self._key, self.name, "observer", dialled=False, met=self._met,
             taken=self._taken, lost=self._gone,
         )  # fmt: skip
+        self._open.add(link)
+        return link
 
     def _met(self, link: FrameLink) -> None:
         if len(self._links) >= MOST_LINKS or link.role not in ("agent", "tool"):
@@ -315,6 +319,9 @@
 
     def _gone(self, link: FrameLink, why: str) -> None:
         guest = link.state
+        self.counts["bytes_in"] += link.bytes_in
+        self.counts["bytes_out"] += link.bytes_out
+        self._open.discard(link)
         self._forget(link)
         if guest is not None:
             self.presence.unlinked(guest.name, guest.owner, guest.turn, time.monotonic_ns(), False)
@@ -508,6 +515,14 @@
 
     # Operators
 
+    def _counted(self) -> dict[str, int]:
+        """Counts since the start; bytes of the connections that are open among them."""
+        found = dict(self.counts)
+        for link in self._open:
+            found["bytes_in"] += link.bytes_in
+            found["bytes_out"] += link.bytes_out
+        return found
+
     def status(self) -> dict[str, Any]:
         """What an operator reads of this observer, by its own account."""
         presence, fanout = self.presence, self.fanout
@@ -519,7 +534,9 @@
             "age_ms": self.age_ms(),
             "left_out": fanout.counts["left_out"] + presence.counts["turned_away"]
             + self.counts["reports_left_out"] + self.counts["asks_dropped"],
-            "counts": {**self.counts, **presence.counts, **{f"fed_{k}": v for k, v in fanout.counts.items()}},
+            "counts": {
+                **self._counted(), **presence.counts, **{f"fed_{k}": v for k, v in fanout.counts.items()},
+            },
         }  # fmt: skip
 
 
