End an open request in one place, so that a broken upload leaves nothing behind

Callers saw: a long upload that broke by a malformed chunk got its 400, and the proxy kept the connection to the backend, the id, the buffer grant and the attempt for good (25 clients: 19 to 25 descriptors 30 s later). A complete upload with something malformed behind it in the same read got the 400 alone; the response of the request that had run was lost. After an early response a malformed rest got a second final one.

Cause: Connection._parse answered parser errors by reject_and_close whatever was open, and Stream.abort asked `if sink:`, which is false for a backend's connection (aiohttp's DataQueue gives it a length of 0), so that no backend learned of a cut body.

Change: OpenExchange holds request and relay, ended once and by reason; Connection.enter withdraws what is open when a state without an open request is entered, so that a way out cannot forget it. A body that came complete is taken before the error behind it, and the error waits for the response. A backend's connection whose request body was cut is not used again. Rejecting has a module of its own.

--- a/mothstall/net/backend_side/connection.py
+++ b/mothstall/net/backend_side/connection.py
@@ -49,6 +49,7 @@
         self._body_parts: list[bytes] = []
         self._upload: Stream | None = None
         self._is_upload_chunked = False
+        self._is_upload_cut = False  # the backend waits for the rest of a body that never comes
         # All of its long body was taken, and is not yet all handed to the socket.
         self._flushing_attempt: OpenAttempt | None = None
         self._stream: Stream | None = None  # a long response that is being relayed
@@ -144,6 +145,7 @@
         self.attempt = attempt
         self._reader.reset()
         self._body_parts = []
+        self._is_upload_cut = False
         self.transport.write(raw_request)
         upload = attempt.command.client_request.stream if attempt.command else None
         if attempt.command is not None and upload is not None:
@@ -178,8 +180,12 @@
             self._on_flushed(self.attempt)
 
     def abort_body(self) -> None:
-        """Cancel the attempt whose client left in the middle of its body: it never runs."""
+        """Cancel the attempt whose client left in the middle of its body: it never runs.
+
+        A long response that has begun goes on; behind it the connection is not used again.
+        """
         self._upload = None
+        self._is_upload_cut = True
         if self.attempt is not None:
             self.owner.cancel(self.attempt, AttemptResult.CANCELLED)
 
@@ -300,7 +306,7 @@
             self.owner.counters.add("answers_with_more")
             self.owner.on_unsolicited_bytes()
         is_early = self._upload is not None or self._flushing_attempt is not None
-        keep = not has_more and not message.should_close and not is_early
+        keep = not (has_more or message.should_close or is_early or self._is_upload_cut)
         self._on_response_complete(keep=keep)
 
     def _on_response_complete(self, keep: bool) -> None:
--- a/mothstall/net/body_relay.py
+++ b/mothstall/net/body_relay.py
@@ -152,7 +152,8 @@
             return
         self._finish()
         sink = self._sink
-        if sink:  # false for a backend's connection, which has a length: see aiohttp's DataQueue
+        # By identity: a backend's connection has a length (aiohttp's DataQueue), and is false.
+        if sink is not None:
             self._sink = None
             sink.abort_body()
 
--- a/mothstall/net/client_side/connection.py
+++ b/mothstall/net/client_side/connection.py
@@ -14,17 +14,23 @@
 from mothstall.net.body_relay import MAX_READ_BYTES
 from mothstall.net.client_side import (
     lingering_close,
+    rejection,
     request_body,
     request_head,
     response_relay,
 )
-from mothstall.net.client_side.connection_states import DEFERS_INPUT, READS_BODY, ConnectionState
+from mothstall.net.client_side.connection_states import (
+    DEFERS_INPUT,
+    HAS_OPEN_EXCHANGE,
+    READS_BODY,
+    ConnectionState,
+)
+from mothstall.net.client_side.open_exchange import ExchangeEnd, OpenExchange
 from mothstall.net.client_side.pipelined_input import PipelinedInput
 from mothstall.net.client_side.request_body import RequestBody
 from mothstall.net.client_side.response_relay import ResponseRelay
-from mothstall.net.decider_messages import PLAIN_TEXT_HEADER, ClientResponse
+from mothstall.net.decider_messages import ClientResponse
 from mothstall.net.listener import CHECK_CLIENT_AFTER_NS, has_peer_hung_up
-from mothstall.net.metrics import Outcome
 
 if TYPE_CHECKING:
     from mothstall.net.client_side.frontend import Frontend
@@ -42,9 +48,8 @@
         since: When the state was entered, or its time began anew (loop time, seconds).
         arrived_ns: Since when what is read may have been there (clock, nanoseconds).
         request: The request that is read or open.
-        request_number: Of the open request.
+        exchange: The open request, and what it holds; None in a state that has none open.
         body: What has come of the request's body.
-        relay: The long response that is being relayed.
         pipelined: What came behind an open request, not parsed yet.
         is_http11: The open request is of HTTP/1.1.
         keeps_alive: The connection stays open after the response to the open request.
@@ -62,14 +67,13 @@
         "body",
         "deferred_error",
         "discarded_bytes",
+        "exchange",
         "frontend",
         "is_http11",
         "is_read_blocked",
         "keeps_alive",
         "pipelined",
-        "relay",
         "request",
-        "request_number",
         "since",
         "state",
     )
@@ -81,9 +85,8 @@
         self.since = 0.0
         self.arrived_ns = 0
         self.request: protocol.ClientRequest | None = None
-        self.request_number = 0
+        self.exchange: OpenExchange | None = None
         self.body = RequestBody()
-        self.relay: ResponseRelay | None = None
         self.pipelined = PipelinedInput(frontend.pipelined_budget)
         self.is_http11 = True
         self.keeps_alive = True
@@ -125,10 +128,7 @@
         self.frontend.table.leave(self)
         self.detach(exc)
         self.forget_pipelined()
-        relay = self.relay
-        if relay is not None:
-            self.finish_relay(Outcome.LEFT)
-            relay.stream.drop()
+        self.end_exchange(ExchangeEnd.WITHDRAWN)
         self.request = self.body.payload = None
         self.body.parts = []
 
@@ -140,8 +140,6 @@
         """The client has gone: its open request is withdrawn."""
         if self.state in (ConnectionState.AWAITING_RESPONSE, ConnectionState.UPLOADING):
             self.enter(ConnectionState.LINGERING)
-            self.frontend.client_left(self.request_number, self.request)
-        self.body.cut()
 
     def forget_pipelined(self) -> None:
         """Drop what came behind the open request."""
@@ -149,6 +147,11 @@
         self.pipelined.clear()
         self._parser_may_hold_more = False
 
+    @property
+    def relay(self) -> ResponseRelay | None:
+        """The long response that is being relayed."""
+        return None if self.exchange is None else self.exchange.relay
+
     def pause_writing(self) -> None:
         """The transport's buffer is full."""
         BaseProtocol.pause_writing(self)
@@ -199,7 +202,7 @@
     def shed(self) -> None:
         """End by a lingering close if nothing is open; part of a request is rejected."""
         if self.state in (ConnectionState.READING_HEAD, ConnectionState.READING_BODY):
-            self.reject_and_close(503, "no room")
+            rejection.reject_and_close(self, 503, "no room")
         else:
             lingering_close.begin(self)
 
@@ -219,7 +222,13 @@
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
     def enter(self, state: ConnectionState) -> None:
-        """Change the state."""
+        """Change the state.
+
+        Guards against a way out of a state that forgets the open request: what has not ended
+        otherwise is withdrawn with the change.
+        """
+        if self.exchange is not None and state not in HAS_OPEN_EXCHANGE:
+            self.end_exchange(ExchangeEnd.WITHDRAWN)
         table = self.frontend.table
         table.leave(self)
         self.state = state
@@ -291,15 +300,13 @@
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
         except HttpProcessingError:
-            self.frontend.counters.add("requests_malformed")
-            self.reject_and_close(400, "no HTTP")
+            request_body.on_malformed_input(self, "no HTTP")
             return
         if messages:
             self._messages.extend(messages)
             self._parser_may_hold_more = len(self._messages) >= self._max_msg_queue_size
         if upgraded:
-            self.frontend.counters.add("requests_malformed")
-            self.reject_and_close(400, "no upgrade")
+            request_body.on_malformed_input(self, "no upgrade")
         elif self.state in READS_BODY:
             request_body.on_data(self)
         elif self.state == ConnectionState.READING_HEAD and self._messages:
@@ -342,13 +349,23 @@
         assert self.request is not None
         number = self.frontend.submit_request(self, self.request, self.arrived_ns)
         if number is None:
-            self.reject_request(400, "X-Txn is that of an open request")
+            rejection.reject_request(self, 400, "X-Txn is that of an open request")
 
-    def open_as(self, number: int, state: ConnectionState) -> None:
-        """Note the number of the request that the decisions take now."""
-        self.request_number = number
+    def open_exchange(self, exchange: OpenExchange, state: ConnectionState) -> None:
+        """Note the request that the decisions get now."""
+        self.exchange = exchange
         self.enter(state)
 
+    def end_exchange(self, end: ExchangeEnd) -> None:
+        """End the open request, if there is one: nothing of it stays open anywhere."""
+        exchange = self.exchange
+        if exchange is None:
+            return
+        self.exchange = None
+        self.request = None
+        self.body.stream = None
+        self.frontend.end_exchange(exchange, end)
+
     # As the source of a long body
 
     def pause(self) -> None:
@@ -400,10 +417,8 @@
         if reply.stream is not None:
             response_relay.start(self, reply, reply.stream)
             return
-        request, self.request = self.request, None
-        self.frontend.request_answered(request)
+        self.end_exchange(ExchangeEnd.ANSWERED)
         if self.state == ConnectionState.UPLOADING:
-            self.body.stream = None
             self._answer_early(reply)
         else:
             self.write_response(reply)
@@ -445,55 +460,12 @@
         if self.frontend.phases.is_handing_over and self.frontend.handover.hand_over(self):
             return
         if self.deferred_error is not None:
-            self.reject_and_close(*self.deferred_error)
+            rejection.reject_and_close(self, *self.deferred_error)
         elif self._messages or self.pipelined.pieces:
             # Guards against a pipeline that keeps the loop to itself.
             self._loop.call_soon(self.take_next)
 
-    def finish_relay(self, outcome: Outcome) -> None:
-        """Report the end of a long response, whichever it is."""
-        self.relay = None
-        request, self.request = self.request, None
-        self.frontend.response_relayed(self.request_number, request, outcome)
-
-    # Rejecting
-
-    def reject_request(self, status: int, why: str) -> None:
-        """Reject a request that is not well-formed: an error at once, nothing is forwarded.
-
-        Guards against the same again as soon as it is rejected: the next one waits a while.
-        """
-        self.frontend.counters.add("requests_bad")
-        if (
-            not self.body.is_complete()
-            or not self.keeps_alive
-            or self.frontend.phases.closing
-            or self.transport is None
-        ):
-            self.reject_and_close(status, why)
-            return
-        self.request = self.body.payload = None
-        body = f"{why}\n".encode("utf-8", "replace")
-        self.transport.write(protocol.encode_response(status, PLAIN_TEXT_HEADER, body, False))
-        self.enter(ConnectionState.PENALIZED)
-
-    def reject_and_close(self, status: int, why: str) -> None:
-        """Write an error and end the connection, such that the client gets to see the error."""
-        if self.state == ConnectionState.AWAITING_RESPONSE:
-            # The open request is answered first.
-            lingering_close.discard_further_input(self, status, why)
-            return
-        self.deferred_error = None
-        self.request = self.body.payload = None
-        if self.transport is None:
-            return
-        body = f"{why}\n".encode("utf-8", "replace")
-        head = PLAIN_TEXT_HEADER + (self.frontend.retry_after_head if status == 503 else b"")
-        self.transport.write(protocol.encode_response(status, head, body, True))
-        lingering_close.begin(self, ConnectionState.REJECTED)
-
     def reject_open_request(self, status: int, why: str) -> None:
         """Answer the open request with an error too; it is forwarded no more."""
-        self.frontend.client_left(self.request_number, self.request)
         self.enter(ConnectionState.READING_BODY)
-        self.reject_and_close(status, why)
+        rejection.reject_and_close(self, status, why)
--- a/mothstall/net/client_side/connection_handover.py
+++ b/mothstall/net/client_side/connection_handover.py
@@ -10,10 +10,10 @@
 from mothstall.net.client_side.connection import Connection
 from mothstall.net.client_side.connection_states import ConnectionState
 from mothstall.net.client_side.connection_table import ConnectionTable
+from mothstall.net.client_side.open_exchange import ExchangeEnd
 from mothstall.net.counters import Counters
 from mothstall.net.lifecycle import Lifecycle, Phase
 from mothstall.net.listener import unsent_bytes
-from mothstall.net.metrics import Outcome
 
 # The backend's place within its chunked coding: see ChunkedDecoder.
 ChunkedPlace = tuple[int, int, bytes] | None
@@ -128,7 +128,7 @@
             return
         self._counters.add("answers_handed_over")
         stream.abandon()
-        connection.finish_relay(Outcome.FULFILLED)
+        connection.end_exchange(ExchangeEnd.RELAYED)
         if isinstance(source, BackendConnection):
             source.sink_closed()
         connection.release()
--- a/mothstall/net/client_side/connection_states.py
+++ b/mothstall/net/client_side/connection_states.py
@@ -38,6 +38,16 @@
     ConnectionState.DISCARDING_BODY,
 )
 
+# States in which a request is with the decisions, or its long response is on its way.
+HAS_OPEN_EXCHANGE = (
+    ConnectionState.AWAITING_RESPONSE,
+    ConnectionState.UPLOADING,
+    ConnectionState.RELAYING,
+)
+
+# States behind the last response: our side is half closed, and input is discarded.
+IS_CLOSING = (ConnectionState.LINGERING, ConnectionState.REJECTED)
+
 # How long each state may last, in seconds: an idle connection that was served, a first byte and a
 # complete head, a short body, and what comes after an error. A client may take 2 s for a head.
 STATE_TIMEOUT_S = {
@@ -108,7 +118,9 @@
     Transition(_S.AWAITING_RESPONSE, "last response, or left", _S.LINGERING, "client: its end"),
     Transition(_S.UPLOADING, "client left", _S.LINGERING, "nothing"),
     Transition(_S.RELAYING, "last response, or cut", _S.LINGERING, "client: its end"),
-    Transition(_S.DISCARDING_BODY, "body complete or given up", _S.LINGERING, "client: its end"),
+    Transition(
+        _S.DISCARDING_BODY, "body complete, malformed or given up", _S.LINGERING, "client: its end"
+    ),
     # A lingering close behind an error.
     Transition(_S.NEW, "drain overdue", _S.REJECTED, "client: its end"),
     Transition(_S.IDLE, "error in pipelined input", _S.REJECTED, "client: its end"),
@@ -116,5 +128,4 @@
     Transition(_S.READING_HEAD, "rejected, shed or overdue", _S.REJECTED, "client: its end"),
     Transition(_S.READING_BODY, "rejected, shed or overdue", _S.REJECTED, "client: its end"),
     Transition(_S.UPLOADING, "body malformed", _S.REJECTED, "client: its end"),
-    Transition(_S.DISCARDING_BODY, "body malformed", _S.REJECTED, "client: its end"),
 )
--- a/mothstall/net/client_side/deadlines.py
+++ b/mothstall/net/client_side/deadlines.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from mothstall.net.client_side import lingering_close, request_body
+from mothstall.net.client_side import lingering_close, rejection, request_body
 from mothstall.net.client_side.connection_states import STATE_TIMEOUT_S, ConnectionState
 from mothstall.net.lifecycle import SILENT_S
 from mothstall.net.listener import has_peer_hung_up
@@ -49,7 +49,7 @@
 def _end_penalty(connection: Connection) -> None:
     connection.enter(ConnectionState.IDLE)
     if connection.deferred_error is not None:
-        connection.reject_and_close(*connection.deferred_error)
+        rejection.reject_and_close(connection, *connection.deferred_error)
     else:
         connection.take_next()
 
@@ -68,7 +68,7 @@
         return
     connection.frontend.counters.add("connections_overdue")
     if state in (ConnectionState.READING_HEAD, ConnectionState.READING_BODY):
-        connection.reject_and_close(408, "the request did not come")
+        rejection.reject_and_close(connection, 408, "the request did not come")
     elif connection.writing_paused:
         transport.abort()
     else:
@@ -84,7 +84,7 @@
     if connection.state == ConnectionState.UPLOADING:
         request_body.abandon(connection, 503, "the proxy ends")
     elif connection.state in (ConnectionState.READING_HEAD, ConnectionState.READING_BODY):
-        connection.reject_and_close(503, "the proxy ends")
+        rejection.reject_and_close(connection, 503, "the proxy ends")
     elif connection.state in (ConnectionState.DISCARDING_BODY, ConnectionState.REJECTED):
         connection.force_close()  # it has its response
 
@@ -104,7 +104,7 @@
         ConnectionState.NEW,
         ConnectionState.PENALIZED,
     ):
-        connection.reject_and_close(408, "the proxy drains")
+        rejection.reject_and_close(connection, 408, "the proxy drains")
     elif state in (ConnectionState.LINGERING, ConnectionState.REJECTED):
         transport = connection.transport
         if transport and is_silent and not transport.get_write_buffer_size():
--- a/mothstall/net/client_side/frontend.py
+++ b/mothstall/net/client_side/frontend.py
@@ -21,18 +21,12 @@
 from mothstall.net.client_side.connection_states import ConnectionState
 from mothstall.net.client_side.connection_table import ConnectionTable
 from mothstall.net.client_side.load_shedding import SHED_HURRIED_S, ConnectionBudget
+from mothstall.net.client_side.open_exchange import ExchangeEnd, OpenExchange
 from mothstall.net.client_side.pipelined_input import PipelinedInputBudget
 from mothstall.net.clock import Clock
 from mothstall.net.counters import Counters
-from mothstall.net.decider_messages import (
-    ClientLeft,
-    ClientResponse,
-    DeciderMessage,
-    RequestArrived,
-    ResponseRelayed,
-)
+from mothstall.net.decider_messages import ClientResponse, DeciderMessage, RequestArrived
 from mothstall.net.lifecycle import SILENT_S, Lifecycle, Phase
-from mothstall.net.metrics import Outcome
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -201,30 +195,20 @@
         request.client = connection
         request.received_ns = arrived_ns
         number = next(self._request_numbers)
-        connection.open_as(number, state)
+        connection.open_exchange(OpenExchange(number, request), state)
         latest = self.phases.latest(self.loop.time())
         latest_ns = None if latest is None else self.clock.unix_ns(latest)
         self._decide(RequestArrived(number, request, arrived_ns, connection.answer, latest_ns))
         return number
 
-    def request_answered(self, request: protocol.ClientRequest | None) -> None:
-        """Release the id of a request that has its response."""
-        if request is not None:
-            self._open_ids.discard(request.request_id)
-            if request.stream is not None:
-                request.stream.abort()  # nobody waits for what of its body is still on its way
-
-    def response_relayed(
-        self, number: int, request: protocol.ClientRequest | None, outcome: Outcome
-    ) -> None:
-        """Report the end of the relay of a long response."""
-        self.request_answered(request)
-        self._decide(ResponseRelayed(number, outcome))
-
-    def client_left(self, number: int, request: protocol.ClientRequest | None) -> None:
-        """Withdraw a request whose client has gone."""
-        self.request_answered(request)
-        self._decide(ClientLeft(number))
+    def end_exchange(self, exchange: OpenExchange, end: ExchangeEnd) -> None:
+        """Give back all that an open request holds, and tell the decisions if they do not know."""
+        self._open_ids.discard(exchange.request.request_id)
+        message = exchange.end_message(end)
+        if message is not None:
+            # Ahead of the attempt's end, which the streams may cause: nothing is retried.
+            self._decide(message)
+        exchange.release_streams()
 
     # Time
 
--- a/mothstall/net/client_side/request_body.py
+++ b/mothstall/net/client_side/request_body.py
@@ -8,8 +8,8 @@
 
 from mothstall.net import protocol
 from mothstall.net.body_relay import Stream
-from mothstall.net.client_side import lingering_close
-from mothstall.net.client_side.connection_states import ConnectionState
+from mothstall.net.client_side import lingering_close, rejection
+from mothstall.net.client_side.connection_states import IS_CLOSING, READS_BODY, ConnectionState
 from mothstall.net.listener import has_peer_hung_up
 
 if TYPE_CHECKING:
@@ -44,12 +44,6 @@
         """Tell whether nothing more of it is to come."""
         return self.payload is None or self.payload.is_eof()
 
-    def cut(self) -> None:
-        """End the stream, if there is one: nothing more of it comes."""
-        stream, self.stream = self.stream, None
-        if stream is not None:
-            stream.abort()
-
 
 def on_data(connection: Connection) -> None:
     """Take what the parser holds of the body."""
@@ -126,20 +120,27 @@
         return True
     body.stream.abort()
     body.stream = None
-    connection.reject_request(400, "X-Txn is that of an open request")
+    rejection.reject_request(connection, 400, "X-Txn is that of an open request")
     return False
 
 
 def abandon(connection: Connection, status: int, why: str) -> None:
     """Give up a body that cannot be taken: what has begun of it ends."""
-    body = connection.body
     if connection.state == ConnectionState.DISCARDING_BODY:
         lingering_close.begin(connection)
         return
     if connection.state == ConnectionState.UPLOADING:
-        stream, body.stream = body.stream, None
-        connection.frontend.client_left(connection.request_number, connection.request)
-        if stream is not None:
-            stream.abort()
         connection.enter(ConnectionState.READING_BODY)
-    connection.reject_request(status, why)
+    rejection.reject_request(connection, status, why)
+
+
+def on_malformed_input(connection: Connection, why: str) -> None:
+    """Reject input that is no request; one that came complete before it is answered first."""
+    connection.frontend.counters.add("requests_malformed")
+    if connection.state in READS_BODY and connection.body.is_complete():
+        on_data(connection)
+    elif connection.state == ConnectionState.DISCARDING_BODY:
+        # The request has its response: an error would be a second one.
+        lingering_close.begin(connection)
+    if connection.state not in IS_CLOSING:
+        rejection.reject_and_close(connection, 400, why)
--- a/mothstall/net/client_side/request_head.py
+++ b/mothstall/net/client_side/request_head.py
@@ -9,7 +9,7 @@
 from aiohttp.streams import StreamReader
 
 from mothstall.net import protocol
-from mothstall.net.client_side import request_body
+from mothstall.net.client_side import rejection, request_body
 from mothstall.net.client_side.connection_states import ConnectionState
 
 if TYPE_CHECKING:
@@ -32,14 +32,14 @@
             message.method, message.path, message.raw_headers, b"", frontend.names
         )
     except protocol.UnreadableMessageError as why:
-        connection.reject_request(400, str(why))
+        rejection.reject_request(connection, 400, str(why))
         return
     length = message.headers.get("Content-Length", "0")
     if not (length.isascii() and length.isdigit()):
-        connection.reject_request(400, "Content-Length is unreadable")
+        rejection.reject_request(connection, 400, "Content-Length is unreadable")
         return
     if int(length) > frontend.max_body_bytes:
-        connection.reject_request(413, "the body is too long")
+        rejection.reject_request(connection, 413, "the body is too long")
         return
     connection.request = request
     connection.body.parts = []
--- a/mothstall/net/client_side/response_relay.py
+++ b/mothstall/net/client_side/response_relay.py
@@ -12,8 +12,8 @@
 from mothstall.net.body_relay import Stream
 from mothstall.net.client_side import lingering_close
 from mothstall.net.client_side.connection_states import ConnectionState
+from mothstall.net.client_side.open_exchange import ExchangeEnd
 from mothstall.net.decider_messages import ClientResponse
-from mothstall.net.metrics import Outcome
 
 if TYPE_CHECKING:
     from mothstall.net.client_side.connection import Connection
@@ -54,7 +54,7 @@
         transport = connection.transport
         if transport is not None and self.is_chunked:
             transport.write(protocol.LAST_CHUNK)
-        connection.finish_relay(Outcome.FULFILLED)
+        connection.end_exchange(ExchangeEnd.RELAYED)
         connection.body.payload = None
         if transport is not None:
             transport.set_write_buffer_limits()
@@ -67,7 +67,7 @@
         else does.
         """
         connection = self._connection
-        connection.finish_relay(Outcome.FAULTED)
+        connection.end_exchange(ExchangeEnd.CUT)
         if (self.is_chunked or self.has_length) and connection.transport is not None:
             lingering_close.begin(connection)
         else:
@@ -90,15 +90,16 @@
             connection.since = now
         elif now - connection.since >= STALL_S:
             connection.frontend.counters.add("connections_overdue")
-            connection.finish_relay(Outcome.FAULTED)
-            self.stream.drop()
+            connection.end_exchange(ExchangeEnd.CUT)
             lingering_close.reset(connection)
 
 
 def start(connection: Connection, reply: ClientResponse, stream: Stream) -> None:
     """Write the head of a long response; the rest follows as it comes."""
     transport = connection.transport
+    exchange = connection.exchange
     assert transport is not None
+    assert exchange is not None
     body = connection.body
     upload, body.stream = body.stream, None
     if upload is not None:  # the response came before its request was complete
@@ -110,7 +111,7 @@
     )
     has_length = reply.length is not None
     relay = ResponseRelay(connection, stream, is_http11 and not has_length, has_length)
-    connection.relay = relay
+    exchange.relay = relay
     connection.enter(ConnectionState.RELAYING)
     transport.set_write_buffer_limits(high=0)
     sock = transport.get_extra_info("socket")
