--- a/tests/net/conftest.py
+++ b/tests/net/conftest.py
@@ -7,7 +7,11 @@
 import pytest
 
 from mothstall.net.client_side.connection import Connection
-from mothstall.net.client_side.connection_states import TRANSITIONS, ConnectionState
+from mothstall.net.client_side.connection_states import (
+    HAS_OPEN_EXCHANGE,
+    TRANSITIONS,
+    ConnectionState,
+)
 
 Edge = tuple[ConnectionState | None, ConnectionState]
 
@@ -16,15 +20,22 @@
 
 @pytest.fixture(autouse=True)
 def state_changes(monkeypatch: pytest.MonkeyPatch) -> Generator[list[Edge], None, None]:
-    """Record each change of a connection's state; fail the test if one is not in the table."""
+    """Record each change of a connection's state; fail the test if one is not in the table.
+
+    So does a change that leaves a request open in a state that has none.
+    """
     seen: list[Edge] = []
+    left_open: list[ConnectionState] = []
     enter = Connection.enter
 
     def record(connection: Connection, state: ConnectionState) -> None:
         is_accepted = connection.state is state is ConnectionState.NEW
         seen.append((None if is_accepted else connection.state, state))
         enter(connection, state)
+        if connection.exchange is not None and state not in HAS_OPEN_EXCHANGE:
+            left_open.append(state)
 
     monkeypatch.setattr(Connection, "enter", record)
     yield seen
     assert set(seen) <= EDGES
+    assert not left_open
--- a/tests/net/test_net_body_relay.py
+++ b/tests/net/test_net_body_relay.py
@@ -86,6 +86,28 @@
     assert stream.max_buffered_bytes <= WINDOW_BYTES + MAX_READ_BYTES and stream.is_complete
 
 
+class EmptyEnds(Ends):
+    """Counts as false, as a backend's connection does: aiohttp's `DataQueue` has a length."""
+
+    def __len__(self) -> int:
+        return 0
+
+
+def test_abort_reaches_a_sink_that_counts_as_false() -> None:
+    """A client's upload that broke off never reached the backend, whose connection stayed open.
+
+    `Stream.abort` asked for the truth of its sink; the sink of an upload is a connection to a
+    backend, and an empty `DataQueue` is false. Only the descriptors of the process showed it.
+    """
+    source, sink = Ends(), EmptyEnds()
+    stream = Stream(source, BufferGrants(1))
+    stream.open(sink)
+    stream.feed(b"abc")
+    stream.abort()
+    assert sink.is_broken
+    assert not sink.is_done
+
+
 def test_abort_and_drop_reach_the_other_side_once() -> None:
     grants = BufferGrants(1)
     source, sink = Ends(), Ends()
