Answer a complete upload that its backend does not read before the process ends

Callers saw: a client that had sent all of a long upload got no response when the proxy was stopped while the backend hung; its connection was closed with nothing on it.

Change: stop_by gives every unanswered request a timer that ends with the process, an upload that arrives while it ends gets one too, and the end of writing replaces it.

Measured: the test fails on the text before (0 bytes read), passes here; tests/net green.

--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -57,7 +57,7 @@
 
     arrived: RequestArrived
     deadline_ns: int
-    backstop: asyncio.TimerHandle | None
+    backstop: asyncio.TimerHandle | None = None
     attempts: list[Backend | None] = field(default_factory=list)
     in_flight: int = 0
     is_answered: bool = False
@@ -115,18 +115,14 @@
     def stop_by(self, latest_ns: int) -> None:
         """Answer all that is open, and all that still comes, by `latest_ns`.
 
-        Guards against a process that is killed while a request with a longer deadline is open.
+        Guards against a process that is killed while a request with a longer deadline is open, or
+        one whose long body its backend takes no more of.
         """
         self._stop_by_ns = latest_ns
         for request, entry in self._pending.items():
-            if (
-                not entry.is_answered
-                and entry.backstop is not None
-                and entry.deadline_ns > latest_ns
-            ):
-                entry.backstop.cancel()
+            if not entry.is_answered and (entry.backstop is None or entry.deadline_ns > latest_ns):
                 entry.deadline_ns = latest_ns
-                entry.backstop = self._start_backstop(request, latest_ns)
+                self._start_backstop(request, entry)
 
     def listed_count(self) -> int:
         """How many backends are listed."""
@@ -194,11 +190,14 @@
         deadline = message.received_ns + inbound.remaining_ns
         if message.latest_ns is not None:
             deadline = min(deadline, message.latest_ns)
-        # The time of a request with a long body counts from when all of it is written.
-        backstop = (
-            self._start_backstop(message.request, deadline) if inbound.stream is None else None
-        )
-        self._pending[message.request] = _Pending(message, deadline, backstop)
+        entry = _Pending(message, deadline)
+        self._pending[message.request] = entry
+        # The time of a request with a long body counts from when all of it is written, unless the
+        # process ends before.
+        if inbound.stream is not None and self._stop_by_ns is not None:
+            entry.deadline_ns = self._stop_by_ns
+        if inbound.stream is None or self._stop_by_ns is not None:
+            self._start_backstop(message.request, entry)
         self._metrics.start_request(inbound.class_index)
         return io.RequestArrived(
             message.request,
@@ -210,9 +209,11 @@
             inbound.is_retry,
         )
 
-    def _start_backstop(self, request: int, deadline: int) -> asyncio.TimerHandle:
-        overdue_at = self._clock.loop_time(deadline + self._config.answer_slack_ns // 2)
-        return self.loop.call_at(overdue_at, self.tell, RequestOverdue(request))
+    def _start_backstop(self, request: int, entry: _Pending) -> None:
+        if entry.backstop is not None:
+            entry.backstop.cancel()
+        overdue_at = self._clock.loop_time(entry.deadline_ns + self._config.answer_slack_ns // 2)
+        entry.backstop = self.loop.call_at(overdue_at, self.tell, RequestOverdue(request))
 
     def _on_written(self, message: backend_messages.AttemptWritten, now: int) -> io.Event | None:
         entry = self._pending.get(message.request)
@@ -222,7 +223,7 @@
         if self._stop_by_ns is not None:
             left = max(1, min(left, self._stop_by_ns - now))
         entry.deadline_ns = now + left
-        entry.backstop = self._start_backstop(message.request, entry.deadline_ns)
+        self._start_backstop(message.request, entry)
         return io.AttemptWritten(message.request, message.attempt, left)
 
     def _on_relay_ended(self, request: int, outcome: Outcome) -> None:
--- a/tests/net/client_side/test_broken_uploads.py
+++ b/tests/net/client_side/test_broken_uploads.py
@@ -15,14 +15,16 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from pathlib import Path
 
 import pytest
 
+from mothstall.net.backend_side.connection import BackendConnection
 from tests.net.client_side.test_net_leaving import given_back
 from tests.net.test_net_body_relay import Swallows, swallowing
 from tests.net.test_process import started
-from tests.peers import Client, Rig, request_bytes
+from tests.peers import Client, Rig, StandIn, request_bytes, rig
 
 LONG_BODY = b"u" * 200_000  # over what is buffered completely
 
@@ -176,6 +178,50 @@
     asyncio.run(run())
 
 
+def test_complete_upload_that_its_backend_does_not_read_is_answered_before_the_process_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The time of a request with a long body counts from when all of it is written.
+
+    A process that ends cannot wait for that: a backend that hangs through the shutdown takes
+    nothing more. A request whose client had sent everything got no answer at all, as only one that
+    was still being uploaded was rejected (503), and only one that was written had a deadline.
+    """
+    small_buffers(monkeypatch)
+
+    async def run() -> None:
+        async with rig(listed=False) as r:
+            with socket.socket() as listener:  # accepts, and never reads
+                listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                listener.bind(("127.0.0.1", 0))
+                listener.listen()
+                row = StandIn().row()
+                r.directory.tell({**row, "host_port": f"127.0.0.1:{listener.getsockname()[1]}"})
+                await r.until(lambda: r.proxy._decider.listed_count() == 1)
+                client = await send_upload(r, chunk(b"u" * 70_000) + b"0\r\n\r\n")
+                await r.until(lambda: r.proxy._frontend.open_by_state() == {"awaiting_response": 1})
+                await r.until(lambda: r.proxy._pool.open_count == 1)
+                assert r.proxy.figures.relayed == 0
+                stopping = asyncio.create_task(r.proxy.stop(0.0))
+                assert (await client.read()).status in (502, 503)
+                await stopping
+                assert nothing_open(r)
+
+    asyncio.run(run())
+
+
+def small_buffers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let the kernel hold little of what is on its way to a backend."""
+    connection_made = BackendConnection.connection_made
+
+    def made(connection: BackendConnection, transport: asyncio.BaseTransport) -> None:
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        connection_made(connection, transport)
+
+    monkeypatch.setattr(BackendConnection, "connection_made", made)
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("name", [*MALFORMED_CHUNKS, *INPUT_BEHIND])
 def test_broken_uploads_hold_no_descriptor_of_the_process(tmp_path: Path, name: str) -> None:
