--- a/mothstall/fleet/agent/observer_client.py
+++ b/mothstall/fleet/agent/observer_client.py
@@ -214,14 +214,19 @@
             self.selector.record_update(_age_ns(message.age_ms), time.monotonic_ns())
             self._on_state_update(message.delta, message.age_ms)
         elif isinstance(message, AttachAccepted):
-            self.is_attached = self.is_attached or message.epoch == self.epoch
-            self.attached_at_s = self.attached_at_s or time.monotonic()
+            self._on_attach_accepted(link, message)
         elif isinstance(message, AttachRejected):
             if message.epoch == self.epoch:
                 self.disconnect(message.reason)
         else:
             super()._on_message(link, message)
 
+    def _on_attach_accepted(self, link: FrameConnection, message: AttachAccepted) -> None:
+        if message.epoch == self.epoch and not self.is_attached:
+            self.is_attached = True
+            log.info("attached", extra={"kv": {"observer": link.peer, "epoch": message.epoch}})
+        self.attached_at_s = self.attached_at_s or time.monotonic()
+
     def _is_final_rejection(self, reason: str, wait_for_quorum: bool) -> bool:
         return not wait_for_quorum
 
--- a/mothstall/keeper/lease_expiry.py
+++ b/mothstall/keeper/lease_expiry.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import logging
+
 import msgspec
 
 from mothstall.fleet.leases.expiry import LeaseExpiryTracker
@@ -21,6 +23,9 @@
 )
 from mothstall.store.state.machine import StateMachine
 
+log = logging.getLogger("mothstall.keeper")
+
+MAX_LOGGED_NAMES = 8  # in one log line
 EXPIRY_RETRY_NS = 1_000_000_000  # until an expiry that was not committed is proposed once more
 
 LeaseTerm = tuple[str, int]  # name of the lease and its token
@@ -80,6 +85,8 @@
         proposal = Proposal(0, 0, ExpireLeases(tuple(expired)))
         if raft.propose(msgspec.msgpack.encode(proposal)):
             self._proposed_at_ns.update(dict.fromkeys(expired, now_ns))
+            names = ",".join(name for name, _ in expired[:MAX_LOGGED_NAMES])
+            log.info("leases expire", extra={"kv": {"count": len(expired), "leases": names}})
 
     def _is_to_be_proposed(self, lease_term: LeaseTerm, now_ns: int) -> bool:
         proposed_at_ns = self._proposed_at_ns.get(lease_term, -EXPIRY_RETRY_NS)
--- a/mothstall/observer/attached_proxies.py
+++ b/mothstall/observer/attached_proxies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from collections.abc import Iterable
 
@@ -22,6 +23,9 @@
 )
 from mothstall.store.state.limits import MAX_NAME_LENGTH
 
+log = logging.getLogger("mothstall.fleet")
+
+MAX_LOGGED_NAMES = 8  # in one log line
 MAX_EPOCH = 1 << 62  # exclusive: beyond, it would not fit into an integer of the protocol
 ATTACHED_ELSEWHERE = "it is attached elsewhere"
 
@@ -108,7 +112,11 @@
 
     def drop_silent(self, now_ns: int) -> None:
         """Close the connections of proxies whose attachment is over."""
-        for name in self._table.tick(now_ns):
+        gone = self._table.tick(now_ns)
+        if gone:
+            names = ",".join(gone[:MAX_LOGGED_NAMES])
+            log.info("proxies gone", extra={"kv": {"count": len(gone), "proxies": names}})
+        for name in gone:
             proxy = self._by_name.get(name)
             if proxy is not None:
                 proxy.connection.close("it says nothing")
