Take over from a lease holder that is still listed, once its leases ended

Callers saw: a prober, or the maker of plans, that stood still behind an observer was replaced after 2.6 to 3.0 s, and after 5.1 to 5.4 s (as it woke) where the observer was lost with it; the aim is the term and half a second, 2.5 s.

Cause: work is assigned by rendezvous hash among all listed members, and took no notice of a lease that ended; behind an observer a member is listed for a term and a half, or until the members of a lost observer are swept.

--- a/mothstall/fleet/agent/agent.py
+++ b/mothstall/fleet/agent/agent.py
@@ -33,8 +33,10 @@
 from mothstall.fleet.drains import ActiveDrains
 from mothstall.fleet.errors import KeeperUnavailableError
 from mothstall.fleet.failover.controller import FailoverController, ProxyTraffic
+from mothstall.fleet.failover.plan import FAILOVER_LEASE
 from mothstall.fleet.leases.holder import LeaseHolder
-from mothstall.fleet.leases.names import MEMBER_LEASE_PREFIX
+from mothstall.fleet.leases.names import MEMBER_LEASE_PREFIX, PROBE_LEASE_PREFIX
+from mothstall.fleet.leases.stalled_holders import StalledHolders
 from mothstall.fleet.operator_config import OperatorConfig
 from mothstall.store.protocol.frames import PeerRole
 from mothstall.store.protocol.keeper_messages import WatchEvent
@@ -50,6 +52,8 @@
 # Between two checks of which probes are due; well below any probe interval.
 PROBE_TICK_S = 0.05
 STOP_TIMEOUT_S = 0.2  # for giving leases back; their terms end anyway
+# In lease terms: observers remove the proxies of a lost one after 11 terms at most.
+STALL_FORGOTTEN_AFTER_TERMS = 12
 OWNER_SUFFIX_BYTES = 3  # random; tells processes of one name apart
 
 
@@ -127,6 +131,13 @@
         self.leases = LeaseRenewal(
             self.operator, self.owner, self.snapshots, self.counters, self._on_lease_acquired
         )
+        term_ns = int(self.operator.leases.term_ns)
+        self._stalled_holders = StalledHolders(
+            self.owner,
+            (PROBE_LEASE_PREFIX, FAILOVER_LEASE),
+            term_ns,
+            STALL_FORGOTTEN_AFTER_TERMS * term_ns,
+        )
         self.state = LocalState(self.operator.agent.data_folder, self.name, self.loop)
         self._local_drains = LocalDrains(self.state, self.snapshots, self.tasks, self._on_change)
         self._listener = LocalRequestListener(
@@ -189,6 +200,7 @@
             "fleet_contact": int(bool(self.client and self.client.peer_name)),
             "fleet_leases_held": len(self.leases.holder.held),
             **(self.observer_client.metrics() if self.observer_client else {}),
+            "fleet_members_stalled": self._stalled_holders.stalled_count,
             "fleet_drains": len(self.active_drains().keys),
             "fleet_drains_here_only": len(self.state.drains),
             **{f"fleet_{key}": value for key, value in counters.items()},
@@ -263,6 +275,7 @@
 
     def _on_snapshot(self, change: SnapshotChange) -> None:
         self._prober.on_snapshot(change)
+        self._stalled_holders.apply(change.previous.leases, change.delta, change.received_at_ns)
         if self.failover_participant:
             self.failover_participant.on_snapshot(change.received_at_ns)
         self._local_drains.on_snapshot(change.current.version)
@@ -319,7 +332,11 @@
         """The proxies that share the work; the same object while they are unchanged.
 
         Through an observer an agent knows those of its zone, and those that move over from a lost
-        one. Where one proxy of each zone finds itself assigned, the first to acquire the lease does
-        the work.
+        one, less the stalled ones. Where one proxy of each zone finds itself assigned, the first to
+        acquire the lease does the work. Without an observer a stalled proxy's own membership lease
+        ends with its others.
         """
-        return self.snapshot.proxies if self.observer_client else self.snapshot.members
+        snapshot = self.snapshot
+        if self.observer_client is None:
+            return snapshot.members
+        return self._stalled_holders.live(snapshot.proxies, snapshot.attached, time.monotonic_ns())
