Reject a read that finds too many waiting, in place of dropping it

Callers saw: with 8,192 reads waiting, a further one got no answer; its caller waited out its time, called the keeper silent and turned to another one.

Cause: Replica.read returned without a word at its bound; proposals at theirs are rejected.

Change: read returns the reason, `too many callers wait`, which clients retry after a pause that grows, as for proposals.

Measured: the test fails on the text before ("no answer in time"), passes here.

--- a/mothstall/keeper/client_handler.py
+++ b/mothstall/keeper/client_handler.py
@@ -128,10 +128,10 @@
 
     def _read(self, connection: FrameConnection, message: keeper_messages.ReadRequest) -> None:
         caller_id = self.requests.register(connection, message.request_id)
-        if self._replica.raft.leader:
-            self._replica.read(caller_id)
-        else:
-            self._answer(caller_id, ChangeResult(rejected_reason=NO_LEADER_REASON))
+        has_leader = bool(self._replica.raft.leader)
+        reason = self._replica.read(caller_id) if has_leader else NO_LEADER_REASON
+        if reason:
+            self._answer(caller_id, ChangeResult(rejected_reason=reason))
         self._schedule_replica()
 
     def _cancel(self, connection: FrameConnection, message: keeper_messages.CancelRequest) -> None:
--- a/mothstall/keeper/replica.py
+++ b/mothstall/keeper/replica.py
@@ -24,7 +24,9 @@
 MAX_ENTRIES_BEHIND_SNAPSHOT = 512  # kept for replicas that lag a little and need no snapshot then
 DEFAULT_COMPACT_EVERY = 2000  # entries
 
-NO_LEADER_REASON = "no quorum: no leader is known"  # begins with what clients retry on
+# Both begin with what clients retry on, after a pause that grows.
+TOO_MANY_CALLERS_REASON = "too many callers wait"
+NO_LEADER_REASON = "no quorum: no leader is known"
 
 
 @dataclass(slots=True)
@@ -126,7 +128,7 @@
             Why it is rejected; empty where its result comes with a later `handle_persisted`.
         """
         if self.admission.is_full:
-            return "too many callers wait"
+            return TOO_MANY_CALLERS_REASON
         if isinstance(proposal.change, ExpireLeases):
             return "terms end by a keeper's word alone"
         reason = self._reason_to_reject_early(proposal)
@@ -138,15 +140,17 @@
         self._hand_in(now_ns)
         return ""
 
-    def read(self, caller: int) -> None:
+    def read(self, caller: int) -> str:
         """Let the caller read once the state holds all that was acknowledged before now.
 
-        Nothing is done where too many reads wait: the caller requests again.
+        Returns:
+            Why it is rejected; empty where a later `handle_persisted` lets it read.
         """
         if len(self._reads) >= MAX_PENDING:
-            return
+            return TOO_MANY_CALLERS_REASON
         self.cancel(caller)
         self.raft.request_read(self._reads.add(caller))
+        return ""
 
     def cancel(self, caller: int) -> None:
         """Forget a caller that waits no longer."""
--- a/tests/keeper/test_client_requests.py
+++ b/tests/keeper/test_client_requests.py
@@ -16,6 +16,7 @@
 from mothstall.fleet.errors import KeeperUnavailableError
 from mothstall.fleet.operator_config import OperatorConfig
 from mothstall.fleet.operator_file import parse_operator_file
+from mothstall.keeper import replica
 from mothstall.keeper.admission import Admission
 from mothstall.keeper.limits import KeeperLimits
 from mothstall.keeper.process import Keeper
@@ -288,3 +289,25 @@
             await asyncio.gather(*(watcher.close() for watcher in watchers))
 
     run(scenario)
+
+
+def test_read_beyond_the_bound_is_rejected_and_served_once_there_is_capacity(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was dropped without an answer, so that its caller waited out its time and left the keeper.
+
+    `keeper/replica.py` returned without a word at 8,192 waiting reads; the caller's fault was
+    "no answer in time" at a keeper that answered everybody else.
+    """
+    monkeypatch.setattr(replica, "MAX_PENDING", 0)
+
+    async def scenario() -> None:
+        async with keeper(tmp_path) as (_, operator, _), client(operator, "reader") as reader:
+            with pytest.raises(KeeperUnavailableError, match="too many callers wait"):
+                await reader.read_state(0.5)
+            reading = asyncio.create_task(reader.read_state(10.0))
+            await asyncio.sleep(0.1)
+            monkeypatch.setattr(replica, "MAX_PENDING", 10)
+            await reading
+
+    run(scenario)
