Name a replica's file once in its errors, and wrap the second error of a new file

Callers saw: the path twice in the message on another replica's file; and a bare sqlite3.OperationalError with a trace where the file that replaces a damaged one failed.

Cause: StorageError is an OSError, and load wrapped it again; _begin_anew ran outside the try block that it is called from.

Change: a StorageError passes as it is, and _begin_anew raises one that names both faults.

Measured: both tests fail on the text before, pass here.

--- a/mothstall/store/storage.py
+++ b/mothstall/store/storage.py
@@ -93,6 +93,8 @@
             self.path.parent.mkdir(parents=True, exist_ok=True)
             self._connection = self._open()
             return self._read(name, cluster, first)
+        except StorageError:
+            raise  # an OSError too, which names the file already
         except sqlite3.OperationalError as error:
             raise StorageError(f"{self.path}: {error}") from error
         except sqlite3.DatabaseError as error:
@@ -146,13 +148,21 @@
     def _begin_anew(
         self, name: str, cluster: str, first: Configuration, error: sqlite3.DatabaseError
     ) -> LoadedLog:
-        """Renames a file that is no database, and begins a new one that is in recovery."""
-        renamed = self._set_aside()
-        self._connection = self._open()
-        self._read(name, cluster, first)
-        loaded = LoadedLog(HardState(is_recovering=True), Snapshot(0, 0, first, b""))
-        loaded.damage = f"{self.path}: {error}; the file is kept as {renamed}"
-        self._write_hard_state(loaded.hard_state)
+        """Renames a file that is no database, and begins a new one that is in recovery.
+
+        Raises:
+            StorageError: The new file cannot be written.
+        """
+        try:
+            renamed = self._set_aside()
+            self._connection = self._open()
+            self._read(name, cluster, first)
+            loaded = LoadedLog(HardState(is_recovering=True), Snapshot(0, 0, first, b""))
+            loaded.damage = f"{self.path}: {error}; the file is kept as {renamed}"
+            self._write_hard_state(loaded.hard_state)
+        except (sqlite3.Error, OSError) as second_error:
+            reason = f"{self.path}: {second_error}, after {error}"
+            raise StorageError(reason) from second_error
         return loaded
 
     def _set_aside(self) -> Path:
--- a/tests/store/test_storage.py
+++ b/tests/store/test_storage.py
@@ -148,6 +148,32 @@
         log.load("k2", "c", CONFIGURATION)
 
 
+def test_the_file_of_another_replica_is_named_once(path: Path) -> None:
+    """The error is an OSError, and was wrapped in a second one that named the file again."""
+    filled_log(path).close()
+
+    with closing(DiskLog(path)) as log, pytest.raises(StorageError) as error:
+        log.load("k2", "c", CONFIGURATION)
+
+    assert str(error.value).count(str(path)) == 1
+
+
+def test_fault_of_the_file_that_replaces_a_damaged_one_is_a_storage_error(
+    path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A second `sqlite3` error, behind the one that had the file set aside, left as it was."""
+    path.write_bytes(b"no database at all" * 100)
+
+    def fail(log: DiskLog, hard_state: HardState) -> None:
+        raise sqlite3.OperationalError("database or disk is full")
+
+    monkeypatch.setattr(DiskLog, "_write_hard_state", fail)
+    with closing(DiskLog(path)) as log, pytest.raises(StorageError, match="disk is full") as error:
+        log.load("k1", "c", CONFIGURATION)
+
+    assert "not a database" in str(error.value)
+
+
 def test_a_compacted_snapshot_replaces_the_entries_that_it_contains(path: Path) -> None:
     log = filled_log(path)
     log.write(Ready(compacted_snapshot=Snapshot(3, 1, CONFIGURATION, b"image")))
