Patch only what is there in the test of a reset watch

Need: test_watch_recovery patched discovery.PAUSE_S, a name that the module no longer has, with raising=False: the patch did nothing. The pause is the proxy's own `_timing.pause_s`, which the next line patches.

Change: the dead patch is gone; no other patch in tests allows a missing name.

Measured: tests/net/discovery/test_watch_recovery.py green.

--- a/tests/net/discovery/test_watch_recovery.py
+++ b/tests/net/discovery/test_watch_recovery.py
@@ -70,7 +70,6 @@
             await watched(r)
             if mode == "push":
                 # The drain binds whether or not anybody watches: no pause, nor the module's own check.
-                monkeypatch.setattr(discovery, "PAUSE_S", 60.0, raising=False)
                 monkeypatch.setattr(r.proxy._discovery._timing, "pause_s", 60.0)
                 polling = r.proxy._decider._balancer.polling
                 monkeypatch.setattr(polling, "_check", lambda: None)
