Share the capacity that overflow returns to among its origins

Callers saw: a plan that gives a zone more than it serves: two zones' overflow returned to a third one, each up to all that was free there (200 a second of 150, planned_load said 50).

Cause: _keep_overflow compared with the planned load as it was before anything returned.

Change: what returns is shared out zone by zone by what is wanted, and counts as load.

--- a/mothstall/fleet/failover/placement.py
+++ b/mothstall/fleet/failover/placement.py
@@ -112,6 +112,7 @@
         self._select_moving()
         self._reserve_capacity()
         self._fill_tiers()
+        self._return_overflow()
         return self._result()
 
     def _keep_allowed(self) -> None:
@@ -214,8 +215,6 @@
             planned_load={zone: round(load, LOAD_DECIMALS) for zone, load in self._load.items()}
         )
         for origin in self._unplaced:
-            if self._unplaced[origin] > 0:
-                self._keep_overflow(origin, placement.planned_load)
             row = self._placed[origin]
             total = sum(row.values()) + self._unplaced[origin]
             if total > 0:
@@ -226,17 +225,28 @@
                 placement.overflow_fractions[origin] = max(0.0, 1.0 - sum(weights.values()))
         return placement
 
-    def _keep_overflow(self, origin: str, planned_load: Mapping[str, float]) -> None:
-        """Keep what fits nowhere on the unhealthy zones that still serve most of it."""
+    def _return_overflow(self) -> None:
+        """Keep what fits nowhere on the unhealthy zones that still serve most of it.
+
+        Guards against two origins that count on the same free capacity: each zone's is shared out
+        by what is wanted of it, and what returns counts towards its load.
+        """
+        for zone in self._inputs.zones:
+            demand = {origin: self._returnable(origin, zone) for origin in self._unplaced}
+            total = sum(demand.values())
+            free = max(0.0, self._inputs.capacities[zone] - self._load[zone])
+            if total > 0 and free > 0:
+                granted_fraction = min(1.0, free / total)
+                for origin, amount in demand.items():
+                    self._move(origin, zone, amount * granted_fraction)
+
+    def _returnable(self, origin: str, zone: str) -> float:
+        """Return how much of what was taken off a zone may return to it, as it fits nowhere."""
         inputs = self._inputs
-        row = self._placed[origin]
-        for zone, weight in inputs.baseline[origin].items():
-            taken_fraction = 1.0 - inputs.allowed_fraction(origin, zone)
-            taken = weight * taken_fraction * inputs.evidence.request_rates[origin]
-            success_fraction = inputs.evidence.success_fraction(origin, zone)
-            if taken <= 0 or success_fraction < MIN_OVERFLOW_SUCCESS_FRACTION:
-                continue
-            free = max(0.0, inputs.capacities[zone] - planned_load.get(zone, 0.0))
-            returned = min(self._unplaced[origin], taken, free)
-            row[zone] = row.get(zone, 0.0) + returned
-            self._unplaced[origin] -= returned
+        weight = inputs.baseline[origin].get(zone, 0.0)
+        taken_fraction = 1.0 - inputs.allowed_fraction(origin, zone)
+        taken = weight * taken_fraction * inputs.evidence.request_rates[origin]
+        success_fraction = inputs.evidence.success_fraction(origin, zone)
+        if taken <= 0 or success_fraction < MIN_OVERFLOW_SUCCESS_FRACTION:
+            return 0.0
+        return min(self._unplaced[origin], taken)
--- a/tests/fleet/failover/test_placement.py
+++ b/tests/fleet/failover/test_placement.py
@@ -4,7 +4,10 @@
 
 import pytest
 
+from mothstall.fleet.failover.placement import PlacementInput, place_traffic
+from mothstall.fleet.failover.plan import OperatorOverrides, ZonePairState, pair_key
 from mothstall.fleet.failover.policy import FailoverPolicy
+from mothstall.fleet.failover.zone_evidence import ZoneAssessment, ZoneEvidence
 from tests.fleet.failover.builders import (
     NEARBY_REGIONS,
     ORDINARY_PLAN,
@@ -65,3 +68,34 @@
     plan = make_plan(reports, ORDINARY_PLAN, FailoverPolicy(capacity_per_weight=30.0))
     assert plan.planned_load["b"] <= 60.0 + 1e-6
     assert plan.weights["b"]["b"] == pytest.approx(0.3)
+
+
+def test_two_origins_share_the_capacity_that_overflow_returns_to() -> None:
+    """Two zones' traffic that fits nowhere returned to one unhealthy zone, each up to all that was free.
+
+    What returned was not added to the planned load, so that a zone that serves 150 a second, and
+    had 50, was planned for 50 and got 200: `planned_load` in the plan and the sum of its weights
+    differed by 150.
+    """
+    pairs = {pair_key(origin, "c"): ZonePairState(0.25, 0, 0) for origin in ("a", "b")}
+    mostly_good = {"c": ZoneAssessment(attempts=50.0, bad_attempts=10.0)}
+    evidence = ZoneEvidence(
+        request_rates={"a": 100.0, "b": 100.0},
+        assessments={"a": mostly_good, "b": mostly_good},
+    )
+    inputs = PlacementInput(
+        evidence=evidence,
+        baseline={"a": {"c": 1.0}, "b": {"c": 1.0}},
+        pair_states=pairs,
+        capacities={"a": 0.0, "b": 0.0, "c": 150.0},
+        policy=FailoverPolicy(),
+        overrides=OperatorOverrides(),
+        zones=("a", "b", "c"),
+    )
+
+    placement = place_traffic(inputs)
+
+    sent_to_c = sum(placement.weights[origin]["c"] * 100.0 for origin in ("a", "b"))
+    assert sent_to_c == pytest.approx(150.0)
+    assert placement.planned_load["c"] == pytest.approx(150.0)
+    assert placement.overflow_fractions == pytest.approx({"a": 0.25, "b": 0.25})
