Show that a dropped backend connection's descriptor is back before its place is used

Change: a test that counts the sockets to backends at each dial of two backends that share a pool of one. asyncio schedules the close with the abort, ahead of the task that dials, so that no dial adds a descriptor: it is no fault.

Measured: 40 of 40 dials with one socket open.

--- a/tests/net/backend_side/test_net_backends.py
+++ b/tests/net/backend_side/test_net_backends.py
@@ -18,6 +18,7 @@
     MS,
     Behaviour,
     Seen,
+    Single,
     StandIn,
     alone,
     answer,
@@ -355,3 +356,37 @@
         await again.stop()
 
     asyncio.run(run())
+
+
+def test_descriptor_of_a_dropped_connection_is_back_before_its_place_is_used(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A connection gives its place in the pool back at once, its descriptor in the next iteration.
+
+    asyncio closes an aborted transport's socket by a callback that is scheduled with the abort. The
+    task that opens the successor is scheduled behind it, so that it never adds a descriptor: at each
+    dial there are at most as many sockets to backends as the pool allows.
+    """
+
+    async def run() -> None:
+        stand_in, first = await alone(serves, most=1)
+        second = Single(Address("127.0.0.1", stand_in.port), pool=first.pool)
+        dialled: list[socket.socket] = []
+        open_at_dial: list[int] = []
+        dial = first.loop.sock_connect
+
+        async def counted(sock: socket.socket, address: tuple[str, int]) -> None:
+            dialled.append(sock)
+            open_at_dial.append(sum(other.fileno() >= 0 for other in dialled))
+            await dial(sock, address)
+
+        monkeypatch.setattr(first.loop, "sock_connect", counted)
+        for count in range(1, 21):
+            for single in (first, second):
+                single.send()
+                assert await single.ended(count) == [AttemptResult.OK] * count
+        assert open_at_dial == [1] * 40
+        first.pool.close()
+        await stand_in.stop()
+
+    asyncio.run(run())
