Give new clients back to the old process as a successor begins to end

Callers saw: a new process took over and was told to end at once, the old one still ran; new connections waited until the new one was gone, up to its longest deadline (seven requests with 0.3 s left answered after 0.8 to 1.0 s).

Cause: a process with an inherited listener leaves it to others as it begins to end, and the one before it goes on only when their connection closes, which came last.

Change: Proxy.stop first reads what its predecessor has sent, then closes that connection.

--- a/mothstall/net/handover/handover.py
+++ b/mothstall/net/handover/handover.py
@@ -79,25 +79,40 @@
             self.sock.close()
             self._on_close(self)
 
-    def _read(self) -> None:
+    def finish(self) -> None:
+        """Takes what the peer has sent already, and closes the connection.
+
+        Guards against descriptors that go down unread with this end of the connection: from the
+        shutdown on the peer's `send` fails, so that what it would hand over stays with it.
+        """
+        if self.open:
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RD)
+            while self.open and self._read():
+                pass
+            self.close()
+
+    def _read(self) -> bool:
+        """Whether there may be more than was read."""
         for _ in range(READ_BATCH):
             if not self.open:
-                return
+                return False
             try:
                 raw, fds, flags, _address = socket.recv_fds(
                     self.sock, MAX_MESSAGE + 1, MAX_DESCRIPTORS
                 )
             except (BlockingIOError, InterruptedError):
-                return
+                return False
             except OSError:
                 self.close()
-                return
+                return False
             if not raw or len(raw) > MAX_MESSAGE or flags & socket.MSG_TRUNC:
                 for fd in fds:
                     os.close(fd)
                 self.close()
-                return
+                return False
             self._on_message(self, raw, fds)
+        return True
 
 
 @dataclass(frozen=True, slots=True)
@@ -225,6 +240,15 @@
         else:
             raise HandoverMessageError("an unexpected message")
 
+    def release_predecessor(self) -> None:
+        """The previous process takes clients again, if it still runs: this one begins to end.
+
+        Guards against new connections that nobody accepts while this process ends: it has left the
+        listener to others, and the previous process waits until this one is gone.
+        """
+        if self._predecessor is not None:
+            self._predecessor.finish()
+
     def _predecessor_closed(self, peer: PeerConnection) -> None:
         if self._answer is not None and not self._answer.done():
             self._answer.set_exception(HandoverMessageError("gone"))
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -383,6 +383,8 @@
         longest = min(MAX_LONGEST_S, max(c.deadline_ns for c in self.config.settings.classes) / NS)
         self._lifecycle.stop(began, longest)
         self._decider.stop_by(self._clock.unix_ns(self._lifecycle.latest(began) or began))
+        if self._handover is not None:
+            self._handover.release_predecessor()
         # Others hold an inherited socket: they accept the connections from now on.
         await asyncio.sleep(0.0 if self.config.listen_fd is not None else drain_s)
         await self._frontend.close()
--- a/tests/net/handover/test_handover.py
+++ b/tests/net/handover/test_handover.py
@@ -253,6 +253,45 @@
     asyncio.run(run())
 
 
+def test_process_that_ends_right_after_it_took_over_leaves_new_clients_to_the_one_before(
+    tmp_path: Path,
+) -> None:
+    """An upgrade that is called off: the new process is told to end, the old one still runs.
+
+    The new one left the listener to others, and the old one waited until the new one was gone, up
+    to its longest deadline later: nobody accepted. Found by `mothstall lab soak --first 9`: seven
+    requests with 0.3 s left were answered 0.8 to 1.0 s after they were sent, all at the instant of
+    the old one's `the process that took over is gone`.
+    """
+
+    async def run() -> None:
+        async with platform(tmp_path, StandIn(serves)) as p:
+            old, _ = await p.start()
+            new, _ = await p.start()
+            p.stand_in.behave = too_slowly
+            busy = await p.client()
+            busy.writer.write(request_bytes("order", remaining="990m"))
+            while not p.stand_in.seen:
+                await asyncio.sleep(0.01)
+            p.stand_in.behave = serves
+            new.terminate()
+            await asyncio.sleep(0.1)
+            late = await p.client()
+            reply = await asyncio.wait_for(late.ask("search"), 0.4)
+            assert reply.status == 200
+            assert new.returncode is None  # it still has a request open
+            assert old.returncode is None
+            assert (await busy.read()).body == b"late"
+            assert await asyncio.wait_for(new.wait(), 5) == 0
+
+    asyncio.run(run())
+
+
+async def too_slowly(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(0.8)
+    writer.write(answer(b"late"))
+
+
 @pytest.mark.parametrize("how", ["length", "chunked", "close"])
 def test_a_long_response_outlives_the_process_that_began_it(tmp_path: Path, how: str) -> None:
     async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
