mothstall lab soak: real proxies under signals in series, breaks, crowds, silent watches

Change: mothstall/lab/soak: a plan by seed (pure), rules on what clients and backends saw (pure), peers on loopback, one driver.

--- a/mothstall/lab/command.py
+++ b/mothstall/lab/command.py
@@ -104,6 +104,9 @@
     commands.add_parser(
         "scale", help="what grows with the fleet; `lab scale --help`", add_help=False
     )
+    commands.add_parser(
+        "soak", help="signals, breaks and crowds by seed; `lab soak --help`", add_help=False
+    )
     commands.add_parser("capacity", help="the tables of docs/CAPACITY.md", add_help=False)
     return parser
 
@@ -113,6 +116,10 @@
         from mothstall.lab.fleetcommand import main as fleets
 
         return fleets(words[1:])
+    if words[:1] == ["soak"]:
+        from mothstall.lab.soak.command import main as soak_main
+
+        return soak_main(list(words[1:]))
     if words[:1] == ["scale"]:
         from mothstall.lab.scale.command import main as scales
 
--- /dev/null
+++ b/mothstall/lab/soak/backend.py
@@ -0,0 +1,168 @@
+"""A backend of the soak: reads requests by their framing, and answers well, late, long or badly."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from mothstall.lab.soak.observations import BackendRequest, Observations
+
+LONG_BYTES = 150_000
+LONG_PIECE_BYTES = 30_000
+FINAL_STATUS = 200  # below it a response is interim
+HANG_S = 5.0  # longer than any request waits
+
+
+class SoakBackend:
+    """One backend on loopback; what it does with a request is drawn from its seed.
+
+    Attributes:
+        name: Its id in the endpoint list.
+        port: Where it listens.
+        is_draining: The endpoint list says so.
+    """
+
+    def __init__(
+        self, name: str, rng: random.Random, seen: Observations, now: Callable[[], float]
+    ) -> None:
+        """Prepare; `now` gives seconds from the run's begin."""
+        self.name = name
+        self.port = 0
+        self.is_draining = False
+        self._rng = rng
+        self._seen = seen
+        self._now = now
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen on a port that the system gives."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=512)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        """Listen no more, and reset what is open."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def row(self) -> dict[str, object]:
+        """Return its row of the endpoint list."""
+        return {
+            "id": self.name,
+            "host_port": f"127.0.0.1:{self.port}",
+            "locality": "east",
+            "flavor": "std",
+            "cell": 1,
+            "phase": "DRAINING" if self.is_draining else "SERVING",
+            "size": 1.0,
+            "up_since_ms": 0,
+        }
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                await self._serve_one(reader, writer)
+        except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        began_at_s = self._now()
+        request_id = header(head, b"x-txn").decode()
+        is_complete = False
+        try:
+            if self._rng.random() < 0.05:
+                await self._answer(writer)  # before the body is there
+            await self._read_body(reader, head)
+            is_complete = True
+        finally:
+            if request_id:
+                row = BackendRequest(request_id, self.name, began_at_s, is_complete)
+                self._seen.received.append(row)
+        await self._answer(writer)
+
+    async def _read_body(self, reader: asyncio.StreamReader, head: bytes) -> None:
+        if header(head, b"transfer-encoding"):
+            while size := int(await reader.readline(), 16):
+                await reader.readexactly(size + 2)
+            await reader.readexactly(2)
+        else:
+            await reader.readexactly(int(header(head, b"content-length") or b"0"))
+
+    async def _answer(self, writer: asyncio.StreamWriter) -> None:
+        draw = self._rng.random()
+        if draw < 0.80:
+            await asyncio.sleep(self._rng.uniform(0.001, 0.02))
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved")
+        elif draw < 0.86:
+            await asyncio.sleep(self._rng.uniform(0.1, 0.6))
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+        elif draw < 0.92:
+            await self._answer_at_length(writer, LONG_BYTES)
+        elif draw < 0.94:
+            await self._answer_at_length(writer, LONG_BYTES // 2)
+            writer.transport.abort()
+        elif draw < 0.96:
+            writer.transport.abort()
+        elif draw < 0.98:
+            writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        else:
+            await asyncio.sleep(HANG_S)
+        await writer.drain()
+
+    async def _answer_at_length(self, writer: asyncio.StreamWriter, size: int) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LONG_BYTES)
+        for _ in range(size // LONG_PIECE_BYTES):
+            writer.write(b"l" * LONG_PIECE_BYTES)
+            await writer.drain()
+            await asyncio.sleep(0.005)
+
+
+def header(head: bytes, name: bytes) -> bytes:
+    """Return the value of a header by its name in lower case; empty: there is none."""
+    for row in head.split(b"\r\n")[1:]:
+        key, _, value = row.partition(b":")
+        if key.strip().lower() == name:
+            return value.strip()
+    return b""
+
+
+class CutResponseError(Exception):
+    """A response began, and broke off such that its reader can tell."""
+
+
+async def read_response(reader: asyncio.StreamReader) -> int:
+    """Return the status of the next final response, read to its end.
+
+    Raises:
+        asyncio.IncompleteReadError: The connection ended before.
+        OSError: It was reset before.
+        ValueError: It is no response.
+        CutResponseError: It broke off in the middle.
+    """
+    while True:
+        head = await reader.readuntil(b"\r\n\r\n")
+        status = int(head.split(b" ", 2)[1])
+        if status >= FINAL_STATUS:
+            break
+    try:
+        await _read_response_body(reader, head)
+    except (OSError, asyncio.IncompleteReadError) as error:
+        raise CutResponseError(str(error)) from error
+    return status
+
+
+async def _read_response_body(reader: asyncio.StreamReader, head: bytes) -> None:
+    if header(head, b"transfer-encoding"):
+        while size := int(await reader.readline(), 16):
+            await reader.readexactly(size + 2)
+        await reader.readexactly(2)
+    else:
+        await reader.readexactly(int(header(head, b"content-length") or b"0"))
--- a/mothstall/lab/standins.py
+++ b/mothstall/lab/standins.py
@@ -172,13 +172,21 @@
         self._revision = 1
         self._told = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self._connections = 0  # so far
+        self._silent_up_to = 0  # connections up to this one get no answer any more
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def silence(self) -> None:
+        """Let the open connections fall silent: they stay open, and no answer comes on them."""
+        self._silent_up_to = self._connections
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         messages = wire.Reader()
+        self._connections += 1
+        number = self._connections
         try:
             while data := await reader.read(65536):
                 for message in messages.feed(data):
@@ -193,7 +201,8 @@
                     news = since < self._revision
                     members = self._members() if news else []
                     tree = {"revision": self._revision, "complete": news, "members": members}
-                    writer.write(wire.answer(200, json.dumps(tree).encode()))
+                    if number > self._silent_up_to:
+                        writer.write(wire.answer(200, json.dumps(tree).encode()))
                 await writer.drain()
         except (wire.Malformed, OSError, ValueError, IndexError, asyncio.CancelledError):
             pass
