--- a/mothstall/lab/soak/play.py
+++ b/mothstall/lab/soak/play.py
@@ -22,9 +22,11 @@
 from mothstall.lab.soak.clients import IdleClient, RestingClient, SoakClient, UploadClient
 from mothstall.lab.soak.observations import (
     MAX_MEMORY_MIB,
+    NOTIFIED_S,
     DrainNotice,
     Observations,
     broken_rules,
+    notified_on_silent_watch_s,
 )
 from mothstall.lab.soak.plan import CROWD_CLIENTS, TRAFFIC_S, Ending, SoakPlan, plan_for
 from mothstall.lab.soak.settings import LONGEST_DEADLINE_S, configuration
@@ -208,16 +210,20 @@
     async def drain_one(self) -> None:
         """Let the watches fall silent and one backend drain, as the plan says."""
         plan = self.plan
+        silent_until_s: float | None = None
         if plan.silent_watch_at_s is not None:
             await asyncio.sleep(plan.silent_watch_at_s)
-            self.discovery.silence()
+            silent_at_s = self.now()
+            wait_over_at_s = silent_at_s + self.discovery.silence()
+            silent_until_s = notified_on_silent_watch_s(silent_at_s, wait_over_at_s)
         if plan.drain_backend_at_s is None:
             return
         await asyncio.sleep(plan.drain_backend_at_s - (plan.silent_watch_at_s or 0.0))
         self.backends[0].is_draining = True
         self.discovery.tell()
-        is_silent = plan.silent_watch_at_s is not None
-        self.seen.drains.append(DrainNotice(self.backends[0].name, self.now(), is_silent))
+        at_s = self.now()
+        notified_at_s = silent_until_s or at_s + NOTIFIED_S
+        self.seen.drains.append(DrainNotice(self.backends[0].name, at_s, notified_at_s))
 
     async def hang_up(self, target: _Process, times_s: tuple[float, ...]) -> None:
         """Send SIGHUPs at the given times from now on."""
--- a/mothstall/lab/standins.py
+++ b/mothstall/lab/standins.py
@@ -174,14 +174,21 @@
         self._server: asyncio.Server | None = None
         self._connections = 0  # so far
         self._silent_up_to = 0  # connections up to this one get no answer any more
+        self._wait_ends: dict[int, float] = {}  # of the calls that wait, on the loop's clock
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def silence(self) -> None:
-        """Let the open connections fall silent: they stay open, and no answer comes on them."""
+    def silence(self) -> float:
+        """Let the open connections fall silent: they stay open, and no answer comes on them.
+
+        Returns:
+            Seconds until the last of the waits that are silent now would have been over.
+        """
         self._silent_up_to = self._connections
+        now = asyncio.get_running_loop().time()
+        return max((end - now for end in self._wait_ends.values()), default=0.0)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         messages = wire.Reader()
@@ -195,9 +202,11 @@
                     since = int(words.get("since") or 0)
                     told = self._told
                     if since >= self._revision:
+                        wait_s = min(60.0, int(words.get("timeout_ms") or 0) / 1000)
+                        self._wait_ends[number] = asyncio.get_running_loop().time() + wait_s
                         with contextlib.suppress(TimeoutError):
-                            wait_s = min(60.0, int(words.get("timeout_ms") or 0) / 1000)
                             await asyncio.wait_for(told.wait(), wait_s)
+                        self._wait_ends.pop(number, None)
                     news = since < self._revision
                     members = self._members() if news else []
                     tree = {"revision": self._revision, "complete": news, "members": members}
@@ -207,6 +216,7 @@
         except (wire.Malformed, OSError, ValueError, IndexError, asyncio.CancelledError):
             pass
         finally:
+            self._wait_ends.pop(number, None)
             writer.close()
 
     def tell(self) -> None:
