Keep places at a keeper for members beside a crowd that joins

Callers saw: beside thousands of agents that join straight at keepers, members' renewals were rejected with "too many callers wait", and their leases ended.

Cause: renewals go ahead of joins in the queue, but the bound on all pending proposals was one: a crowd of joins filled it, and a renewal found no place to go ahead from.

Change: of 8,192 pending proposals 6,144 at most are queued joins; a proposal that is pending already may be sent again at the bound, as nothing is added by it.

Measured: both tests fail without the change (by the missing bound), tests/keeper green.

--- a/mothstall/keeper/admission.py
+++ b/mothstall/keeper/admission.py
@@ -16,6 +16,7 @@
 from mothstall.store.state.changes import AcquireLease, OpenSession, Proposal
 
 MAX_PENDING = 8192  # proposals, queued and in flight; further ones are rejected
+MAX_QUEUED_NEWCOMERS = 6144  # of them, so that a crowd that joins leaves capacity for members
 MAX_IN_FLIGHT = 256  # proposals on their way to the log or in it
 RESUBMIT_AFTER_NS = 600_000_000  # in flight for this long and submitted again: it may be lost
 LOST_AFTER_NS = 3_000_000_000  # in flight for this long and without a caller: it is lost
@@ -87,9 +88,22 @@
 
     @property
     def is_full(self) -> bool:
-        """Whether a further proposal has to be rejected."""
+        """Whether any further proposal has to be rejected."""
         return len(self._pending) >= MAX_PENDING
 
+    def has_capacity_for(self, proposal: Proposal) -> bool:
+        """Tell whether this proposal can be taken, or is pending already.
+
+        Guards against a crowd that joins and fills the queue: a renewal that finds no place would
+        cost a member the lease that it has.
+        """
+        if _key(proposal) in self._pending:
+            return True
+        is_newcomer = self._queue(proposal) is self._newcomer_queue
+        if is_newcomer and len(self._newcomer_queue) >= MAX_QUEUED_NEWCOMERS:
+            return False
+        return not self.is_full
+
     def submit(
         self, caller: int, proposal: Proposal, now_ns: int, deadline_ns: int = NO_DEADLINE
     ) -> None:
--- a/mothstall/keeper/replica.py
+++ b/mothstall/keeper/replica.py
@@ -127,7 +127,7 @@
         Returns:
             Why it is rejected; empty where its result comes with a later `handle_persisted`.
         """
-        if self.admission.is_full:
+        if not self.admission.has_capacity_for(proposal):
             return TOO_MANY_CALLERS_REASON
         if isinstance(proposal.change, ExpireLeases):
             return "terms end by a keeper's word alone"
--- a/tests/keeper/test_admission.py
+++ b/tests/keeper/test_admission.py
@@ -8,6 +8,7 @@
 from mothstall.keeper.admission import (
     LOST_AFTER_NS,
     MAX_PENDING,
+    MAX_QUEUED_NEWCOMERS,
     NO_DEADLINE,
     RESUBMIT_AFTER_NS,
     Admission,
@@ -204,3 +205,31 @@
         assert set(admission._keys) == callers
         queued = {key for key, row in pending.items() if not row.is_in_flight}
         assert queued == {*admission._priority_queue, *admission._newcomer_queue}
+
+
+def test_renewal_finds_a_place_beside_a_crowd_that_joins() -> None:
+    """Renewals went ahead of joins in the queue, and were rejected with them where it was full.
+
+    A crowd of 8,192 that joined filled it; a member's renewal got "too many callers wait", and its
+    lease ended after a term of that.
+    """
+    admission = Admission(window=1)
+    caller = 0
+    while admission.has_capacity_for(acquire(caller + 1)):
+        caller += 1
+        admission.submit(caller, acquire(caller), 0)
+    assert caller == MAX_QUEUED_NEWCOMERS
+    renewal = Proposal(caller + 1, 7, RenewLeases("o", (("l", 1),)))
+    assert admission.has_capacity_for(renewal)
+    admission.submit(caller + 1, renewal, 0)
+    assert hand_in(admission) == [caller + 1]
+
+
+def test_proposal_that_is_pending_may_be_submitted_again_at_the_bound() -> None:
+    """A caller whose deadline moves sends the same one again: nothing is added by it."""
+    admission = Admission()
+    for number in range(1, MAX_PENDING + 1):
+        admission.submit(number, Proposal(number, 7, RenewLeases("o", (("l", 1),))), 0)
+    assert admission.is_full
+    assert admission.has_capacity_for(Proposal(1, 7, RenewLeases("o", (("l", 1),))))
+    assert not admission.has_capacity_for(Proposal(1, 8, RenewLeases("o", (("l", 1),))))
