Let the maker of plans take its own lease again as soon as quorum is back

Cause: after a loss of quorum the holder's own count is over, and the store has the row as its own until the next leader has given it a complete term. FailoverParticipant took any row for another's, waited for that end, and kept the proxy that the hash names waiting as well.

Change: an own row is acquired again at once; another process's row keeps it waiting as before.

The test fails before.

--- a/mothstall/fleet/agent/failover_participant.py
+++ b/mothstall/fleet/agent/failover_participant.py
@@ -63,12 +63,14 @@
         """Make the plan while this proxy holds its lease.
 
         Where nobody holds it, the proxy that the rendezvous hash names acquires it.
+
+        Guards against a holder that could not renew while there was no quorum: its own count is
+        over, the row at the store is still its own, and nobody else may acquire it before that
+        expires, a complete term behind the next leader's election. It holds the lease by that row,
+        whoever the hash names by now.
         """
         name = FAILOVER_LEASE
-        is_free = name not in self._leases.holder.held and (
-            name not in self._snapshots.current.leases
-        )
-        if is_free and assignment.assigned_prober(name, live_proxies) == self._proxy_name:
+        if name not in self._leases.holder.held and self._may_acquire(live_proxies):
             await self._leases.acquire(client, name)
         token = self._leases.token(name)
         client.subscribe_reports(bool(token))
@@ -78,6 +80,12 @@
             return
         await self._write_plan(client, token)
 
+    def _may_acquire(self, live_proxies: Collection[str]) -> bool:
+        row = self._snapshots.current.leases.get(FAILOVER_LEASE)
+        if row is not None:
+            return row.owner == self._leases.owner
+        return assignment.assigned_prober(FAILOVER_LEASE, live_proxies) == self._proxy_name
+
     async def _write_plan(self, client: StoreClient, token: int) -> None:
         write = self.controller.next_write(
             token, self._snapshots.current, _now_ms(), _log_invalid_plan
--- a/tests/fleet/failover/test_failover_lease.py
+++ b/tests/fleet/failover/test_failover_lease.py
@@ -13,6 +13,7 @@
 from mothstall.fleet.failover.plan import FAILOVER_LEASE, PLAN_VALUE_NAME, FailoverPlan
 from mothstall.fleet.failover.transition import RoutingWeights
 from mothstall.fleet.operator_file import parse_operator_file
+from mothstall.fleet.probing.assignment import assigned_prober
 from mothstall.store.state.changes import AcquireLease, Change, ChangeResult, PutValue
 from mothstall.store.state.rows import Lease, StateDelta, StoredValue
 from tests.fleet.failover.builders import HEALTHY, make_report
@@ -25,6 +26,12 @@
 }
 # Longer than an interval of the operator file.
 TICK_S = 0.11
+# Named by the rendezvous hash ahead of `p1`.
+OTHER_PROXY = next(
+    name
+    for name in (f"p{number}" for number in range(2, 50))
+    if assigned_prober(FAILOVER_LEASE, ("p1", name)) == name
+)
 
 
 class GrantingKeepers:
@@ -104,3 +111,59 @@
         assert msgspec.msgpack.decode(write.value or b"", type=FailoverPlan).number >= 7
 
     asyncio.run(run())
+
+
+def test_holder_acquires_the_lease_again_that_the_store_still_has_as_its_own() -> None:
+    """After a loss of quorum no plan was made for a zone that was lost meanwhile.
+
+    The holder's own count ends a term after its last renewal. The store has the lease as its own
+    until the next leader has given it a complete term, and the holder waited for that as others
+    must: `lab fleet run zone-no-quorum` acquired it 2.0 s after the members' leases, 1.0 s before
+    the zone was back, and put no plan out in 7 of 8 rounds. Probe leases are acquired again at once.
+    """
+
+    async def run() -> None:
+        agent = Agent(
+            parse_operator_file(OPERATOR_FILE),
+            "p1",
+            loop=asyncio.get_running_loop(),
+            on_change=lambda: None,
+            proxy_traffic=IdleTraffic(),
+            classes=["x"],
+        )
+        keepers = GrantingKeepers()
+        # It acquired the lease when it was alone; by the hash it would be p2's now.
+        assert assigned_prober(FAILOVER_LEASE, ("p1", OTHER_PROXY)) == OTHER_PROXY
+        adopt(agent, snapshot_with_lease_of(agent.owner))
+        await tick(agent, keepers, 1)
+        assert [type(change) for change in keepers.proposed] == [AcquireLease]
+
+    asyncio.run(run())
+
+
+def test_lease_that_another_process_holds_is_not_acquired() -> None:
+    async def run() -> None:
+        agent = Agent(
+            parse_operator_file(OPERATOR_FILE),
+            "p1",
+            loop=asyncio.get_running_loop(),
+            on_change=lambda: None,
+            proxy_traffic=IdleTraffic(),
+            classes=["x"],
+        )
+        keepers = GrantingKeepers()
+        adopt(agent, snapshot_with_lease_of("p1#another"))
+        await tick(agent, keepers, 2)
+        assert keepers.proposed == []
+
+    asyncio.run(run())
+
+
+def snapshot_with_lease_of(owner: str) -> ClusterSnapshot:
+    member = Lease("member/p1", owner, 2000, 1)
+    failover = Lease(FAILOVER_LEASE, owner, 2000, 2)
+    other = Lease(f"member/{OTHER_PROXY}", f"{OTHER_PROXY}#1", 2000, 3)
+    rows: dict[str, Lease | None] = {lease.name: lease for lease in (member, failover, other)}
+    snapshot = ClusterSnapshot().apply(StateDelta(0, 8, rows, {}, {}))
+    assert snapshot is not None
+    return snapshot
