--- a/mothstall/lab/soak/backend.py
+++ b/mothstall/lab/soak/backend.py
@@ -82,7 +82,7 @@
         try:
             if is_early:
                 await self._answer(writer)  # before the body is there
-            await self._read_body(reader, head)
+            await read_body(reader, head)
             is_complete = True
         finally:
             if request_id:
@@ -91,14 +91,6 @@
         if not is_early:
             await self._answer(writer)
 
-    async def _read_body(self, reader: asyncio.StreamReader, head: bytes) -> None:
-        if header(head, b"transfer-encoding"):
-            while size := int(await reader.readline(), 16):
-                await reader.readexactly(size + 2)
-            await reader.readexactly(2)
-        else:
-            await reader.readexactly(int(header(head, b"content-length") or b"0"))
-
     async def _answer(self, writer: asyncio.StreamWriter) -> None:
         draw = self._rng.random()
         if draw < 0.80:
@@ -156,13 +148,14 @@
         if status >= FINAL_STATUS:
             break
     try:
-        await _read_response_body(reader, head)
+        await read_body(reader, head)
     except (OSError, asyncio.IncompleteReadError) as error:
         raise CutResponseError(str(error)) from error
     return status
 
 
-async def _read_response_body(reader: asyncio.StreamReader, head: bytes) -> None:
+async def read_body(reader: asyncio.StreamReader, head: bytes) -> None:
+    """Read the body that follows a head by its framing, to its end."""
     if header(head, b"transfer-encoding"):
         while size := int(await reader.readline(), 16):
             await reader.readexactly(size + 2)
--- a/tests/fleet/failover/test_failover_lease.py
+++ b/tests/fleet/failover/test_failover_lease.py
@@ -59,6 +59,17 @@
     def apply_weights(self, weights: RoutingWeights, lifetime_ms: int) -> None: ...
 
 
+def make_agent() -> Agent:
+    return Agent(
+        parse_operator_file(OPERATOR_FILE),
+        "p1",
+        loop=asyncio.get_running_loop(),
+        on_change=lambda: None,
+        proxy_traffic=IdleTraffic(),
+        classes=["x"],
+    )
+
+
 def snapshot_with_plan(version: int, plan_number: int) -> ClusterSnapshot:
     lease = Lease("member/p1", "p1#1", 2000, 1)
     data = msgspec.msgpack.encode(FailoverPlan(plan_number))
@@ -90,14 +101,7 @@
 
 def test_a_new_lease_holder_waits_until_it_knows_the_last_ones_plan() -> None:
     async def run() -> None:
-        agent = Agent(
-            parse_operator_file(OPERATOR_FILE),
-            "p1",
-            loop=asyncio.get_running_loop(),
-            on_change=lambda: None,
-            proxy_traffic=IdleTraffic(),
-            classes=["x"],
-        )
+        agent = make_agent()
         keepers = GrantingKeepers()
         adopt(agent, snapshot_with_plan(version=8, plan_number=6))
         await tick(agent, keepers, 4)
@@ -123,14 +127,7 @@
     """
 
     async def run() -> None:
-        agent = Agent(
-            parse_operator_file(OPERATOR_FILE),
-            "p1",
-            loop=asyncio.get_running_loop(),
-            on_change=lambda: None,
-            proxy_traffic=IdleTraffic(),
-            classes=["x"],
-        )
+        agent = make_agent()
         keepers = GrantingKeepers()
         # It acquired the lease when it was alone; by the hash it would be p2's now.
         assert assigned_prober(FAILOVER_LEASE, ("p1", OTHER_PROXY)) == OTHER_PROXY
@@ -143,14 +140,7 @@
 
 def test_lease_that_another_process_holds_is_not_acquired() -> None:
     async def run() -> None:
-        agent = Agent(
-            parse_operator_file(OPERATOR_FILE),
-            "p1",
-            loop=asyncio.get_running_loop(),
-            on_change=lambda: None,
-            proxy_traffic=IdleTraffic(),
-            classes=["x"],
-        )
+        agent = make_agent()
         keepers = GrantingKeepers()
         adopt(agent, snapshot_with_lease_of("p1#another"))
         await tick(agent, keepers, 2)
