--- a/tests/keeper/test_client_requests.py
+++ b/tests/keeper/test_client_requests.py
@@ -296,8 +296,8 @@
 ) -> None:
     """It was dropped without an answer, so that its caller waited out its time and left the keeper.
 
-    `keeper/replica.py` returned without a word at 8,192 waiting reads; the caller's fault was
-    "no answer in time" at a keeper that answered everybody else.
+    `keeper/replica.py` returned without a word at 8,192 waiting reads; the caller was told "no
+    quorum of k1 answers (k1: not asked)" beside a keeper that had one.
     """
     monkeypatch.setattr(replica, "MAX_PENDING", 0)
 
