--- a/review/2/case.py
+++ b/review/2/case.py
@@ -84,9 +84,11 @@
         while not stop.is_set():
             ident = f"u{client}-{number}"
             number += 1
+            record.write(f"{ident} sent")
             writer.write(common.request_bytes("search", ident, REMAINING_MS))
             answer: Message = await common.read_message(reader)
             usual.count(answer.start)
+            record.write(f"{ident} got {answer.start}")
             await asyncio.sleep(PAUSE_S)
         writer.close()
     except (OSError, asyncio.IncompleteReadError) as error:
@@ -145,6 +147,8 @@
     await asyncio.gather(*clients)
     is_running = case.proxy.is_running
     watch.cancel()
+    for line in common.lines_of(case.folder / "ran"):
+        case.record.write(f"backends, by their own clock: {line}")
     case.record.write(f"usual clients in all: {usual.outcomes}; peak {platform.peak_mb:.0f} MB")
     case.record.write(f"the proxy {'runs' if is_running else 'is gone'}")
     return is_running and not platform.has_killed and not platform.has_ended
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -112,7 +112,7 @@
     filings = await asyncio.gather(
         *(file(listen, f"long-{n}", size, case.record) for n, size in enumerate(LONG_BYTES))
     )
-    for line in ran.read_text(encoding="utf-8").splitlines():
+    for line in common.lines_of(ran):
         case.record.write(f"backends, by their own clock: {line}")
     await case.record_counters(listen)
     lost = [filing for filing in filings if filing.is_lost]
--- a/review/standins/common.py
+++ b/review/standins/common.py
@@ -124,6 +124,11 @@
         return port
 
 
+def lines_of(path: Path) -> list[str]:
+    """Return the lines of a file that the backends have written."""
+    return path.read_text(encoding="utf-8").splitlines()
+
+
 # Messages
 
 
