Bound incomplete requests: heads without end no longer exhaust the proxy's memory

Cause: a head had no limit but the parser's 128 fields of 8,190 bytes, on each connection, and nothing counted all of them. Same cause on related paths, each made to come by the new test: endless trailers behind a short chunked body (253 MB), and heads of many short fields pipelined behind an open request, of which the parser parsed 32 ahead (275 MB).

Change: a head, or the trailers, may have 32 KiB (431); incomplete requests of all clients together may take an eighth of the memory limit, each its fair share in any case (503 beyond both); the parser stops behind each request and gets pieces of 8 KiB ahead of a body, so that what follows waits unparsed under the limit of pipelined input; a rejected connection releases its parser.

--- a/mothstall/net/aiohttp_internals.py
+++ b/mothstall/net/aiohttp_internals.py
@@ -10,8 +10,6 @@
 * `_parser`: the HTTP parser; its `feed_data`, `message_consumed` and `pause_reading`; `None` once
   the connection is lost.
 * `_messages`: parsed requests with their bodies (`StreamReader`), oldest first.
-* `_max_msg_queue_size`, `_msg_queue_resume_size`: queue lengths at which the parser pauses and
-  resumes.
 * `_paused`: the transport's write buffer is above its high-water mark.
 * `_reading_paused`: the parser is paused; `_buffer_paused`: the buffer of a body is full.
 * `_pause_transport_reading`, `_resume_transport_reading`: pause and resume the transport only.
@@ -33,7 +31,12 @@
 # Importing `aiohttp.web` would load the whole web framework at every start.
 from aiohttp import web_server
 from aiohttp.base_protocol import BaseProtocol
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
+from aiohttp.streams import StreamReader
+from aiohttp.web_protocol import RequestHandler, RequestPayloadError
+
+# Upgrades after which aiohttp's parser takes further input for another protocol.
+ALLOWED_UPGRADES = frozenset({"websocket"})
 
 # aiohttp's own messages about connections are counted elsewhere, not logged.
 _silent_log = logging.getLogger("mothstall.frontend.aiohttp")
@@ -62,6 +65,15 @@
             auto_decompress=False,
             read_bufsize=body_buffer_bytes,
         )
+        # aiohttp's own parser would parse up to 32 requests ahead of the one that is open.
+        self._parser = HttpRequestParser(
+            self,
+            loop,
+            body_buffer_bytes,
+            payload_exception=RequestPayloadError,
+            auto_decompress=False,
+            max_msg_queue_size=1,
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register with the server, without aiohttp's handler task."""
@@ -82,6 +94,10 @@
         BaseProtocol.connection_lost(self, exc)
         self._manager = self._parser = None
 
+    def release_parser(self) -> None:
+        """Release the parser with what it has buffered: no further input is parsed."""
+        self._parser = None
+
     def set_max_read(self, size: int) -> None:
         """Limit the number of bytes that the transport reads at once."""
         if self.transport is not None:
@@ -111,6 +127,16 @@
             self._parser.pause_reading()
 
 
+def ends_http(parsed: tuple[RawRequestMessage, StreamReader]) -> bool:
+    """Return whether what follows a request without a body is not HTTP: it upgrades or connects.
+
+    The parser reports this only with the next input, as it stops behind each request.
+    """
+    message, payload = parsed
+    is_upgrade = message.upgrade and message.headers.get("Upgrade", "").lower() in ALLOWED_UPGRADES
+    return payload.is_eof() and (is_upgrade or message.method == "CONNECT")
+
+
 def open_connections(
     server: web_server.Server,
 ) -> dict[RequestHandler, asyncio.Transport]:
--- a/mothstall/net/client_side/connection.py
+++ b/mothstall/net/client_side/connection.py
@@ -10,7 +10,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from mothstall.net import protocol
-from mothstall.net.aiohttp_internals import ParserConnection
+from mothstall.net.aiohttp_internals import ParserConnection, ends_http
 from mothstall.net.body_relay import MAX_READ_BYTES
 from mothstall.net.client_side import (
     lingering_close,
@@ -22,9 +22,11 @@
 from mothstall.net.client_side.connection_states import (
     DEFERS_INPUT,
     HAS_OPEN_EXCHANGE,
+    IS_INCOMPLETE,
     READS_BODY,
     ConnectionState,
 )
+from mothstall.net.client_side.incomplete_request import PARSE_BYTES, IncompleteRequest
 from mothstall.net.client_side.open_exchange import ExchangeEnd, OpenExchange
 from mothstall.net.client_side.pipelined_input import PipelinedInput
 from mothstall.net.client_side.request_body import RequestBody
@@ -35,6 +37,7 @@
 if TYPE_CHECKING:
     from mothstall.net.client_side.frontend import Frontend
 
+HEAD_END = b"\r\n\r\n"
 # A first request received within this time counts as having arrived with its connection.
 FIRST_REQUEST_S = 0.1
 
@@ -50,6 +53,7 @@
         request: The request that is being read or is open.
         exchange: The open request with its streams; None in a state without an open request.
         body: The part of the request's body received so far.
+        incomplete: Counts the input of a request that is being read.
         pipelined: Input received while a request was open, not parsed yet.
         is_http11: Whether the open request is HTTP/1.1.
         keeps_alive: Whether the connection stays open after the open request's response.
@@ -69,6 +73,7 @@
         "discarded_bytes",
         "exchange",
         "frontend",
+        "incomplete",
         "is_http11",
         "is_read_blocked",
         "keeps_alive",
@@ -87,6 +92,7 @@
         self.request: protocol.ClientRequest | None = None
         self.exchange: OpenExchange | None = None
         self.body = RequestBody()
+        self.incomplete = IncompleteRequest(frontend.incomplete_budget)
         self.pipelined = PipelinedInput(frontend.pipelined_budget)
         self.is_http11 = True
         self.keeps_alive = True
@@ -98,7 +104,7 @@
         # The last input arrived while a request was being read or open: a part of this input may
         # still be in the parser.
         self._was_pipelined = False
-        # The parser stopped at its limit of queued messages, and may contain further input.
+        # The parser stops behind each complete request, and may hold further input.
         self._parser_may_hold_more = False
 
     # Transport
@@ -129,6 +135,7 @@
         self.frontend.table.remove(self)
         self.detach(exc)
         self.discard_pipelined()
+        self.incomplete.clear()
         self.end_exchange(ExchangeEnd.WITHDRAWN)
         self.request = self.body.payload = None
         self.body.parts = []
@@ -235,6 +242,8 @@
             self.end_exchange(ExchangeEnd.WITHDRAWN)
         table = self.frontend.table
         table.remove(self)
+        if state not in IS_INCOMPLETE:
+            self.incomplete.clear()
         self.state = state
         self.state_since_s = self.frontend.loop.time()
         table.add(self)
@@ -256,8 +265,13 @@
             return
         if self.pipelined.pieces or state in DEFERS_INPUT:
             self._buffer_pipelined(data)
-        else:
+        elif len(data) <= PARSE_BYTES or state in READS_BODY:
             self._receive(data, self.frontend.clock.arrived_after_ns())
+        else:
+            # Guards against memory for parsed heads of many fields, which are many times as large
+            # as the input: what follows the first request is buffered unparsed.
+            self._receive(data[:PARSE_BYTES], self.frontend.clock.arrived_after_ns())
+            self.data_received(data[PARSE_BYTES:])
 
     def _receive(self, data: bytes, arrived_ns: int) -> None:
         state = self.state
@@ -309,13 +323,19 @@
             return
         if messages:
             self._messages.extend(messages)
-            self._parser_may_hold_more = len(self._messages) >= self._max_msg_queue_size
-        if upgraded:
+            self.incomplete.clear()
+            # A head without a body that ends the input is complete, and nothing is behind it.
+            self._parser_may_hold_more = data.find(HEAD_END) != len(data) - len(HEAD_END)
+            self._was_pipelined = self._was_pipelined or self._parser_may_hold_more
+        if upgraded or any(map(ends_http, messages)):
             request_body.on_malformed_input(self, "no upgrade")
         elif self.state in READS_BODY:
-            request_body.on_data(self)
+            request_body.on_data(self, data)
         elif self.state == ConnectionState.READING_HEAD and self._messages:
             self.start_next_request()
+        elif self.state == ConnectionState.READING_HEAD:
+            self.incomplete.add_head(data)
+            rejection.check_incomplete(self)
 
     def start_next_request(self) -> None:
         """Start the next request, if none is open and the last response was written."""
@@ -325,6 +345,9 @@
             or self.is_closing()
         ):
             return
+        if not self._messages and self._parser_may_hold_more:
+            self._parser_may_hold_more = False
+            self._parse(b"")
         if not self._messages:
             self._take_pipelined()
             return
@@ -343,9 +366,6 @@
             self.force_close()
             return
         request_head.handle_head(self, message, payload)  # type: ignore[arg-type]
-        if self._parser_may_hold_more and len(self._messages) <= self._msg_queue_resume_size:
-            self._parser_may_hold_more = False
-            self._parse(b"")
         if self.pipelined.pieces:
             self._loop.call_soon(self._take_pipelined)  # may contain the rest of this request
 
@@ -424,27 +444,10 @@
             return
         self.end_exchange(ExchangeEnd.ANSWERED)
         if self.state == ConnectionState.UPLOADING:
-            self._send_early_response(response)
+            request_body.send_early_response(self, response)
         else:
             self.write_response(response)
 
-    def _send_early_response(self, response: ClientResponse) -> None:
-        """Write a response to an incomplete request, and discard the rest of the request's body.
-
-        Guards against a client that reads its response only after it has sent the whole body: it
-        would see a reset.
-        """
-        assert self.transport is not None
-        self.keeps_alive = self.keeps_alive and not self.frontend.closes_after_response()
-        self.transport.write(
-            protocol.encode_response(
-                response.status, response.head, response.body, not self.keeps_alive
-            )
-        )
-        self.enter(ConnectionState.DISCARDING_BODY)
-        self.resume()
-        request_body.on_data(self)
-
     def write_response(self, response: ClientResponse) -> None:
         """Write a complete response, then continue with `after_response`."""
         transport = self.transport
@@ -468,7 +471,7 @@
             return
         if self.deferred_error is not None:
             rejection.reject_and_close(self, *self.deferred_error)
-        elif self._messages or self.pipelined.pieces:
+        elif self._messages or self._parser_may_hold_more or self.pipelined.pieces:
             # Guards against a long pipeline that blocks the event loop.
             self._loop.call_soon(self.start_next_request)
 
--- a/mothstall/net/client_side/connection_states.py
+++ b/mothstall/net/client_side/connection_states.py
@@ -35,6 +35,9 @@
     ConnectionState.PENALIZED,
 )
 
+# States in which a request is being read that was not submitted to the decider.
+IS_INCOMPLETE = (ConnectionState.READING_HEAD, ConnectionState.READING_BODY)
+
 # States in which input is part of a request's body.
 READS_BODY = (
     ConnectionState.READING_BODY,
--- a/mothstall/net/client_side/frontend.py
+++ b/mothstall/net/client_side/frontend.py
@@ -20,6 +20,7 @@
 from mothstall.net.client_side.connection_handover import ConnectionHandover, HandoverTarget
 from mothstall.net.client_side.connection_states import ConnectionState
 from mothstall.net.client_side.connection_table import ConnectionTable
+from mothstall.net.client_side.incomplete_request import IncompleteRequestBudget
 from mothstall.net.client_side.load_shedding import SHED_URGENT_S, ConnectionBudget
 from mothstall.net.client_side.open_exchange import ExchangeEnd, OpenExchange
 from mothstall.net.client_side.pipelined_input import PipelinedInputBudget
@@ -32,6 +33,9 @@
     from aiohttp import web
 
 SWEEP_S = 0.1  # between two checks of all connections
+# Fractions of the memory limit, for all clients together:
+INCOMPLETE_MEMORY_FRACTION = 1 / 8  # for requests that are being read
+PIPELINED_MEMORY_FRACTION = 1 / 16  # for input ahead of a response
 SHUTDOWN_TIMEOUT_S = 0.05  # for connections that are still open at the end of a shutdown
 
 
@@ -42,13 +46,13 @@
     Attributes:
         max_connections: The budget of client connections.
         max_body_bytes: The longest request body that is accepted.
-        max_pipelined_bytes: Limit of the input that all clients may send ahead of responses.
+        memory_bytes: The memory limit of the process.
         retry_after_ns: The Retry-After of a rejection (503) on the client side.
     """
 
     max_connections: int
     max_body_bytes: int
-    max_pipelined_bytes: int
+    memory_bytes: int
     retry_after_ns: int
 
 
@@ -76,6 +80,7 @@
         grants: Permits for streaming long request bodies.
         max_body_bytes: The longest request body that is accepted.
         retry_after_head: The Retry-After header line of a rejection (503).
+        incomplete_budget: Counts the memory that incomplete requests of all connections take.
         pipelined_budget: Counts the input that all connections buffer while a request is open.
         table: The connections by state.
         budget: The budget of connections.
@@ -112,7 +117,12 @@
         self.grants = grants
         self.max_body_bytes = limits.max_body_bytes
         self.retry_after_head = protocol.retry_after_header(limits.retry_after_ns)
-        self.pipelined_budget = PipelinedInputBudget(limits.max_pipelined_bytes)
+        self.incomplete_budget = IncompleteRequestBudget(
+            int(limits.memory_bytes * INCOMPLETE_MEMORY_FRACTION), limits.max_connections
+        )
+        self.pipelined_budget = PipelinedInputBudget(
+            int(limits.memory_bytes * PIPELINED_MEMORY_FRACTION)
+        )
         self._decide = decide
         self._ready = ready
         self._request_numbers = itertools.count(1)
--- a/mothstall/net/client_side/lingering_close.py
+++ b/mothstall/net/client_side/lingering_close.py
@@ -33,6 +33,7 @@
     if transport is None:
         return
     connection.discard_pipelined()
+    connection.release_parser()
     connection.deferred_error = None
     connection.discarded_bytes = 0
     connection.is_read_blocked = False
--- a/mothstall/net/client_side/rejection.py
+++ b/mothstall/net/client_side/rejection.py
@@ -48,3 +48,16 @@
     head = PLAIN_TEXT_HEADER + (connection.frontend.retry_after_head if status == 503 else b"")
     connection.transport.write(protocol.encode_response(status, head, body, True))
     lingering_close.begin(connection, ConnectionState.REJECTED)
+
+
+def check_incomplete(connection: Connection) -> None:
+    """Reject a request whose input so far exceeds the limits of incomplete requests.
+
+    Guards against clients that fill the proxy's memory with requests that never end.
+    """
+    if connection.incomplete.is_head_too_long():
+        connection.frontend.counters.add("requests_bad")
+        reject_and_close(connection, 431, "the head is too long")
+    elif connection.incomplete.exceeds_budget():
+        connection.frontend.counters.add("requests_over_memory")
+        reject_and_close(connection, 503, "no room")
--- a/mothstall/net/client_side/request_body.py
+++ b/mothstall/net/client_side/request_body.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from mothstall.net.client_side.connection import Connection
+    from mothstall.net.decider_messages import ClientResponse
 
 # A client has to send MIN_UPLOAD_BYTES of a long body within each period of this length.
 UPLOAD_PROGRESS_TIMEOUT_S = 2.5
@@ -45,8 +46,13 @@
         return self.payload is None or self.payload.is_eof()
 
 
-def on_data(connection: Connection) -> None:
-    """Process the part of the body that the parser has buffered."""
+def on_data(connection: Connection, data: bytes = b"") -> None:
+    """Process the part of the body that the parser has buffered.
+
+    Args:
+        connection: The connection that receives the body.
+        data: The input that was just parsed, with the framing of the body.
+    """
     body = connection.body
     payload = body.payload
     assert payload is not None
@@ -58,7 +64,7 @@
         return
     # All buffered data is taken at once: aiohttp's reader pauses its parser at a limit of bytes or
     # chunks.
-    data = payload.read_nowait()
+    part = payload.read_nowait()
     is_complete = payload.is_eof()
     if is_complete and body.stream is not None and has_peer_hung_up(connection.transport):
         # Guards against completing a blocked body whose client has closed its connection after the
@@ -66,7 +72,9 @@
         connection.on_client_left()
         connection.force_close()
         return
-    body.received_bytes += len(data)
+    body.received_bytes += len(part)
+    if not is_complete and not _is_within_limits(connection, part, data):
+        return
     if (
         body.received_bytes - body.progress_bytes >= MIN_UPLOAD_BYTES
         and connection.state != ConnectionState.READING_BODY
@@ -78,7 +86,27 @@
             body.payload = None
             connection.after_response(connection.transport)
         return
-    _deliver(connection, data, is_complete)
+    _deliver(connection, part, is_complete)
+
+
+def _is_within_limits(connection: Connection, part: bytes, data: bytes) -> bool:
+    """Count input of an incomplete request; reject the request and return False beyond a limit."""
+    incomplete = connection.incomplete
+    if not part:
+        # Input without a part of the body is framing or trailers, which the parser keeps.
+        incomplete.add_head(data)
+    elif connection.state == ConnectionState.READING_BODY:
+        incomplete.add_body(len(part))
+    else:
+        incomplete.clear()
+    if incomplete.is_head_too_long():
+        abandon(connection, 431, "the trailers are too long")
+        return False
+    if incomplete.exceeds_budget():
+        connection.frontend.counters.add("requests_over_memory")
+        abandon(connection, 503, "no room")
+        return False
+    return True
 
 
 def _deliver(connection: Connection, data: bytes, is_complete: bool) -> None:
@@ -146,3 +174,23 @@
         lingering_close.begin(connection)
     if connection.state not in IS_CLOSING:
         rejection.reject_and_close(connection, 400, reason)
+
+
+def send_early_response(connection: Connection, response: ClientResponse) -> None:
+    """Write a response to an incomplete request, and discard the rest of the request's body.
+
+    Guards against a client that reads its response only after it has sent the whole body: it would
+    see a reset.
+    """
+    assert connection.transport is not None
+    connection.keeps_alive = (
+        connection.keeps_alive and not connection.frontend.closes_after_response()
+    )
+    connection.transport.write(
+        protocol.encode_response(
+            response.status, response.head, response.body, not connection.keeps_alive
+        )
+    )
+    connection.enter(ConnectionState.DISCARDING_BODY)
+    connection.resume()
+    on_data(connection)
--- a/mothstall/net/counters.py
+++ b/mothstall/net/counters.py
@@ -12,6 +12,7 @@
     "requests": "requests accepted and passed to the balancer",
     "requests_bad": "requests answered 4xx: malformed, too long, or with the id of an open request",
     "requests_malformed": "requests that are not HTTP: answered 400, and the connection closed",
+    "requests_over_memory": "incomplete requests rejected: all of them took too much memory",
     "requests_left": "requests whose client left before its response",
     "answers_ok": "200 responses forwarded",
     "answers_refused": "503 responses: rejected, safe to retry",
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -42,7 +42,6 @@
 # Not available to traffic: for the listener, discovery, logs and the event loop.
 RESERVED_DESCRIPTORS = 32
 BACKEND_DESCRIPTORS_FRACTION = 0.3  # of the remaining descriptors
-PIPELINED_MEMORY_FRACTION = 1 / 16  # of the memory limit, for pipelined requests
 GC_INTERVAL_S = 2.0  # between two garbage collections
 # Objects are frozen again after this many new endpoint rows: a row that is not frozen adds about
 # 3 us to each collection.
@@ -146,7 +145,7 @@
             ClientLimits(
                 max_connections=max_connections,
                 max_body_bytes=self.config.max_body_bytes,
-                max_pipelined_bytes=int(self.config.memory_bytes * PIPELINED_MEMORY_FRACTION),
+                memory_bytes=self.config.memory_bytes,
                 retry_after_ns=retry_after_ns(self.config.settings),
             ),
             loop=self.loop,
