Time of a long request counts from its client's last byte, also while its backend hangs

Cause: a request with a long body had no timer, in the decider or at its attempt, until its last byte was written to the backend. A hung backend never takes that byte; the check for progress acted after 10 s. For the same reason the time began anew once a backend that had paused read the body.

Change: net/body_arrival.py (pure) estimates when the body was last surely incomplete at its client; deadline and attempt's timeout count from there and run from the start, moving while the body arrives.

--- a/mothstall/net/backend_side/backend.py
+++ b/mothstall/net/backend_side/backend.py
@@ -163,17 +163,13 @@
         return self._pool.max_body_bytes
 
     def on_request_written(self, attempt: OpenAttempt, has_long_body: bool) -> None:
-        """Record that a request is written; with a long body, its timeout starts only now."""
+        """Record that a request is written; with a long body, its latency counts from now."""
         command = attempt.command
         if command is None:
             return
         self._metrics.relayed += 1
         if has_long_body and not attempt.is_over:
             attempt.sent_at_ns = self._clock.now()
-            attempt.due_s = self._clock.loop_time(
-                attempt.sent_at_ns + command.client_request.remaining_ns
-            )
-            attempt.timeout_timer = self.loop.call_at(attempt.due_s, self._on_timeout, attempt)
             self._report(AttemptWritten(command.request, command.attempt))
 
     def on_response_started(
@@ -271,8 +267,7 @@
         due_s = self._clock.loop_time(command.due_ns)
         attempt = OpenAttempt(command, now_ns, due_s)
         self._in_flight[command.request, command.attempt] = attempt
-        if command.client_request.stream is None:
-            attempt.timeout_timer = self.loop.call_at(due_s, self._on_timeout, attempt)
+        attempt.timeout_timer = self.loop.call_at(due_s, self._on_timeout, attempt)
         if command.write_by_ns:
             attempt.write_by_s = self._clock.loop_time(command.write_by_ns)
             attempt.retry_window_timer = self.loop.call_at(
@@ -379,11 +374,13 @@
             self.cancel(attempt, AttemptResult.CANCELLED)
 
     def _on_timeout(self, attempt: OpenAttempt) -> None:
-        """End an attempt that has timed out.
+        """End an attempt that has timed out, unless the last byte of a long body came later.
 
         Guards against discarding a response that arrived while the event loop was stalled: pending
         input is read first.
         """
+        if self._extend_upload(attempt):
+            return
         if self.loop.time() - attempt.due_s > STALLED_LOOP_S:
             attempt.timeout_timer = self.loop.call_later(
                 STALLED_LOOP_READ_S, self.cancel, attempt, AttemptResult.TIMEOUT
@@ -391,6 +388,22 @@
         else:
             self.cancel(attempt, AttemptResult.TIMEOUT)
 
+    def _extend_upload(self, attempt: OpenAttempt) -> bool:
+        """Restart the timeout of a long body that was incomplete at its client until recently.
+
+        Guards against an attempt without a timeout while its backend does not read the body: its
+        client may have written the last byte long ago.
+        """
+        command = attempt.command
+        if command is None or command.client_request.stream is None:
+            return False
+        due_s = self._clock.loop_time(command.client_request.deadline_ns(self._clock.now()))
+        if due_s <= attempt.due_s:
+            return False
+        attempt.due_s = due_s
+        attempt.timeout_timer = self.loop.call_at(due_s, self._on_timeout, attempt)
+        return True
+
     def cancel(self, attempt: OpenAttempt, result: AttemptResult) -> None:
         """End an attempt, and close its connection.
 
--- a/mothstall/net/client_side/connection.py
+++ b/mothstall/net/client_side/connection.py
@@ -388,7 +388,7 @@
             return
         self.exchange = None
         self.request = None
-        self.body.stream = None
+        self.body.stream = self.body.arrival = None
         self.frontend.end_exchange(exchange, end)
 
     # As the source of a long body
@@ -396,11 +396,15 @@
     def pause(self) -> None:
         """Pause reading."""
         self.is_read_blocked = True
+        if self.body.arrival is not None:
+            self.body.arrival.on_paused(self.frontend.clock.now())
         self._pause_transport_reading()
 
     def resume(self) -> None:
         """Resume reading, and restart the timeout of the state."""
         self.is_read_blocked = False
+        if self.body.arrival is not None:
+            self.body.arrival.on_resumed(self.frontend.clock.now())
         self.state_since_s = self.frontend.loop.time()
         if self.pipelined.pieces:
             self._loop.call_soon(self._take_pipelined)
--- a/mothstall/net/client_side/request_body.py
+++ b/mothstall/net/client_side/request_body.py
@@ -7,10 +7,11 @@
 from aiohttp.streams import StreamReader
 
 from mothstall.net import protocol
-from mothstall.net.body_relay import Stream
+from mothstall.net.body_arrival import BodyArrival
+from mothstall.net.body_relay import MAX_READ_BYTES, Stream
 from mothstall.net.client_side import lingering_close, rejection
 from mothstall.net.client_side.connection_states import IS_CLOSING, READS_BODY, ConnectionState
-from mothstall.net.listener import has_peer_hung_up
+from mothstall.net.listener import has_peer_hung_up, unread_byte_count
 
 if TYPE_CHECKING:
     from mothstall.net.client_side.connection import Connection
@@ -30,9 +31,10 @@
         received_bytes: Bytes received of this body.
         progress_bytes: `received_bytes` when the upload timeout was last restarted.
         stream: The stream of a long body to the backend.
+        arrival: When the last byte of a long body may have arrived.
     """
 
-    __slots__ = ("parts", "payload", "progress_bytes", "received_bytes", "stream")
+    __slots__ = ("arrival", "parts", "payload", "progress_bytes", "received_bytes", "stream")
 
     def __init__(self) -> None:
         self.payload: StreamReader | None = None
@@ -40,6 +42,7 @@
         self.received_bytes = 0
         self.progress_bytes = 0
         self.stream: Stream | None = None
+        self.arrival: BodyArrival | None = None
 
     def is_complete(self) -> bool:
         """Return whether the whole body was received."""
@@ -56,6 +59,8 @@
     body = connection.body
     payload = body.payload
     assert payload is not None
+    if body.stream is not None and data:
+        _record_read(connection, data)
     if payload.total_bytes > connection.frontend.max_body_bytes:
         abandon(connection, 413, "the body is too long")
         return
@@ -127,10 +132,23 @@
         body.stream.feed(data)
     if is_complete and body.stream is not None:
         stream, body.stream = body.stream, None
+        if body.arrival is not None:
+            body.arrival.on_complete()
         connection.enter(ConnectionState.AWAITING_RESPONSE)
         stream.end()
 
 
+def _record_read(connection: Connection, data: bytes) -> None:
+    """Record that a part of a long body was read."""
+    arrival = connection.body.arrival
+    if arrival is None:
+        return
+    clock = connection.frontend.clock
+    # Pipelined input has waited: it says nothing about what the kernel still holds.
+    byte_count = MAX_READ_BYTES if connection.pipelined.pieces else len(data)
+    arrival.on_read(byte_count, clock.arrived_after_ns(), clock.now())
+
+
 def begin_stream(connection: Connection, length: int | None) -> bool:
     """Submit the request while its body is still being received; False if it was rejected."""
     body = connection.body
@@ -139,6 +157,11 @@
     parts, body.parts = body.parts, []
     request.length = length
     body.progress_bytes = body.received_bytes
+    request.body_arrival = body.arrival = BodyArrival(
+        connection.arrived_ns,
+        None if length is None else length - body.received_bytes,
+        is_drained=not connection.pipelined.pieces and not unread_byte_count(connection.transport),
+    )
     stream = Stream(connection, connection.frontend.grants)
     request.stream = body.stream = stream
     for part in parts:
--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -9,7 +9,6 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from mothstall import interface as io
 from mothstall.config import Config
@@ -35,36 +34,12 @@
 from mothstall.net.discovery.discovery import Discovery, EndpointsUpdated, PollOnce, SetWatching
 from mothstall.net.invariants import check_invariant
 from mothstall.net.metrics import Outcome, RequestMetrics
+from mothstall.net.pending_request import PendingRequest
 from mothstall.policy import Balancer
 
 log = logging.getLogger("mothstall.decider")
 
 
-@dataclass(slots=True)
-class _Pending:
-    """One open request.
-
-    Attributes:
-        arrived: The request.
-        deadline_ns: Unix time by which the request has to be answered.
-        backstop: Timer that fails the request after its deadline; None before a long body is sent.
-        attempts: The backend actor of each attempt; None for an attempt that was never sent.
-        in_flight: Number of attempts that have not ended.
-        is_answered: The final response, or its head, was passed on, or the client has left.
-        has_timed_out: The attempt that ended last had timed out.
-        is_relaying: A long response is being relayed.
-    """
-
-    arrived: RequestArrived
-    deadline_ns: int
-    backstop: asyncio.TimerHandle | None = None
-    attempts: list[Backend | None] = field(default_factory=list)
-    in_flight: int = 0
-    is_answered: bool = False
-    has_timed_out: bool = False
-    is_relaying: bool = False
-
-
 class Decider(Actor[DeciderMessage]):
     """The actor that executes the balancer's actions.
 
@@ -91,9 +66,9 @@
         self._metrics = metrics
         self._balancer = Balancer(config.settings, config.seed)
         self._restarts = 0
-        self._pending: dict[int, _Pending] = {}
+        self._pending: dict[int, PendingRequest] = {}
         # Entries to check for removal once the actions of this batch are executed.
-        self._ended_entries: list[_Pending] = []
+        self._ended_entries: list[PendingRequest] = []
         self._backends: dict[int, Backend] = {}
         self._endpoints: dict[int, io.Endpoint] = {}
         self._version = 0
@@ -120,7 +95,7 @@
         """
         self._stop_by_ns = latest_ns
         for request, entry in self._pending.items():
-            if not entry.is_answered and (entry.backstop is None or entry.deadline_ns > latest_ns):
+            if not entry.is_answered and entry.deadline_ns > latest_ns:
                 entry.deadline_ns = latest_ns
                 self._start_backstop(request, entry)
 
@@ -190,13 +165,9 @@
         deadline = message.received_ns + inbound.remaining_ns
         if message.latest_ns is not None:
             deadline = min(deadline, message.latest_ns)
-        entry = _Pending(message, deadline)
+        entry = PendingRequest(message, deadline)
         self._pending[message.request] = entry
-        # For a long body, `_on_written` sets the deadline; a stopping process also sets one here.
-        if inbound.stream is not None and self._stop_by_ns is not None:
-            entry.deadline_ns = self._stop_by_ns
-        if inbound.stream is None or self._stop_by_ns is not None:
-            self._start_backstop(message.request, entry)
+        self._start_backstop(message.request, entry)
         self._metrics.start_request(inbound.class_index)
         return io.RequestArrived(
             message.request,
@@ -208,7 +179,7 @@
             inbound.is_retry,
         )
 
-    def _start_backstop(self, request: int, entry: _Pending) -> None:
+    def _start_backstop(self, request: int, entry: PendingRequest) -> None:
         if entry.backstop is not None:
             entry.backstop.cancel()
         overdue_at = self._clock.loop_time(entry.deadline_ns + self._config.answer_slack_ns // 2)
@@ -218,13 +189,16 @@
         entry = self._pending.get(message.request)
         if entry is None or entry.is_answered:
             return None
-        left = entry.arrived.client_request.remaining_ns
-        if self._stop_by_ns is not None:
-            left = max(1, min(left, self._stop_by_ns - now))
-        entry.deadline_ns = now + left
+        entry.deadline_ns = self._upload_deadline_ns(entry, now)
         self._start_backstop(message.request, entry)
+        left = max(1, entry.deadline_ns - now)
         return io.AttemptWritten(message.request, message.attempt, left)
 
+    def _upload_deadline_ns(self, entry: PendingRequest, now: int) -> int:
+        """Return the deadline of a request with a long body, which may move while it arrives."""
+        deadline_ns = entry.arrived.client_request.deadline_ns(now)
+        return deadline_ns if self._stop_by_ns is None else min(deadline_ns, self._stop_by_ns)
+
     def _on_relay_ended(self, request: int, outcome: Outcome) -> None:
         entry = self._pending.get(request)
         if entry is not None and entry.is_relaying:
@@ -281,6 +255,12 @@
         entry = self._pending.get(request)
         if entry is None or entry.is_answered:
             return None
+        if entry.arrived.client_request.stream is not None:
+            deadline_ns = self._upload_deadline_ns(entry, self._clock.now())
+            if deadline_ns > entry.deadline_ns:
+                entry.deadline_ns = deadline_ns
+                self._start_backstop(request, entry)
+                return None
         self.counters.add("answers_overdue")
         log.warning(
             "request overdue", extra={"kv": {"request": request, "attempts": len(entry.attempts)}}
@@ -434,13 +414,15 @@
         self._answer(entry, reply, Outcome.THROTTLED)
         self._remove_when_done(entry)
 
-    def _fail(self, entry: _Pending) -> None:
+    def _fail(self, entry: PendingRequest) -> None:
         self._answer(
             entry, ClientResponse(504 if entry.has_timed_out else 502, b"failed\n"), Outcome.FAULTED
         )
         self._remove_when_done(entry)
 
-    def _answer(self, entry: _Pending, reply: ClientResponse | None, outcome: Outcome) -> None:
+    def _answer(
+        self, entry: PendingRequest, reply: ClientResponse | None, outcome: Outcome
+    ) -> None:
         check_invariant(not entry.is_answered, "one final answer", self.counters)
         self._metrics.end_request(entry.arrived.client_request.class_index, outcome)
         entry.is_answered = True
@@ -455,7 +437,7 @@
         if reply:
             entry.arrived.reply(reply)
 
-    def _begin_relay(self, entry: _Pending, reply: ClientResponse) -> None:
+    def _begin_relay(self, entry: PendingRequest, reply: ClientResponse) -> None:
         """Begin to relay a long response; `ResponseRelayed` reports how it ended."""
         check_invariant(not entry.is_answered, "one final answer", self.counters)
         entry.is_answered = True
@@ -464,7 +446,7 @@
             entry.backstop.cancel()
         entry.arrived.reply(reply)
 
-    def _remove_when_done(self, entry: _Pending) -> None:
+    def _remove_when_done(self, entry: PendingRequest) -> None:
         """Remove an entry once it is complete, but only after the balancer has handled this batch.
 
         Guards against an attempt that the balancer sends in the same batch in which the client
--- a/mothstall/net/listener.py
+++ b/mothstall/net/listener.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import errno
+import fcntl
 import os
 import select
 import socket
+import struct
+import termios
 from collections import deque
 
 from mothstall.config import Address
@@ -70,6 +73,15 @@
     )
 
 
+def unread_byte_count(transport: asyncio.Transport | None) -> int:
+    """Return the number of received bytes that the kernel holds and that were not read yet."""
+    sock = transport.get_extra_info("socket") if transport is not None else None
+    if sock is None or sock.fileno() < 0:
+        return 0
+    (count,) = struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.FIONREAD, b"\0" * 4))
+    return int(count)
+
+
 def unsent_bytes(transport: asyncio.Transport) -> bytes | None:
     """Return the bytes that a transport buffers and has not written to its socket; None if unknown.
 
--- a/mothstall/net/protocol/requests.py
+++ b/mothstall/net/protocol/requests.py
@@ -13,6 +13,7 @@
 
 from mothstall.config import Names
 from mothstall.interface import Effect
+from mothstall.net.body_arrival import BodyArrival
 from mothstall.net.body_relay import Stream
 from mothstall.net.errors import UnreadableMessageError
 from mothstall.net.protocol.durations import format_duration, parse_duration_ns
@@ -62,10 +63,11 @@
         body: The body; empty if the request has a `stream`.
         class_index: Index of the request's class in the settings.
         tenant_index: Index of the request's tenant in the settings; one past the last if unknown.
-        remaining_ns: How long the client waits, from the arrival of the request.
+        remaining_ns: How long the client waits, from the last byte of the request.
         is_retry: Whether the client marked the request as a retry.
         stream: A long body, in place of `body`.
         length: Length of the stream in bytes, if known.
+        body_arrival: When the last byte of the stream may have arrived.
         cost_ns: Expected work as declared by the client; 0 if not declared.
         client: The client that waits for the response; None if that cannot be checked.
         received_ns: Earliest Unix time at which the request may have arrived; the client had not
@@ -84,6 +86,13 @@
     cost_ns: int = 0
     client: WaitingClient | None = None
     received_ns: int = 0
+    body_arrival: BodyArrival | None = None
+
+    def deadline_ns(self, now_ns: int) -> int:
+        """Return the Unix time at which the client stops waiting; later while its body arrives."""
+        arrival = self.body_arrival
+        last_byte_ns = self.received_ns if arrival is None else arrival.incomplete_ns(now_ns)
+        return last_byte_ns + self.remaining_ns
 
 
 def parse_request(
