Rest each backend connection before its reuse, so that no late copy is served

Cause: a connection was reused at once unless input without an open request had been noticed within a minute. The first late copy of a response met the next request on its way and was served as its own, whose own went to the one after it.

Change: REUSE_DELAY_S (20 ms) applies always; a connection with unread input is not reused; a counter tells of input without an open request.

--- a/mothstall/net/backend_side/backend.py
+++ b/mothstall/net/backend_side/backend.py
@@ -185,10 +185,6 @@
             return
         self._end_attempt(attempt, AttemptResult.OK, load, response)
 
-    def on_unsolicited_bytes(self) -> None:
-        """Record that the backend sent bytes beyond its response."""
-        self._pool.note_unsolicited_bytes()
-
     def on_response_cut(self) -> None:
         """Report a long response that was cut off."""
         self.counters.add("answers_cut")
@@ -251,7 +247,7 @@
             self._open_probe(now_ns) if command is None else self._open_attempt(command, now_ns)
         )
         while (connection := self._pool.take_idle(self._idle)) is not None:
-            if connection.is_connected():
+            if connection.is_reusable():
                 self._write_request(attempt, connection)
                 return
             connection.drop()
--- a/mothstall/net/backend_side/connection.py
+++ b/mothstall/net/backend_side/connection.py
@@ -18,6 +18,7 @@
 from mothstall.net.backend_side.attempt import OpenAttempt
 from mothstall.net.backend_side.response_reader import STATUS_OK, ResponseReader
 from mothstall.net.body_relay import MAX_READ_BYTES, Stream
+from mothstall.net.listener import unread_byte_count
 
 if TYPE_CHECKING:
     from mothstall.net.backend_side.backend import Backend
@@ -140,6 +141,19 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def is_reusable(self) -> bool:
+        """Return whether the idle connection is open, and holds no input that was not read yet.
+
+        Guards against a duplicate response that waits in the kernel because the event loop was
+        busy.
+        """
+        if not self.is_connected():
+            return False
+        if not unread_byte_count(self.transport):
+            return True
+        self.owner.counters.add("answers_unsolicited")
+        return False
+
     def begin(self, attempt: OpenAttempt, raw_request: bytes) -> None:
         """Write an attempt's request, or its head if a long body follows."""
         assert self.transport is not None
@@ -293,7 +307,7 @@
         """
         if self.transport is not None:
             self.owner.counters.add("unreadable")
-            self.owner.on_unsolicited_bytes()
+            self.owner.counters.add("answers_unsolicited")
             self.drop()
 
     def _advance_response(self, has_more: bool) -> None:
@@ -312,7 +326,6 @@
             return
         if has_more:
             self.owner.counters.add("answers_with_more")
-            self.owner.on_unsolicited_bytes()
         is_early = self._upload is not None or self._flushing_attempt is not None
         keep = not (has_more or message.should_close or is_early or self._is_upload_cut)
         self._on_response_complete(keep=keep)
--- a/mothstall/net/backend_side/pool.py
+++ b/mothstall/net/backend_side/pool.py
@@ -12,8 +12,7 @@
 if TYPE_CHECKING:
     from mothstall.net.backend_side.connection import BackendConnection
 
-REUSE_DELAY_S = 0.02  # minimum idle time before a reuse while backends send unsolicited bytes
-REUSE_DELAY_PERIOD_S = 60.0  # REUSE_DELAY_S applies for this time after the last unsolicited bytes
+REUSE_DELAY_S = 0.02  # minimum idle time before a reuse: a duplicate response may be as late
 
 
 class ConnectionPool:
@@ -46,7 +45,6 @@
         self._idle_timeout_s = idle_timeout_s
         # The idle connections with the loop time at which each became idle, oldest first.
         self._idle: dict[BackendConnection, float] = {}
-        self._reuse_delayed_until_s = 0.0
         self._sweep_timer: asyncio.TimerHandle | None = None
 
     def has_capacity(self) -> bool:
@@ -65,36 +63,21 @@
         if self._sweep_timer is None:
             self._sweep_timer = self.loop.call_later(self._idle_timeout_s, self._close_expired)
 
-    def note_unsolicited_bytes(self) -> None:
-        """Delay the reuse of connections for a while: a backend sent bytes beyond a response."""
-        self._reuse_delayed_until_s = self.loop.time() + REUSE_DELAY_PERIOD_S
-
     def take_idle(self, idle: list[BackendConnection]) -> BackendConnection | None:
         """Remove a connection from a backend's idle connections and return it; None without one.
 
-        The connection that became idle last is selected. While backends send unsolicited bytes,
-        only those that have been idle for REUSE_DELAY_S are considered.
+        Of the connections that have been idle for REUSE_DELAY_S, the one that became idle last is
+        selected.
 
         Guards against a duplicate response, some milliseconds late, that would be taken for the
         response to the next request.
         """
-        if not idle:
-            return None
-        if not self._reuse_delayed_until_s or self.loop.time() >= self._reuse_delayed_until_s:
-            connection = idle.pop()
-        else:
-            reusable = self._latest_reusable(idle)
-            if reusable is None:
-                return None
-            connection = reusable
-            idle.remove(connection)
-        self._idle.pop(connection, None)
-        return connection
-
-    def _latest_reusable(self, idle: list[BackendConnection]) -> BackendConnection | None:
         now = self.loop.time()
-        for connection in reversed(idle):
+        for position in range(len(idle) - 1, -1, -1):
+            connection = idle[position]
             if now - self._idle.get(connection, now) >= REUSE_DELAY_S:
+                del idle[position]
+                self._idle.pop(connection, None)
                 return connection
         return None
 
--- a/mothstall/net/counters.py
+++ b/mothstall/net/counters.py
@@ -29,6 +29,7 @@
     "attempts_not_sent": "attempts never sent: the request or the backend's incarnation had ended",
     "probes": "load probes sent",
     "answers_with_more": "valid responses followed by more bytes: forwarded, connection closed",
+    "answers_unsolicited": "input of a backend with no request open: connection closed",
     "answers_cut": "long responses that the backend truncated while they were relayed",
     "handovers": "takeovers by this process from a predecessor process of the same proxy",
     "handovers_failed": "handovers from a predecessor that failed",
