--- a/tests/given_clock.py
+++ b/tests/given_clock.py
@@ -19,7 +19,7 @@
 from mothstall.net.clock import Clock
 from mothstall.net.counters import Counters
 from mothstall.net.decider import Decider
-from mothstall.net.discovery import discovery
+from mothstall.net.discovery import session
 from mothstall.net.discovery.discovery import Discovery, EndpointsUpdated
 from mothstall.net.metrics import RequestMetrics
 from tests.peers import StandInDiscovery, make_config_tree
@@ -94,7 +94,7 @@
 
     async def answer(self, call: Call, sock_connect: float) -> AsyncIterator[bytes]:
         """Yield the status, and then the pieces of the body."""
-        first_byte = discovery._on_first_byte.get() or (lambda: None)
+        first_byte = session.first_byte_callback.get() or (lambda: None)
         now = asyncio.get_running_loop().time
         match call.outcome:
             case "good":
