Discovery: do not reuse a connection that received input while idle

Cause: aiohttp takes an idle connection again without a look at what came on it. A second copy of a response of discovery is queued there and becomes the response to the next call, and each later call gets that of the one before. The same shape as the late copy on a backend connection: an answer matched to its request by order alone.

Change: the connector closes such a connection and takes another one.

Test: tests/net/discovery/test_duplicate_responses.py, failed before ('/1' for '/2'), passes.

--- a/mothstall/net/discovery/session.py
+++ b/mothstall/net/discovery/session.py
@@ -55,8 +55,15 @@
         traces: list[Any],
         timeout: aiohttp.ClientTimeout,  # noqa: ASYNC109 - the signature of aiohttp
     ) -> ClientConnection:
-        """Return a connection whose first byte is reported to the call in the current context."""
+        """Return a connection whose first byte is reported to the call in the current context.
+
+        Guards against a duplicate response, received on an idle connection, that would be taken for
+        the response to this call: aiohttp reuses such a connection.
+        """
         connection = await super().connect(req, traces, timeout)
+        while connection.protocol is not None and connection.protocol.should_close:
+            connection.close()
+            connection = await super().connect(req, traces, timeout)
         if isinstance(connection.protocol, Connection):
             connection.protocol.on_first_byte = first_byte_callback.get()
         return connection
