Bound a response's trailers; unjudged input is tested at 80 MB, too

Cause: the parser keeps trailers as it keeps a head, up to 1 MB on each connection to a backend: the shape of the heads without end, from the other side. The head of a response had its limit of 16 KiB, its trailers none.

Change: the same limit for them; beyond it the response is unreadable and its connection closes.

--- a/mothstall/net/backend_side/response_reader.py
+++ b/mothstall/net/backend_side/response_reader.py
@@ -17,7 +17,7 @@
 from mothstall.net import protocol
 from mothstall.net.chunked_coding import ChunkedCodingError, ChunkedDecoder
 
-MAX_HEAD_BYTES = 16 * 1024  # of a response
+MAX_HEAD_BYTES = 16 * 1024  # of a response, and of the trailers behind its body
 MAX_INTERIM_RESPONSES = 8  # 1xx responses ahead of the final one
 HTTP_VERSION_PREFIX = b"HTTP/1."
 HEAD_END = b"\r\n\r\n"
@@ -39,7 +39,14 @@
     """
 
     __slots__ = (
-        *("_chunked_decoder", "_head", "_interim_count", "_max_body_bytes", "_on_body"),
+        *(
+            "_chunked_decoder",
+            "_framing_bytes",
+            "_head",
+            "_interim_count",
+            "_max_body_bytes",
+            "_on_body",
+        ),
         *("content_length", "is_until_close", "message", "payload", "received_bytes"),
     )
 
@@ -61,6 +68,7 @@
         self._head = b""
         self._interim_count = 0
         self._chunked_decoder: ChunkedDecoder | None = None
+        self._framing_bytes = 0  # input without a part of the body since the body's last part
         self.message: RawResponseMessage | None = None
         self.payload: StreamReader | None = None
         self.received_bytes = 0
@@ -196,10 +204,18 @@
                 has_more = True
         if payload.exception():
             raise protocol.UnreadableMessageError("malformed response body")
-        self._deliver(payload.read_nowait())
+        part = payload.read_nowait()
+        self._check_framing(data, part, payload.is_eof())
+        self._deliver(part)
         self._check_size()
         return has_more
 
+    def _check_framing(self, data: bytes, part: bytes, is_complete: bool) -> None:
+        """Guard against trailers without end, which aiohttp's parser keeps in memory."""
+        self._framing_bytes = 0 if part else self._framing_bytes + len(data)
+        if self._framing_bytes > MAX_HEAD_BYTES and not is_complete:
+            raise protocol.UnreadableMessageError("the trailers are too long")
+
     def _track_chunks(self, data: bytes) -> None:
         """Track the position in the chunked coding, which aiohttp's parser does not expose."""
         if self._chunked_decoder is None:
--- a/tests/net/backend_side/test_net_backends.py
+++ b/tests/net/backend_side/test_net_backends.py
@@ -169,6 +169,21 @@
     asyncio.run(run())
 
 
+def test_trailers_that_do_not_end_end_their_attempt_at_the_limit_of_a_head() -> None:
+    """Guards against half a megabyte of trailers kept for each connection to a faulty backend."""
+
+    async def run() -> None:
+        start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+        trailers = (b"X-More: " + b"y" * 8000 + b"\r\n") * 60
+        stand_in, backend_rig = await start_backend_rig(respond_with(start + trailers))
+        backend_rig.send(within_ms=1000)
+        assert await backend_rig.wait_for_results() == [AttemptResult.ERROR]
+        assert not backend_rig.pool.open_count
+        await stand_in.stop()
+
+    asyncio.run(run())
+
+
 def test_late_second_response_reaches_no_request_once_one_was_seen(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/net/client_side/test_net_memory.py
+++ b/tests/net/client_side/test_net_memory.py
@@ -16,7 +16,8 @@
 from tests.net.test_process import ProxyProcess, start_proxy
 from tests.peers import StandInBackend, never_respond, request_bytes, respond_ok
 
-MEMORY_LIMIT_MB = 192  # the limit of the proxy's configuration in `make_config_tree`
+# Limits of scored days: the largest, and the smallest memory of the days at close range.
+LIMITS = ({"memory_mb": 192, "sockets": 1024}, {"memory_mb": 80, "sockets": 640})
 SAMPLE_S = 0.01  # between two readings of the process's memory
 HOLD_S = 2.0  # how long bad clients stay; within 3 s they are owed an error or a close
 LINE = b"X-Pad-%03d: " + b"v" * 8000 + b"\r\n"  # below the parser's limit for one line
@@ -100,6 +101,7 @@
 
 
 @pytest.mark.processes
+@pytest.mark.parametrize("limits", LIMITS, ids=["192 MB", "80 MB"])
 @pytest.mark.parametrize(
     ("send_input", "count"),
     [
@@ -112,14 +114,14 @@
     ],
 )
 def test_input_before_a_request_is_judged_stays_within_the_memory_limit(
-    tmp_path: Path, send_input: SendInput, count: int
+    tmp_path: Path, send_input: SendInput, count: int, limits: dict[str, int]
 ) -> None:
     """Guards against a proxy killed for memory that clients filled with unjudged input."""
 
     async def run() -> float:
         stand_in = StandInBackend(never_respond if send_input is pipelined_heads else respond_ok)
         await stand_in.start()
-        async with start_proxy(tmp_path, stand_in) as proxy:
+        async with start_proxy(tmp_path, stand_in, limits=limits) as proxy:
             stderr = proxy.process.stderr
             assert stderr is not None
             logs = asyncio.ensure_future(stderr.read())  # a full pipe would block the proxy
@@ -139,4 +141,4 @@
 
     peak_mb = asyncio.run(asyncio.wait_for(run(), 30))
     print(send_input.__name__, round(peak_mb))
-    assert peak_mb < MEMORY_LIMIT_MB
+    assert peak_mb < limits["memory_mb"]
--- a/tests/net/test_process.py
+++ b/tests/net/test_process.py
@@ -10,7 +10,7 @@
 import socket
 import subprocess
 import sys
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -59,12 +59,16 @@
 
 @contextlib.asynccontextmanager
 async def start_proxy(
-    tmp_path: Path, stand_in: StandInBackend, port: int = 0, **env: str
+    tmp_path: Path,
+    stand_in: StandInBackend,
+    port: int = 0,
+    limits: Mapping[str, int] | None = None,
+    **env: str,
 ) -> AsyncIterator[ProxyProcess]:
     discovery = StandInDiscovery([stand_in.row()])
     await discovery.start()
     port = port or free_port()
-    tree = make_config_tree(discovery, [stand_in.row()])
+    tree = make_config_tree(discovery, [stand_in.row()], **(limits or {}))
     tree["listen"] = f"127.0.0.1:{port}"
     path = tmp_path / "config.json"
     path.write_text(json.dumps(tree))
