Tests: wait until a backend connection may be reused where one reuse is asked for

Eight tests asked for the reuse of a connection at the very moment in which it fell idle, although their subject is another (order of reuse, a reset on a reused connection, descriptors, framing, memory).

--- a/tests/net/client_side/test_broken_uploads.py
+++ b/tests/net/client_side/test_broken_uploads.py
@@ -23,7 +23,7 @@
 from tests.net.client_side.test_net_leaving import resources_released
 from tests.net.test_net_body_relay import UploadBackend, rig_with_upload_backend
 from tests.net.test_process import start_proxy
-from tests.peers import Client, Rig, StandInBackend, request_bytes, rig
+from tests.peers import Client, Rig, StandInBackend, request_bytes, rig, until_reusable
 
 LONG_BODY = b"u" * 200_000  # longer than a body that is buffered completely
 
@@ -246,6 +246,7 @@
                 client.writer.write(upload_head() + raw)
                 await client.read()
                 client.close()
+                await until_reusable()
             async with asyncio.timeout(5):
                 # One connection to the backend may stay open for the next request.
                 while len(list(descriptors.iterdir())) > before + 1:
--- a/tests/net/client_side/test_net_failures.py
+++ b/tests/net/client_side/test_net_failures.py
@@ -32,6 +32,7 @@
     response_bytes,
     rig,
     start_backend_rig,
+    until_reusable,
 )
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -164,6 +165,7 @@
         backend_rig.send(method)
         assert await backend_rig.wait_for_results(1) == [AttemptResult.OK]
         stand_in.behave = abort_connection
+        await until_reusable()
         backend_rig.send(method)
         assert await backend_rig.wait_for_results(2) == [AttemptResult.OK, AttemptResult.RESET]
         await asyncio.sleep(0.05)
@@ -192,6 +194,7 @@
         gate.set()
         await backend_rig.wait_for_results(3)
         stand_in.behave = abort_connection
+        await until_reusable()
         backend_rig.send()
         await backend_rig.wait_for_results(4)
         stand_in.behave = respond_ok
@@ -373,6 +376,7 @@
         gate.set()
         await backend_rig.wait_for_results(3)
         for i in range(4, 7):
+            await until_reusable()
             backend_rig.send()
             await backend_rig.wait_for_results(i)
         assert {s.connection for s in stand_in.requests[3:]} == {1}
--- a/tests/net/test_net_body_relay.py
+++ b/tests/net/test_net_body_relay.py
@@ -35,6 +35,7 @@
     respond_ok,
     response_bytes,
     rig,
+    until_reusable,
 )
 
 MB = 1 << 20
@@ -213,6 +214,7 @@
                 client.writer.write(request_bytes("search"))
                 _, body = await asyncio.wait_for(read_long(client), 10)
                 assert body == BODY
+                await until_reusable()
             metrics = await r.telemetry()
             assert (metrics["fulfilled.search"], metrics["open_requests"]) == (2, 0)
             if framing == "length":
--- a/tests/net/test_process.py
+++ b/tests/net/test_process.py
@@ -27,6 +27,7 @@
     request_bytes,
     respond_ok,
     response_bytes,
+    until_reusable,
 )
 from tests.peers import settings as nested
 from tests.ports import free_port
@@ -455,6 +456,7 @@
                 r.discovery.publish(row, {"id": f"s-new-{i - 1}", "phase": "DELETED"})
                 await r.until(lambda w=updates_before: r.count("list_updates") > w)  # type: ignore[misc]
                 assert (await r.request()).status == 200
+                await until_reusable()
             decider = r.proxy._decider
             assert (
                 len(decider._backends)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -17,7 +17,7 @@
 from mothstall.net import protocol
 from mothstall.net.backend_side import messages as backend_messages
 from mothstall.net.backend_side.backend import Backend
-from mothstall.net.backend_side.pool import ConnectionPool
+from mothstall.net.backend_side.pool import REUSE_DELAY_S, ConnectionPool
 from mothstall.net.clock import Clock
 from mothstall.net.counters import Counters
 from mothstall.net.metrics import RequestMetrics
@@ -514,6 +514,11 @@
     return stand_in, BackendRig(config.Address("127.0.0.1", stand_in.port), **more)
 
 
+async def until_reusable() -> None:
+    """Wait until a connection to a backend that has just become idle may be reused."""
+    await asyncio.sleep(1.5 * REUSE_DELAY_S)
+
+
 class ConnectGate:
     """Delays connects to chosen backends until `open` is set; they then run or raise `error`."""
 
