Pipelined input is parsed in pieces, too

Cause: a piece of up to 64 KiB that was buffered behind an open request went into the parser at once, which keeps the rest behind each request outside of the limit of pipelined input. Change: 8 KiB at a time ahead of a body, as for input that was just read.

--- a/mothstall/net/client_side/connection.py
+++ b/mothstall/net/client_side/connection.py
@@ -309,7 +309,8 @@
             or self.is_closing()
         ):
             return
-        data, arrived_ns = self.pipelined.popleft()
+        max_bytes = MAX_READ_BYTES if self.state in READS_BODY else PARSE_BYTES
+        data, arrived_ns = self.pipelined.popleft(max_bytes)
         self._receive(data, arrived_ns)
         if self.pipelined.pieces:
             self._loop.call_soon(self._take_pipelined)
--- a/mothstall/net/client_side/pipelined_input.py
+++ b/mothstall/net/client_side/pipelined_input.py
@@ -43,13 +43,16 @@
         self.byte_count += len(data)
         self._budget.used_bytes += len(data)
 
-    def popleft(self) -> tuple[bytes, int]:
-        """Remove and return the oldest piece.
+    def popleft(self, max_bytes: int) -> tuple[bytes, int]:
+        """Remove and return the oldest piece, or its first `max_bytes` if it is longer.
 
         Raises:
             IndexError: Nothing is buffered.
         """
         data, arrived_ns = self.pieces.popleft()
+        if len(data) > max_bytes:
+            self.pieces.appendleft((data[max_bytes:], arrived_ns))
+            data = data[:max_bytes]
         self.byte_count -= len(data)
         self._budget.used_bytes -= len(data)
         return data, arrived_ns
