--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,9 +1,8 @@
-"""A backup that `keepers backup` takes from a keeper that is cut off."""
+"""A drained proxy with requests whose long bodies come slowly."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import sys
 from pathlib import Path
 
@@ -11,75 +10,110 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from standins2 import (  # noqa: E402
+    HOST,
+    Arrival,
     Backend,
     CaseError,
     Discovery,
-    Fleet,
     Processes,
     Record,
+    answer,
+    call,
     free_port,
     has_trouble,
-    load,
     proxy_config,
+    read_body,
+    read_head,
+    request_bytes,
     run_case,
     wait_ready,
 )
 
+CLIENTS = 4
+BODY_BYTES = 215_000
+PIECE_BYTES = 6_400
+PIECE_S = 0.1  # 64 kB a second
+WORK_S = 1.4  # of a filing at a slow server; its client waits 2.5 s
+BEFORE_CALL_S = 0.4  # the bodies begin so long before the proxy is drained
+DRAINED_S = 4.0 + 0.05  # the page's limit, and the slack on sockets
+RECENT_S = 2.0  # a request is from the last 2 s
 
-async def play(record: Record, processes: Processes) -> list[str]:
-    """Drain a backend, back up, start over from the backup; return what was lost."""
-    fleet = Fleet(processes)
-    await fleet.start()
-    if has_trouble():
-        record.add("k1 is cut off from k2 and k3")
-        fleet.cut_off("k1")
-        await asyncio.sleep(3.0)
-    drained = await fleet.command("drain backend b0 --why maintenance")
-    if drained[0] != 0:
-        raise CaseError("the drain was not accepted")
-    listed = await fleet.command("drains --json")
-    await asyncio.sleep(2.0)
-    backup = processes.folder / "backup"
-    backed_up = await fleet.command(f"keepers backup {backup}")
-    if backed_up[0] != 0:
-        record.add("the command said that it made no backup")
-        return []
-    await fleet.stop()
-    for keeper in fleet.names:
-        fleet.folder(keeper).rename(processes.folder / f"old-{keeper}")
-        restored = await fleet.command(f"keepers restore {backup} --name {keeper}")
-        if restored[0] != 0:
-            raise CaseError("the backup cannot be restored")
-    for link in fleet.links.values():
-        link.mend()
-    await fleet.start()
-    listed_after = await fleet.command("drains --json")
-    broken = []
-    if json.loads(listed_after[1]) != json.loads(listed[1]):
-        broken.append(f"drains before the backup: {listed[1]}; from the backup: {listed_after[1]}")
-    late = await send_to_drained(record, processes, fleet)
-    if late:
-        broken.append(f"{late} requests went to b0, which is drained")
-    return broken
 
+async def serve(arrival: Arrival, writer: asyncio.StreamWriter) -> None:
+    """Answer after the work."""
+    await asyncio.sleep(WORK_S)
+    writer.write(answer(200, arrival.ident.encode()))
+    await writer.drain()
+
+
+async def upload(port: int, ident: str, record: Record) -> tuple[float, float]:
+    """Send a request slowly; return when its last byte was written, and when it ended."""
+    raw = request_bytes(ident, "intent", 2500, key=f"key-{ident}", body=bytes(BODY_BYTES))
+    reader, writer = await asyncio.open_connection(HOST, port)
+
+    async def receive() -> tuple[float, str]:
+        head = await read_head(reader)
+        if head is None:
+            return record.now_s, "the connection's end"
+        await read_body(reader, head[1])
+        return record.now_s, head[0]
 
-async def send_to_drained(record: Record, processes: Processes, fleet: Fleet) -> int:
-    """Start a proxy; return how many requests reach b0 more than the grace after its start."""
+    receiving = asyncio.create_task(receive())
+    written_s = 0.0
+    try:
+        for start in range(0, len(raw), PIECE_BYTES):
+            writer.write(raw[start : start + PIECE_BYTES])
+            await writer.drain()
+            if receiving.done():
+                break
+            if start + PIECE_BYTES < len(raw):
+                await asyncio.sleep(PIECE_S)
+        else:
+            written_s = record.now_s
+    except ConnectionError:
+        pass
+    async with asyncio.timeout(20.0):
+        ended_s, how = await receiving
+    writer.close()
+    record.add(f"{ident}: last byte written at {written_s:.3f}, ended at {ended_s:.3f} by {how}")
+    return written_s, ended_s
+
+
+async def play(record: Record, processes: Processes) -> list[str]:
+    """Drain the proxy while the bodies come; return the requests that it holds too long."""
     discovery = Discovery(record)
     await discovery.start()
-    backends = [Backend(f"b{number}", record) for number in range(3)]
-    for backend in backends:
+    for number in range(3):
+        backend = Backend(f"b{number}", record, serve)
         await backend.start()
         discovery.put(backend.name, backend.port)
-    port = free_port()
+    port, admin = free_port(), free_port()
     config = proxy_config(port, discovery.port, known=discovery.listing())
+    config["admin_addr"] = f"{HOST}:{admin}"
     path = processes.write_json("config.json", config)
-    operator = fleet.operator_file("n1", agent=f'data = "{processes.folder}/agent"')
-    await processes.start("n1", f"serve --operator {operator}", {"LB_CONFIG": str(path)})
+    await processes.start("n1", env={"LB_CONFIG": str(path)})
     await wait_ready(port)
-    await asyncio.sleep(2.0)
-    await load(port, "r", 60)
-    return len(backends[0].arrivals)
+    await asyncio.sleep(1.0)
+    uploads = [asyncio.create_task(upload(port, f"u{n}", record)) for n in range(CLIENTS)]
+    await asyncio.sleep(BEFORE_CALL_S)
+    called_s = record.now_s
+    if has_trouble():
+        raw = b"POST /api/evacuate HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+        status = (await call(admin, raw)).status
+        called_s = record.now_s
+        record.add(f"POST /api/evacuate: {status}")
+        if status != 200:
+            raise CaseError("the proxy was not drained")
+    broken = []
+    for number, (written_s, ended_s) in enumerate(await asyncio.gather(*uploads)):
+        written_after_s, ended_after_s = written_s - called_s, ended_s - called_s
+        is_recent = DRAINED_S - RECENT_S < written_after_s < DRAINED_S
+        if has_trouble() and is_recent and ended_after_s > DRAINED_S:
+            broken.append(
+                f"u{number}: its last byte came {written_after_s:.2f} s after the call, "
+                f"and the proxy held it until {ended_after_s:.2f} s after the call"
+            )
+    return broken
 
 
 if __name__ == "__main__":
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,11 +1,9 @@
-"""More long answers at once than the proxy has permits for, to clients that read slowly."""
+"""A planned restart while servers are still giving long answers."""
 
 from __future__ import annotations
 
 import asyncio
-import socket
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -15,83 +13,82 @@
     HOST,
     Arrival,
     Backend,
-    CaseError,
     Discovery,
     Processes,
     Record,
-    answer,
     free_port,
     has_trouble,
     proxy_config,
+    read_head,
     request_bytes,
     run_case,
     wait_ready,
 )
 
-ANSWER_BYTES = 1_750_000
-SLOW_CLIENTS = 130  # their answers add up to 227 MB, more than the proxy's 192 MB
-FAST_CLIENTS = 5
-READ_BYTES = 16 * 1024
-PAUSE_S = 0.1  # between two reads of a slow client: 160 kB a second, some 10 s an answer
-HELD_BACK_S = 2.0 + 0.05  # the page's limit, and its slack on sockets
-
-
-def body_for(ident: str) -> bytes:
-    """Return the one right answer to a request."""
-    return (f"{ident} ".encode() * (ANSWER_BYTES // (len(ident) + 1) + 1))[:ANSWER_BYTES]
-
-
-async def serve(arrival: Arrival, writer: asyncio.StreamWriter) -> None:
-    """Answer at once, with all that there is."""
-    writer.write(answer(200, body_for(arrival.ident)))
-    await writer.drain()
-
-
-async def read_answer(port: int, ident: str, pause_s: float, record: Record) -> str:
-    """Ask for a document; return how the answer broke the rule, or an empty string."""
-    loop = asyncio.get_running_loop()
-    with socket.socket() as sock:
-        if pause_s:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * READ_BYTES)
-        sock.setblocking(False)
-        await loop.sock_connect(sock, (HOST, port))
-        await loop.sock_sendall(sock, request_bytes(ident, "documents", 750))
-        received = bytearray()
-        longest_s = 0.0
-        wanted = None
-        while wanted is None or len(received) < wanted:
-            began = time.monotonic()
-            try:
-                async with asyncio.timeout(30.0):
-                    data = await loop.sock_recv(sock, READ_BYTES)
-            except (TimeoutError, ConnectionError):
-                data = b""
-            if received:
-                longest_s = max(longest_s, time.monotonic() - began)
-            if not data:
-                break
-            received += data
-            end = received.find(b"\r\n\r\n")
-            if wanted is None and end >= 0:
-                wanted = end + 4 + ANSWER_BYTES
-            if pause_s:
-                await asyncio.sleep(pause_s)
-    head, _, body = bytes(received).partition(b"\r\n\r\n")
-    line = head.partition(b"\r\n")[0].decode("latin-1")
-    record.add(f"{ident} got {line}, {len(body)} bytes; it waited {longest_s:.2f} s for a part")
-    if not line.startswith("HTTP/1.1 200"):
-        return ""  # refused or failed: a final answer
-    if longest_s >= HELD_BACK_S:
-        return f"{ident}: the rest of its answer was held back for {longest_s:.2f} s"
-    return "" if body == body_for(ident) else f"{ident}: its answer is not whole"
+CLIENTS = 6
+PIECES = 35
+PIECE_BYTES = 60_000  # 2.1 MB in all
+PIECE_S = 0.1  # a server gives its answer in 3.4 s
+BEFORE_RESTART_S = 0.32
+# Earliest SIGKILL after SIGTERM: the longest deadline and 0.7 s. The case sends none.
+EARLIEST_KILL_S = 2.5 + 0.7
+
+
+class Server:
+    """Answers of one backend, in pieces at fixed times."""
+
+    def __init__(self, record: Record) -> None:
+        self.record = record
+
+    async def serve(self, arrival: Arrival, writer: asyncio.StreamWriter) -> None:
+        """Give the pieces of a document, each when it is due."""
+        began_s = self.record.now_s
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {PIECES * PIECE_BYTES}\r\n\r\n"
+        writer.write(head.encode())
+        for number in range(PIECES):
+            await asyncio.sleep(max(0.0, began_s + number * PIECE_S - self.record.now_s))
+            writer.write(piece(arrival.ident, number))
+            await writer.drain()
+        self.record.add(f"{arrival.ident}: the server has given all")
+
+
+def piece(ident: str, number: int) -> bytes:
+    """Return one piece of the right answer to a request."""
+    text = f"{ident} {number} ".encode()
+    return (text * (PIECE_BYTES // len(text) + 1))[:PIECE_BYTES]
+
+
+async def fetch(port: int, ident: str, record: Record) -> tuple[float, bool]:
+    """Ask for a document, and read it at full speed; return when it ended, and whether it is whole.
+
+    An answer that is refused or failed counts as whole.
+    """
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(request_bytes(ident, "documents", 750))
+    body = b""
+    status = ""
+    try:
+        async with asyncio.timeout(20.0):
+            head = await read_head(reader)
+            if head is not None:
+                status = head[0]
+                body = await reader.readexactly(int(head[1]["content-length"]))
+    except asyncio.IncompleteReadError as error:
+        body = error.partial
+    except (ConnectionError, TimeoutError) as error:
+        record.add(f"{ident}: {type(error).__name__}")
+    writer.close()
+    record.add(f"{ident} got {status}, {len(body)} of {PIECES * PIECE_BYTES} bytes")
+    is_right = body == b"".join(piece(ident, number) for number in range(PIECES))
+    return record.now_s, is_right or (bool(status) and " 200 " not in status)
 
 
 async def play(record: Record, processes: Processes) -> list[str]:
-    """Let many clients read slowly, then some at full speed."""
+    """Restart the proxy in the middle of the answers; return those that it cut off."""
     discovery = Discovery(record)
     await discovery.start()
     for number in range(3):
-        backend = Backend(f"b{number}", record, serve)
+        backend = Backend(f"b{number}", record, Server(record).serve)
         await backend.start()
         discovery.put(backend.name, backend.port)
     port = free_port()
@@ -100,18 +97,24 @@
     proxy = await processes.start("n1", env={"LB_CONFIG": str(path)})
     await wait_ready(port)
     await asyncio.sleep(1.0)
-    pause_s = PAUSE_S if has_trouble() else 0.0
-    tasks = []
-    for number in range(SLOW_CLIENTS):
-        tasks.append(asyncio.create_task(read_answer(port, f"slow{number}", pause_s, record)))
-        await asyncio.sleep(0.015)
-    await asyncio.sleep(0.5)
-    fast = [read_answer(port, f"fast{number}", 0.0, record) for number in range(FAST_CLIENTS)]
-    broken = [line for line in await asyncio.gather(*fast) if line]
-    broken += [line for line in await asyncio.gather(*tasks) if line]
-    if proxy.returncode is not None:
-        raise CaseError("the proxy has ended")
-    return broken
+    began_s = record.now_s
+    fetching = asyncio.gather(*(fetch(port, f"d{number}", record) for number in range(CLIENTS)))
+    await asyncio.sleep(BEFORE_RESTART_S)
+    stopped_s = record.now_s
+    if has_trouble():
+        record.add("planned restart: SIGTERM; no SIGKILL follows")
+        proxy.terminate()
+    broken = []
+    for number, (ended_s, is_whole) in enumerate(await fetching):
+        if not is_whole:
+            broken.append(f"d{number}: cut off {ended_s - stopped_s:.2f} s after SIGTERM")
+    if has_trouble():
+        await proxy.wait()
+        ended_s = record.now_s - stopped_s
+        record.add(f"the proxy has ended with {proxy.returncode}, {ended_s:.2f} s after SIGTERM")
+    due_s = began_s + (PIECES - 1) * PIECE_S - stopped_s
+    record.add(f"the answers would have been given {due_s:.2f} s after SIGTERM")
+    return broken if due_s < EARLIEST_KILL_S else []
 
 
 if __name__ == "__main__":
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,9 +1,11 @@
-"""A drained proxy with requests whose long bodies come slowly."""
+"""More long answers at once than the proxy has permits for, to clients that read slowly."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -18,101 +20,97 @@
     Processes,
     Record,
     answer,
-    call,
     free_port,
     has_trouble,
     proxy_config,
-    read_body,
-    read_head,
     request_bytes,
     run_case,
     wait_ready,
 )
 
-CLIENTS = 4
-BODY_BYTES = 215_000
-PIECE_BYTES = 6_400
-PIECE_S = 0.1  # 64 kB a second
-WORK_S = 1.4  # of a filing at a slow server; its client waits 2.5 s
-BEFORE_CALL_S = 0.4  # the bodies begin so long before the proxy is drained
-DRAINED_S = 4.0 + 0.05  # the page's limit, and the slack on sockets
-RECENT_S = 2.0  # a request is from the last 2 s
+ANSWER_BYTES = 1_750_000
+SLOW_CLIENTS = 130  # their answers add up to 227 MB, more than the proxy's 192 MB
+FAST_CLIENTS = 5
+READ_BYTES = 16 * 1024
+PAUSE_S = 0.1  # between two reads of a slow client: 160 kB a second, some 10 s an answer
+HELD_BACK_S = 2.0 + 0.05  # the page's limit, and its slack on sockets
 
 
-async def serve(arrival: Arrival, writer: asyncio.StreamWriter) -> None:
-    """Answer after the work."""
-    await asyncio.sleep(WORK_S)
-    writer.write(answer(200, arrival.ident.encode()))
-    await writer.drain()
+def body_for(ident: str) -> bytes:
+    """Return the one right answer to a request."""
+    return (f"{ident} ".encode() * (ANSWER_BYTES // (len(ident) + 1) + 1))[:ANSWER_BYTES]
 
 
-async def upload(port: int, ident: str, record: Record) -> tuple[float, float]:
-    """Send a request slowly; return when its last byte was written, and when it ended."""
-    raw = request_bytes(ident, "intent", 2500, key=f"key-{ident}", body=bytes(BODY_BYTES))
-    reader, writer = await asyncio.open_connection(HOST, port)
+async def serve(arrival: Arrival, writer: asyncio.StreamWriter) -> None:
+    """Answer at once, with all that there is."""
+    writer.write(answer(200, body_for(arrival.ident)))
+    await writer.drain()
 
-    async def receive() -> tuple[float, str]:
-        head = await read_head(reader)
-        if head is None:
-            return record.now_s, "the connection's end"
-        await read_body(reader, head[1])
-        return record.now_s, head[0]
 
-    receiving = asyncio.create_task(receive())
-    written_s = 0.0
-    try:
-        for start in range(0, len(raw), PIECE_BYTES):
-            writer.write(raw[start : start + PIECE_BYTES])
-            await writer.drain()
-            if receiving.done():
+async def read_answer(port: int, ident: str, pause_s: float, record: Record) -> str:
+    """Ask for a document; return how the answer broke the rule, or an empty string."""
+    loop = asyncio.get_running_loop()
+    with socket.socket() as sock:
+        if pause_s:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * READ_BYTES)
+        sock.setblocking(False)
+        await loop.sock_connect(sock, (HOST, port))
+        await loop.sock_sendall(sock, request_bytes(ident, "documents", 750))
+        received = bytearray()
+        longest_s = 0.0
+        wanted = None
+        while wanted is None or len(received) < wanted:
+            began = time.monotonic()
+            try:
+                async with asyncio.timeout(30.0):
+                    data = await loop.sock_recv(sock, READ_BYTES)
+            except (TimeoutError, ConnectionError):
+                data = b""
+            if received:
+                longest_s = max(longest_s, time.monotonic() - began)
+            if not data:
                 break
-            if start + PIECE_BYTES < len(raw):
-                await asyncio.sleep(PIECE_S)
-        else:
-            written_s = record.now_s
-    except ConnectionError:
-        pass
-    async with asyncio.timeout(20.0):
-        ended_s, how = await receiving
-    writer.close()
-    record.add(f"{ident}: last byte written at {written_s:.3f}, ended at {ended_s:.3f} by {how}")
-    return written_s, ended_s
+            received += data
+            end = received.find(b"\r\n\r\n")
+            if wanted is None and end >= 0:
+                wanted = end + 4 + ANSWER_BYTES
+            if pause_s:
+                await asyncio.sleep(pause_s)
+    head, _, body = bytes(received).partition(b"\r\n\r\n")
+    line = head.partition(b"\r\n")[0].decode("latin-1")
+    record.add(f"{ident} got {line}, {len(body)} bytes; it waited {longest_s:.2f} s for a part")
+    if not line.startswith("HTTP/1.1 200"):
+        return ""  # refused or failed: a final answer
+    if longest_s >= HELD_BACK_S:
+        return f"{ident}: the rest of its answer was held back for {longest_s:.2f} s"
+    return "" if body == body_for(ident) else f"{ident}: its answer is not whole"
 
 
 async def play(record: Record, processes: Processes) -> list[str]:
-    """Drain the proxy while the bodies come; return the requests that it holds too long."""
+    """Let many clients read slowly, then some at full speed."""
     discovery = Discovery(record)
     await discovery.start()
     for number in range(3):
         backend = Backend(f"b{number}", record, serve)
         await backend.start()
         discovery.put(backend.name, backend.port)
-    port, admin = free_port(), free_port()
+    port = free_port()
     config = proxy_config(port, discovery.port, known=discovery.listing())
-    config["admin_addr"] = f"{HOST}:{admin}"
     path = processes.write_json("config.json", config)
-    await processes.start("n1", env={"LB_CONFIG": str(path)})
+    proxy = await processes.start("n1", env={"LB_CONFIG": str(path)})
     await wait_ready(port)
     await asyncio.sleep(1.0)
-    uploads = [asyncio.create_task(upload(port, f"u{n}", record)) for n in range(CLIENTS)]
-    await asyncio.sleep(BEFORE_CALL_S)
-    called_s = record.now_s
-    if has_trouble():
-        raw = b"POST /api/evacuate HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
-        status = (await call(admin, raw)).status
-        called_s = record.now_s
-        record.add(f"POST /api/evacuate: {status}")
-        if status != 200:
-            raise CaseError("the proxy was not drained")
-    broken = []
-    for number, (written_s, ended_s) in enumerate(await asyncio.gather(*uploads)):
-        written_after_s, ended_after_s = written_s - called_s, ended_s - called_s
-        is_recent = DRAINED_S - RECENT_S < written_after_s < DRAINED_S
-        if has_trouble() and is_recent and ended_after_s > DRAINED_S:
-            broken.append(
-                f"u{number}: its last byte came {written_after_s:.2f} s after the call, "
-                f"and the proxy held it until {ended_after_s:.2f} s after the call"
-            )
+    pause_s = PAUSE_S if has_trouble() else 0.0
+    tasks = []
+    for number in range(SLOW_CLIENTS):
+        tasks.append(asyncio.create_task(read_answer(port, f"slow{number}", pause_s, record)))
+        await asyncio.sleep(0.015)
+    await asyncio.sleep(0.5)
+    fast = [read_answer(port, f"fast{number}", 0.0, record) for number in range(FAST_CLIENTS)]
+    broken = [line for line in await asyncio.gather(*fast) if line]
+    broken += [line for line in await asyncio.gather(*tasks) if line]
+    if proxy.returncode is not None:
+        raise CaseError("the proxy has ended")
     return broken
 
 
