Review: each case names its record.txt; a case that fails itself exits with 2

Seen: no file of the folders 6 to 10 named record.txt, and the records of 6, 8, 9 and 10 left out what was sent, of 6 the answers, too. Without a drain, case 10 judges that each request is served within its time, where it judged nothing. No check is changed with the disruption.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -6,10 +6,9 @@
 import sys
 from pathlib import Path
 
-FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins2 import (  # noqa: E402
+from standins2 import (
     HOST,
     Arrival,
     Backend,
@@ -36,6 +35,7 @@
 WORK_S = 1.4  # of a filing at a slow server; its client waits 2.5 s
 BEFORE_CALL_S = 0.4  # the bodies begin so long before the proxy is drained
 DRAINED_S = 4.0 + 0.05  # the page's limit, and the slack on sockets
+ANSWERED_S = 2.5 + 0.05  # what a client waits, and the slack; judged without a drain
 RECENT_S = 2.0  # a request is from the last 2 s
 
 
@@ -46,8 +46,8 @@
     await writer.drain()
 
 
-async def upload(port: int, ident: str, record: Record) -> tuple[float, float]:
-    """Send a request slowly; return when its last byte was written, and when it ended."""
+async def upload(port: int, ident: str, record: Record) -> tuple[float, float, str]:
+    """Send a request slowly; return when its last byte was written, when it ended, and how."""
     raw = request_bytes(ident, "intent", 2500, key=f"key-{ident}", body=bytes(BODY_BYTES))
     reader, writer = await asyncio.open_connection(HOST, port)
 
@@ -59,6 +59,7 @@
         return record.now_s, head[0]
 
     receiving = asyncio.create_task(receive())
+    record.add(f"{ident}: its first byte is sent")
     written_s = 0.0
     try:
         for start in range(0, len(raw), PIECE_BYTES):
@@ -76,7 +77,7 @@
         ended_s, how = await receiving
     writer.close()
     record.add(f"{ident}: last byte written at {written_s:.3f}, ended at {ended_s:.3f} by {how}")
-    return written_s, ended_s
+    return written_s, ended_s, how
 
 
 async def play(record: Record, processes: Processes) -> list[str]:
@@ -105,8 +106,10 @@
         if status != 200:
             raise CaseError("the proxy was not drained")
     broken = []
-    for number, (written_s, ended_s) in enumerate(await asyncio.gather(*uploads)):
+    for number, (written_s, ended_s, how) in enumerate(await asyncio.gather(*uploads)):
         written_after_s, ended_after_s = written_s - called_s, ended_s - called_s
+        if not has_trouble() and (" 200 " not in how or ended_s - written_s > ANSWERED_S):
+            broken.append(f"u{number}: not served in its time: {how}")
         is_recent = DRAINED_S - RECENT_S < written_after_s < DRAINED_S
         if has_trouble() and is_recent and ended_after_s > DRAINED_S:
             broken.append(
@@ -117,4 +120,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, play))
+    sys.exit(run_case(Path(sys.argv[1]), play))  # the file record.txt of this case
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,10 +6,9 @@
 import sys
 from pathlib import Path
 
-FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins2 import (  # noqa: E402
+from standins2 import (
     Arrival,
     Backend,
     Discovery,
@@ -76,7 +75,7 @@
     await asyncio.sleep(1.0)
     broken = []
     counts: dict[int, int] = {}
-    for number, reply in enumerate(await load(port, "r", REQUESTS)):
+    for number, reply in enumerate(await load(port, "r", REQUESTS, record)):
         counts[reply.status] = counts.get(reply.status, 0) + 1
         if reply.status == 200 and reply.body != body_for(f"r{number}"):
             broken.append(f"r{number}: served with {reply.body!r}, which no backend made")
@@ -85,4 +84,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, play))
+    sys.exit(run_case(Path(sys.argv[1]), play))  # the file record.txt of this case
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -6,10 +6,9 @@
 import sys
 from pathlib import Path
 
-FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins2 import (  # noqa: E402
+from standins2 import (
     HOST,
     Arrival,
     Backend,
@@ -65,6 +64,7 @@
     """
     reader, writer = await asyncio.open_connection(HOST, port)
     writer.write(request_bytes(ident, "documents", 750))
+    record.add(f"{ident} is sent")
     body = b""
     status = ""
     try:
@@ -118,4 +118,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, play))
+    sys.exit(run_case(Path(sys.argv[1]), play))  # the file record.txt of this case
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -8,10 +8,9 @@
 import time
 from pathlib import Path
 
-FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins2 import (  # noqa: E402
+from standins2 import (
     HOST,
     Arrival,
     Backend,
@@ -56,6 +55,7 @@
         sock.setblocking(False)
         await loop.sock_connect(sock, (HOST, port))
         await loop.sock_sendall(sock, request_bytes(ident, "documents", 750))
+        record.add(f"{ident} is sent")
         received = bytearray()
         longest_s = 0.0
         wanted = None
@@ -115,4 +115,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, play))
+    sys.exit(run_case(Path(sys.argv[1]), play))  # the file record.txt of this case
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -43,11 +43,11 @@
 
 
 class Record:
-    """The record of one run, in `record.txt` beside the case."""
+    """The record of one run: the file `record.txt` beside the case."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, path: Path) -> None:
         self._began = time.monotonic()
-        self._path = folder / "record.txt"
+        self._path = path
         self._lines: list[str] = []
         self.left_out = ""  # the run's temporary folder, which differs from run to run
 
@@ -272,13 +272,17 @@
     return reply
 
 
-async def load(port: int, prefix: str, count: int, lane: str = "search") -> list[Reply]:
+async def load(port: int, prefix: str, count: int, record: Record) -> list[Reply]:
     """Send requests, six at a time, each on a new connection; return their answers in order."""
     gate = asyncio.Semaphore(6)
 
     async def one(number: int) -> Reply:
         async with gate:
-            return await call(port, request_bytes(f"{prefix}{number}", lane, 600))
+            ident = f"{prefix}{number}"
+            record.add(f"{ident} is sent")
+            reply = await call(port, request_bytes(ident, "search", 600))
+            record.add(f"{ident} is answered: {reply.status or 'connection ended'} {reply.body!r}")
+            return reply
 
     return await asyncio.gather(*(one(number) for number in range(count)))
 
@@ -405,20 +409,27 @@
     raise CaseError(f"not ready within {within_s:.0f} s")
 
 
-def run_case(folder: Path, play: Callable[[Record, Processes], Awaitable[list[str]]]) -> int:
-    """Play a case, which returns what broke the rule; return the exit code of its script."""
+def run_case(path: Path, play: Callable[[Record, Processes], Awaitable[list[str]]]) -> int:
+    """Play a case, which returns what broke the rule; return the exit code of its script.
+
+    The record goes to `path`.
+    """
 
     async def run() -> int:
-        record = Record(folder)
+        record = Record(path)
         processes = Processes(record)
         record.add(f"trouble: {has_trouble()}")
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(110.0):
                 broken = await play(record, processes)
             for line in broken:
                 record.add(f"BROKEN: {line}")
             code = RULE_BROKEN if broken else RULE_HELD
-        except (CaseError, TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
+            # Whatever stops the case itself says nothing of the rule.
             record.add(f"could not run: {type(error).__name__} {error}")
             code = COULD_NOT_RUN
         finally:
