--- a/mothstall/net/backend_side/response_reader.py
+++ b/mothstall/net/backend_side/response_reader.py
@@ -3,11 +3,13 @@
 aiohttp's parser receives the head of a response separately. The framing of the response is then
 known before the bytes after the head are parsed, so that bytes after a valid response do not make
 the response invalid.
+
+aiohttp parses responses leniently. Head and chunks are therefore checked here by a strict reading
+first, and a body has to come out of both readings the same.
 """
 
 from __future__ import annotations
 
-import contextlib
 from collections.abc import Callable
 from typing import Any
 
@@ -16,12 +18,14 @@
 
 from mothstall.net import protocol
 from mothstall.net.chunked_coding import ChunkedCodingError, ChunkedDecoder
+from mothstall.net.protocol.response_heads import check_response_head, has_bare_line_feed
 
 MAX_HEAD_BYTES = 16 * 1024  # of a response, and of the trailers behind its body
 MAX_INTERIM_RESPONSES = 8  # 1xx responses ahead of the final one
 HTTP_VERSION_PREFIX = b"HTTP/1."
 HEAD_END = b"\r\n\r\n"
 LAST_CHUNK_END = b"0\r\n\r\n"
+CHUNKED_CODING = "chunked"
 STATUS_OK = 200
 STATUS_SWITCHING_PROTOCOLS = 101
 NO_BODY_STATUSES = (204, 304)
@@ -104,6 +108,8 @@
             self._deliver(rest)
             self._check_size()
             return False
+        if self.message.code in NO_BODY_STATUSES:
+            return bool(rest)
         if self.message.chunked:
             return self._read_chunks(parser, rest)
         return self._read_sized_body(parser, rest)
@@ -128,6 +134,8 @@
         position = self._head.find(HEAD_END)
         if position >= 0:
             return position + len(HEAD_END)
+        if has_bare_line_feed(self._head):
+            raise protocol.UnreadableMessageError("a line of the head does not end in CRLF")
         if len(self._head) > MAX_HEAD_BYTES:
             raise protocol.UnreadableMessageError("the response head is too long")
         return None
@@ -147,6 +155,7 @@
     def _parse_head(
         self, parser: HttpParser[Any], head: bytes
     ) -> tuple[RawResponseMessage, StreamReader]:
+        check_response_head(head)
         try:
             messages, _, _ = parser.feed_data(head)
         except Exception as error:  # the parser may raise any error for a malformed head
@@ -160,12 +169,15 @@
 
     def _read_framing(self, message: RawResponseMessage) -> int:
         """Return the length of the body by its Content-Length; 0 without that header."""
+        if message.code in NO_BODY_STATUSES:
+            return 0
+        codings = message.headers.getall("Transfer-Encoding", [])
+        if codings and [coding.lower() for coding in codings] != [CHUNKED_CODING]:
+            raise protocol.UnreadableMessageError("unknown transfer coding")
         text = message.headers.get("Content-Length")
         if text is None:
-            if "Transfer-Encoding" in message.headers and not message.chunked:
-                raise protocol.UnreadableMessageError("unknown transfer coding")
             # Without Content-Length or chunks, a body extends to the end of the connection.
-            self.is_until_close = not message.chunked and message.code not in NO_BODY_STATUSES
+            self.is_until_close = not message.chunked
             return 0
         if message.chunked or not (text.isascii() and text.isdigit()):
             raise protocol.UnreadableMessageError(
@@ -189,8 +201,9 @@
         payload = self.payload
         assert payload is not None
         has_more = False
+        part = b""
         if data and not payload.is_eof():
-            self._track_chunks(data)
+            part = self._decode_chunks(data)
             try:
                 messages, _, _ = parser.feed_data(data)
                 has_more = bool(messages) or not data.endswith(LAST_CHUNK_END)
@@ -204,7 +217,8 @@
                 has_more = True
         if payload.exception():
             raise protocol.UnreadableMessageError("malformed response body")
-        part = payload.read_nowait()
+        if payload.read_nowait() != part or payload.is_eof() != self._has_last_chunk():
+            raise protocol.UnreadableMessageError("ambiguous response body")
         self._check_framing(data, part, payload.is_eof())
         self._deliver(part)
         self._check_size()
@@ -216,13 +230,16 @@
         if self._framing_bytes > MAX_HEAD_BYTES and not is_complete:
             raise protocol.UnreadableMessageError("the trailers are too long")
 
-    def _track_chunks(self, data: bytes) -> None:
-        """Track the position in the chunked coding, which aiohttp's parser does not expose."""
+    def _decode_chunks(self, data: bytes) -> bytes:
         if self._chunked_decoder is None:
             self._chunked_decoder = ChunkedDecoder()
-        # aiohttp's parser alone decides whether the body is valid.
-        with contextlib.suppress(ChunkedCodingError):
-            self._chunked_decoder.feed(data)
+        try:
+            return b"".join(self._chunked_decoder.feed(data))
+        except ChunkedCodingError as error:
+            raise protocol.UnreadableMessageError(f"malformed response body: {error}") from error
+
+    def _has_last_chunk(self) -> bool:
+        return self._chunked_decoder is not None and self._chunked_decoder.has_ended
 
     def _deliver(self, data: bytes) -> None:
         self.received_bytes += len(data)
