--- a/mothstall/net/body_arrival.py
+++ b/mothstall/net/body_arrival.py
@@ -23,10 +23,13 @@
     the proxy has read all that came and waits for more.
 
     Attributes:
-        is_complete: Whether the whole body was received.
+        completed_ns: Unix time at which the proxy had received the whole body; None until then.
     """
 
-    __slots__ = ("_incomplete_ns", "_is_drained", "_is_first_read", "_missing_bytes", "_resumed_ns")
+    __slots__ = (
+        *("_incomplete_ns", "_is_drained", "_is_first_read", "_missing_bytes", "_resumed_ns"),
+        "completed_ns",
+    )
 
     def __init__(self, arrived_ns: int, missing_bytes: int | None, is_drained: bool) -> None:
         """Begin with the request's head.
@@ -41,6 +44,7 @@
         self._is_drained = is_drained
         self._is_first_read = False
         self._resumed_ns = arrived_ns
+        self.completed_ns: int | None = None
 
     def on_read(self, byte_count: int, arrived_ns: int, now_ns: int) -> None:
         """Record a read of the connection.
@@ -73,8 +77,9 @@
         self._is_first_read = True
         self._resumed_ns = now_ns
 
-    def on_complete(self) -> None:
+    def on_complete(self, now_ns: int) -> None:
         """Record that the whole body was received: the estimate is final."""
+        self.completed_ns = now_ns
         self._is_drained = False
         self._missing_bytes = None
 
--- a/mothstall/net/client_side/deadlines.py
+++ b/mothstall/net/client_side/deadlines.py
@@ -92,17 +92,23 @@
         connection.force_close()  # the response is written
 
 
-def check_drained(connection: Connection, now: float, is_overdue: bool) -> None:
-    """Close an idle connection of a drained proxy, or any without an open request if overdue.
+def check_drained(connection: Connection, now: float) -> None:
+    """Close an idle connection of a drained proxy, or any without a complete request if overdue.
 
     Guards against connections that outlive a drain, idle or with an incomplete request.
     """
     state = connection.state
+    phases = connection.frontend.phases
+    if state == ConnectionState.UPLOADING:
+        if phases.rejects_uploads(now):
+            # No backend can have executed it.
+            request_body.abandon(connection, 503, "the proxy drains")
+        return
     is_silent = now - connection.state_since_s >= SILENT_S
     if state == ConnectionState.IDLE or (state == ConnectionState.NEW and is_silent):
         lingering_close.begin(connection)
         return
-    if not is_overdue:
+    if not phases.is_drain_overdue(now):
         return
     if state in (
         ConnectionState.READING_HEAD,
@@ -111,6 +117,8 @@
         ConnectionState.PENALIZED,
     ):
         rejection.reject_and_close(connection, 408, "the proxy drains")
+    elif state == ConnectionState.DISCARDING_BODY:
+        lingering_close.begin(connection)  # the response is written
     elif state in (ConnectionState.LINGERING, ConnectionState.REJECTED):
         transport = connection.transport
         if transport and is_silent and not transport.get_write_buffer_size():
--- a/mothstall/net/client_side/frontend.py
+++ b/mothstall/net/client_side/frontend.py
@@ -206,11 +206,7 @@
         request.received_ns = arrived_ns
         number = next(self._request_numbers)
         connection.open_exchange(OpenExchange(number, request), state)
-        latest = self.phases.response_deadline(self.loop.time())
-        latest_ns = None if latest is None else self.clock.unix_ns(latest)
-        self._decide(
-            RequestArrived(number, request, arrived_ns, connection.send_response, latest_ns)
-        )
+        self._decide(RequestArrived(number, request, arrived_ns, connection.send_response))
         return number
 
     def end_exchange(self, exchange: OpenExchange, end: ExchangeEnd) -> None:
@@ -232,7 +228,6 @@
             self.handover.hand_over_idle()
             self.handover.hand_over_responses()
         is_drained = self.phases.tick(now) is Phase.DRAINED
-        is_overdue = is_drained and now >= (self.phases.response_deadline(now) or now)
         for connection in list(self._accepted):
             if not isinstance(connection, Connection):
                 continue
@@ -240,7 +235,7 @@
             if self.phases.rejects_incomplete(now):
                 deadlines.check_at_process_end(connection)
             if is_drained:
-                deadlines.check_drained(connection, now, is_overdue)
+                deadlines.check_drained(connection, now)
         self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
 
     # Stopping
--- a/mothstall/net/client_side/request_body.py
+++ b/mothstall/net/client_side/request_body.py
@@ -133,7 +133,7 @@
     if is_complete and body.stream is not None:
         stream, body.stream = body.stream, None
         if body.arrival is not None:
-            body.arrival.on_complete()
+            body.arrival.on_complete(connection.frontend.clock.now())
         connection.enter(ConnectionState.AWAITING_RESPONSE)
         stream.end()
 
--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -33,6 +33,7 @@
 )
 from mothstall.net.discovery.discovery import Discovery, EndpointsUpdated, PollOnce, SetWatching
 from mothstall.net.invariants import check_invariant
+from mothstall.net.lifecycle import ResponseLimit
 from mothstall.net.metrics import Outcome, RequestMetrics
 from mothstall.net.pending_request import PendingRequest
 from mothstall.policy import Balancer
@@ -76,8 +77,7 @@
         self._discovery: Discovery | None = None
         self.endpoints_known = asyncio.Event()
         self.on_attempt_ended: Callable[[backend_messages.AttemptEnded, int], None] | None = None
-        # Unix time by which all requests have to be answered; set when the process begins to stop.
-        self._stop_by_ns: int | None = None
+        self._response_limit: ResponseLimit | None = None  # set by a drain and by a shutdown
 
     def set_discovery(self, discovery: Discovery) -> None:
         """Set the actor that polls and watches endpoints."""
@@ -87,16 +87,18 @@
         """Return the state that a successor process inherits."""
         return self._balancer.export_state()
 
-    def stop_by(self, latest_ns: int) -> None:
-        """Answer all open requests, and those that still arrive, by `latest_ns`.
+    def limit_responses(self, limit: ResponseLimit | None) -> None:
+        """Apply a limit to all open requests and to those that still arrive; None lifts it.
 
-        Guards against a process that is killed while a request with a longer deadline is open, or
-        one whose long body the backend has stopped reading.
+        Guards against a process that ends, or a drain that should be over, while a request with a
+        longer deadline is open, or one whose long body came slowly or is not read by its backend.
+        Linear in the number of open requests.
         """
-        self._stop_by_ns = latest_ns
+        self._response_limit = limit
+        now = self._clock.now()
         for request, entry in self._pending.items():
-            if not entry.is_answered and entry.deadline_ns > latest_ns:
-                entry.deadline_ns = latest_ns
+            if not entry.is_answered:
+                entry.deadline_ns = self._deadline_ns(entry, now)
                 self._start_backstop(request, entry)
 
     def listed_count(self) -> int:
@@ -162,10 +164,9 @@
 
     def _on_arrived(self, message: RequestArrived, now: int) -> io.Event | None:
         inbound = message.client_request
-        deadline = message.received_ns + inbound.remaining_ns
-        if message.latest_ns is not None:
-            deadline = min(deadline, message.latest_ns)
-        entry = PendingRequest(message, deadline)
+        entry = PendingRequest(message, message.received_ns + inbound.remaining_ns, now)
+        # The estimate of a long body is left out: the balancer's deadline begins with the head.
+        deadline = entry.deadline_ns = self._limited_ns(entry, entry.deadline_ns)
         self._pending[message.request] = entry
         self._start_backstop(message.request, entry)
         self._metrics.start_request(inbound.class_index)
@@ -189,15 +190,31 @@
         entry = self._pending.get(message.request)
         if entry is None or entry.is_answered:
             return None
-        entry.deadline_ns = self._upload_deadline_ns(entry, now)
+        entry.deadline_ns = self._deadline_ns(entry, now)
         self._start_backstop(message.request, entry)
         left = max(1, entry.deadline_ns - now)
         return io.AttemptWritten(message.request, message.attempt, left)
 
-    def _upload_deadline_ns(self, entry: PendingRequest, now: int) -> int:
-        """Return the deadline of a request with a long body, which may move while it arrives."""
-        deadline_ns = entry.arrived.client_request.deadline_ns(now)
-        return deadline_ns if self._stop_by_ns is None else min(deadline_ns, self._stop_by_ns)
+    def _deadline_ns(self, entry: PendingRequest, now: int) -> int:
+        """Return the deadline of a request, which may move while its long body arrives."""
+        return self._limited_ns(entry, entry.arrived.client_request.deadline_ns(now))
+
+    def _limited_ns(self, entry: PendingRequest, deadline_ns: int) -> int:
+        """Return a deadline cut to what a drain or a shutdown allows.
+
+        An incomplete request is cut as well: if it is complete in time to be exempt, its deadline
+        is extended again once the limit is reached.
+        """
+        limit = self._response_limit
+        if limit is None:
+            return deadline_ns
+        completed_ns = entry.completed_ns()
+        is_exempt = completed_ns is not None and completed_ns < self._clock.unix_ns(
+            limit.complete_after_s
+        )
+        return (
+            deadline_ns if is_exempt else min(deadline_ns, self._clock.unix_ns(limit.answer_by_s))
+        )
 
     def _on_relay_ended(self, request: int, outcome: Outcome) -> None:
         entry = self._pending.get(request)
@@ -256,7 +273,7 @@
         if entry is None or entry.is_answered:
             return None
         if entry.arrived.client_request.stream is not None:
-            deadline_ns = self._upload_deadline_ns(entry, self._clock.now())
+            deadline_ns = self._deadline_ns(entry, self._clock.now())
             if deadline_ns > entry.deadline_ns:
                 entry.deadline_ns = deadline_ns
                 self._start_backstop(request, entry)
--- a/mothstall/net/decider_messages.py
+++ b/mothstall/net/decider_messages.py
@@ -43,15 +43,12 @@
         client_request: The parsed request.
         received_ns: Earliest Unix time at which the request may have arrived.
         reply: Called once with the final response.
-        latest_ns: Unix time by which the proxy has to answer in a drain or shutdown, even if the
-            client would wait longer; None for no such limit.
     """
 
     request: int
     client_request: protocol.ClientRequest
     received_ns: int
     reply: Callable[[ClientResponse], None]
-    latest_ns: int | None = None
 
 
 @dataclass(slots=True)
--- a/mothstall/net/lifecycle.py
+++ b/mothstall/net/lifecycle.py
@@ -5,13 +5,16 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import Enum
 
 IDLE_DRAIN_S = 1.9  # idle connections stay open for new requests this long after a drain starts
 SILENT_S = 0.2  # in a drain or shutdown, a new connection without input is closed after this time
-# Requests received more than IDLE_DRAIN_S after the start of a drain have to be answered by this
-# time after the start; incomplete requests are rejected then.
+# Requests completed more than IDLE_DRAIN_S after the start of a drain have to be answered by
+# this time after the start; incomplete requests are rejected then.
 DRAIN_DEADLINE_S = 3.6
+# Long requests whose body is incomplete are rejected this long before: there is no time for them.
+UPLOAD_MARGIN_S = 0.25
 # In a shutdown, incomplete requests are rejected from this time before the longest deadline on.
 INCOMPLETE_MARGIN_S = 0.5
 ANSWER_MARGIN_S = 0.2  # in a shutdown, the last response is due this long after that deadline
@@ -26,6 +29,19 @@
     STOPPING = "stopping"
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseLimit:
+    """A time by which responses are due, also where their clients would wait longer.
+
+    Attributes:
+        complete_after_s: Requests whose last byte came before this time are exempt.
+        answer_by_s: The time by which the others have to be answered.
+    """
+
+    complete_after_s: float
+    answer_by_s: float
+
+
 class Lifecycle:
     """The current phase, and the time limits of a drain or a shutdown."""
 
@@ -34,13 +50,14 @@
         self.is_handing_over = False  # idle client connections are handed over, not closed
         self._draining_since_s = 0.0
         self._complete_by_s = 0.0  # while stopping: later, incomplete requests are rejected
-        self._answered_by_s = 0.0  # while stopping: deadline for all responses
+        self._response_limit: ResponseLimit | None = None
 
     def evacuate(self, now: float) -> bool:
         """Start a drain, unless one is running. Returns False if the process is stopping."""
         if self.phase is Phase.SERVING:
             self.phase = Phase.DRAINING
             self._draining_since_s = now
+            self._response_limit = ResponseLimit(now + IDLE_DRAIN_S, now + DRAIN_DEADLINE_S)
         return self.phase is not Phase.STOPPING
 
     def rejoin(self) -> bool:
@@ -48,6 +65,7 @@
         if self.phase is Phase.STOPPING:
             return False
         self.phase = Phase.SERVING
+        self._response_limit = None
         return True
 
     def stop(self, now: float, longest_deadline_s: float) -> None:
@@ -58,7 +76,7 @@
         """
         self.phase = Phase.STOPPING
         self._complete_by_s = now + longest_deadline_s - INCOMPLETE_MARGIN_S
-        self._answered_by_s = now + longest_deadline_s + ANSWER_MARGIN_S
+        self._response_limit = ResponseLimit(0.0, now + longest_deadline_s + ANSWER_MARGIN_S)
 
     def tick(self, now: float) -> Phase:
         """Apply the transition that is due at `now`, and return the phase."""
@@ -84,15 +102,25 @@
         """Whether each response ends its connection."""
         return self.phase is not Phase.SERVING and not self.is_handing_over
 
-    def response_deadline(self, now: float) -> float | None:
-        """Time by which a request received now has to be answered, regardless of its own deadline.
+    @property
+    def response_limit(self) -> ResponseLimit | None:
+        """The limit that a drain or a shutdown sets, also to requests that are open already."""
+        return self._response_limit
+
+    def is_drain_overdue(self, now: float) -> bool:
+        """Whether a drain should be over: no connection without an open request may be left."""
+        return (
+            self.tick(now) is Phase.DRAINED
+            and self._response_limit is not None
+            and now >= self._response_limit.answer_by_s
+        )
 
-        Guards against a request received late that is still open when the drain has to be finished.
-        """
-        if self.phase is Phase.STOPPING:
-            return self._answered_by_s
+    def rejects_uploads(self, now: float) -> bool:
+        """Whether a drain leaves no time for a long request that is still incomplete."""
         return (
-            self._draining_since_s + DRAIN_DEADLINE_S if self.tick(now) is Phase.DRAINED else None
+            self.tick(now) is Phase.DRAINED
+            and self._response_limit is not None
+            and now >= self._response_limit.answer_by_s - UPLOAD_MARGIN_S
         )
 
     def rejects_incomplete(self, now: float) -> bool:
--- a/mothstall/net/pending_request.py
+++ b/mothstall/net/pending_request.py
@@ -16,6 +16,7 @@
     Attributes:
         arrived: The request.
         deadline_ns: Unix time by which the request has to be answered.
+        submitted_ns: Unix time at which the decider received the request.
         backstop: Timer that fails the request after its deadline.
         attempts: The backend actor of each attempt; None for an attempt that was never sent.
         in_flight: Number of attempts that have not ended.
@@ -26,9 +27,15 @@
 
     arrived: RequestArrived
     deadline_ns: int
+    submitted_ns: int
     backstop: asyncio.TimerHandle | None = None
     attempts: list[Backend | None] = field(default_factory=list)
     in_flight: int = 0
     is_answered: bool = False
     has_timed_out: bool = False
     is_relaying: bool = False
+
+    def completed_ns(self) -> int | None:
+        """Unix time at which the whole request had been received; None while it is incomplete."""
+        arrival = self.arrived.client_request.body_arrival
+        return self.submitted_ns if arrival is None else arrival.completed_ns
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -366,6 +366,7 @@
             if path == "/api/evacuate"
             else self._lifecycle.rejoin()
         )
+        self._decider.limit_responses(self._lifecycle.response_limit)
         log.info(
             "called",
             extra={"kv": {"call": path, "from": was.value, "to": self._lifecycle.phase.value}},
@@ -388,9 +389,7 @@
         # Guards against a kill before the longest deadline of a class or of a client.
         longest = min(MAX_DEADLINE_S, max(c.deadline_ns for c in self.config.settings.classes) / NS)
         self._lifecycle.stop(began, longest)
-        self._decider.stop_by(
-            self._clock.unix_ns(self._lifecycle.response_deadline(began) or began)
-        )
+        self._decider.limit_responses(self._lifecycle.response_limit)
         if self._handover is not None:
             self._handover.release_predecessor()
         # Other processes hold an inherited socket and accept its connections from now on.
--- a/tests/net/admin/test_admin_server.py
+++ b/tests/net/admin/test_admin_server.py
@@ -15,7 +15,7 @@
 from mothstall.net import lifecycle, proxy
 from mothstall.net.admin.server import MAX_CALLERS, AdminCallError, read_call
 from mothstall.net.counters import Counters
-from mothstall.net.lifecycle import Lifecycle, Phase
+from mothstall.net.lifecycle import Lifecycle, Phase, ResponseLimit
 from mothstall.net.metrics import Outcome, RequestMetrics
 from tests.net.test_process import MAIN, ROOT, run_main
 from tests.peers import (
@@ -66,26 +66,24 @@
 def test_phases_change_by_command_and_by_time() -> None:
     p = Lifecycle()
     # A rejoin without a drain changes nothing.
-    assert p.accepts_clients and p.rejoin() and p.response_deadline(9.0) is None
+    assert p.accepts_clients and p.rejoin() and p.response_limit is None
     assert p.evacuate(10.0) and not p.accepts_clients
     assert p.evacuate(11.0)  # the first call counts
-    assert (
-        p.tick(10.0 + lifecycle.IDLE_DRAIN_S - 0.1) is Phase.DRAINING
-        and p.response_deadline(10.5) is None
-    )
-    assert (
-        p.tick(10.0 + lifecycle.IDLE_DRAIN_S) is Phase.DRAINED
-        and p.response_deadline(12.5) == 10.0 + lifecycle.DRAIN_DEADLINE_S
-    )
+    answer_by_s = 10.0 + lifecycle.DRAIN_DEADLINE_S
+    assert p.response_limit == ResponseLimit(10.0 + lifecycle.IDLE_DRAIN_S, answer_by_s)
+    assert p.tick(10.0 + lifecycle.IDLE_DRAIN_S - 0.1) is Phase.DRAINING
+    assert p.tick(10.0 + lifecycle.IDLE_DRAIN_S) is Phase.DRAINED
+    rejects_by_s = answer_by_s - lifecycle.UPLOAD_MARGIN_S
+    assert not p.rejects_uploads(rejects_by_s - 0.1) and p.rejects_uploads(rejects_by_s)
+    assert not p.is_drain_overdue(answer_by_s - 0.1) and p.is_drain_overdue(answer_by_s)
     assert p.rejoin() and p.accepts_clients and p.tick(20.0) is Phase.SERVING
+    assert p.response_limit is None and not p.is_drain_overdue(20.0)
     assert p.evacuate(30.0) and p.rejoin() and p.tick(40.0) is Phase.SERVING  # during the drain
     assert p.evacuate(50.0)
     p.stop(52.0, 3.0)
     assert not p.rejoin() and not p.evacuate(53.0)
-    assert (
-        p.tick(60.0) is Phase.STOPPING
-        and p.response_deadline(53.0) == 55.0 + lifecycle.ANSWER_MARGIN_S
-    )
+    assert p.tick(60.0) is Phase.STOPPING
+    assert p.response_limit == ResponseLimit(0.0, 55.0 + lifecycle.ANSWER_MARGIN_S)
     assert not p.rejects_incomplete(54.0) and p.rejects_incomplete(
         55.0 - lifecycle.INCOMPLETE_MARGIN_S
     )
--- a/tests/net/test_body_arrival.py
+++ b/tests/net/test_body_arrival.py
@@ -62,5 +62,7 @@
 def test_time_of_a_complete_body_counts_from_when_its_last_part_arrived() -> None:
     arrival = BodyArrival(0, 2000, is_drained=True)
     arrival.on_read(2000, 500 * MS, 510 * MS)
-    arrival.on_complete()
+    assert arrival.completed_ns is None
+    arrival.on_complete(520 * MS)
+    assert arrival.completed_ns == 520 * MS
     assert arrival.incomplete_ns(900 * MS) == 500 * MS
--- a/tests/net/test_net_body_relay.py
+++ b/tests/net/test_net_body_relay.py
@@ -381,6 +381,7 @@
         super().__init__(respond_ok)
         self.digests: list[tuple[int, str]] = []
         self.is_stalled = False
+        self.work_s = 0.0  # between the last byte of a request and its response
         self.framings: list[bytes] = []
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -405,6 +406,7 @@
                     digest.update(data)
                     size = len(data)
                 self.digests.append((size, digest.hexdigest()))
+                await asyncio.sleep(self.work_s)
                 writer.write(response_bytes(b"swallowed"))
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
