Fix: a connection closed unread by an overdue drain gets 503, not 408

Cause: check_drained closes connections in state NEW, which may be accepted and not read yet, as if their request had not come; PENALIZED likewise. Change: both get 503, which says that a retry is harmless. Incomplete heads and bodies keep 408.

--- a/mothstall/net/client_side/deadlines.py
+++ b/mothstall/net/client_side/deadlines.py
@@ -110,13 +110,11 @@
         return
     if not phases.is_drain_overdue(now):
         return
-    if state in (
-        ConnectionState.READING_HEAD,
-        ConnectionState.READING_BODY,
-        ConnectionState.NEW,
-        ConnectionState.PENALIZED,
-    ):
+    if state in (ConnectionState.READING_HEAD, ConnectionState.READING_BODY):
         rejection.reject_and_close(connection, 408, "the proxy drains")
+    elif state in (ConnectionState.NEW, ConnectionState.PENALIZED):
+        # A complete request may be there unread: a retry of it is harmless.
+        rejection.reject_and_close(connection, 503, "the proxy drains")
     elif state == ConnectionState.DISCARDING_BODY:
         lingering_close.begin(connection)  # the response is written
     elif state in (ConnectionState.LINGERING, ConnectionState.REJECTED):
--- a/tests/net/admin/test_admin_server.py
+++ b/tests/net/admin/test_admin_server.py
@@ -214,6 +214,28 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("is_penalized", [False, True])
+def test_a_request_not_yet_read_in_an_overdue_drain_is_rejected_as_harmless_to_retry(
+    is_penalized: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against 408, a failure, for a request that came before its connection was closed."""
+    monkeypatch.setattr(lifecycle, "IDLE_DRAIN_S", 0.0)
+    monkeypatch.setattr(lifecycle, "DRAIN_DEADLINE_S", 0.1)
+
+    async def run() -> None:
+        async with rig(respond_ok, admin_addr=ADMIN_ADDRESS) as r:
+            client = await r.client()
+            if is_penalized:
+                assert (await client.request(remaining="none")).status == 400
+            await r.admin_call("/api/evacuate")
+            if not is_penalized:
+                await asyncio.sleep(0.2)
+                client = await r.client()
+            assert (await client.read()).status == 503
+
+    asyncio.run(run())
+
+
 def test_pipelined_requests_in_a_drain_are_served_at_most_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
