Move the process round the proxy (signals, reload, garbage) to net/process.py

Change: run, collect_garbage, reload_config and print_counters move as they are; only imports, and the tests' and pages' names for them, follow.

--- a/mothstall/cli.py
+++ b/mothstall/cli.py
@@ -215,7 +215,7 @@
     with _without_certificates():
         from mothstall.net import logs
         from mothstall.net.clock import TimedSelector
-        from mothstall.net.proxy import run
+        from mothstall.net.process import run
 
     # Loaded modules stay alive: garbage collections need not traverse them.
     gc.freeze()
--- a/tests/net/test_process.py
+++ b/tests/net/test_process.py
@@ -337,7 +337,7 @@
     import weakref
 
     from mothstall.net.client_side.connection import Connection
-    from mothstall.net.proxy import collect_garbage
+    from mothstall.net.process import collect_garbage
     from tests.peers import rig
 
     async def run() -> None:
@@ -370,7 +370,7 @@
     import gc
     import weakref
 
-    from mothstall.net import proxy
+    from mothstall.net import process
 
     class Node:
         """A reference cycle that only a garbage collection frees."""
@@ -386,7 +386,7 @@
             self.next = (call, *arguments)
 
     rows, loop = [0], Loop()
-    proxy.collect_garbage(loop, lambda: rows[0], 0)  # type: ignore[arg-type]
+    process.collect_garbage(loop, lambda: rows[0], 0)  # type: ignore[arg-type]
 
     def again() -> None:
         call, *arguments = loop.next
@@ -394,7 +394,7 @@
 
     try:
         before = gc.get_freeze_count()
-        rows[0] = proxy.MIN_ROWS_TO_FREEZE - 1
+        rows[0] = process.MIN_ROWS_TO_FREEZE - 1
         again()
         assert gc.get_freeze_count() <= before
         node = Node()
@@ -406,7 +406,7 @@
         del node
         again()
         assert gone() is not None and gc.get_freeze_count() <= held
-        rows[0] += proxy.MIN_ROWS_TO_FREEZE
+        rows[0] += process.MIN_ROWS_TO_FREEZE
         again()
         assert gone() is None
     finally:
