--- a/mothstall/net/client_side/frontend.py
+++ b/mothstall/net/client_side/frontend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -56,6 +57,13 @@
     retry_after_ns: int
 
 
+def is_responding(connection: Connection) -> bool:
+    """Return whether a response to the connection's client has begun and is not sent completely."""
+    return connection.state == ConnectionState.RELAYING or (
+        connection.state == ConnectionState.LINGERING and connection.has_unread_response()
+    )
+
+
 class Server(web_server.Server):
     """aiohttp's server with its table of connections; it creates `Connection` objects."""
 
@@ -228,9 +236,7 @@
             self.handover.hand_over_idle()
             self.handover.hand_over_responses()
         is_drained = self.phases.tick(now) is Phase.DRAINED
-        for connection in list(self._accepted):
-            if not isinstance(connection, Connection):
-                continue
+        for connection in self._client_connections():
             deadlines.check(connection, now)
             if self.phases.rejects_incomplete(now):
                 deadlines.check_at_process_end(connection)
@@ -261,6 +267,26 @@
                     lingering_close.begin(connection)
         return bool(self._accepted)
 
+    def responding_count(self) -> int:
+        """Return the number of connections with a response that is not sent completely."""
+        return sum(is_responding(connection) for connection in self._client_connections())
+
+    def close_unanswered(self) -> dict[str, int]:
+        """Close all connections but those with a response that is not sent completely.
+
+        Returns:
+            The number of closed connections by state.
+        """
+        closed: Counter[str] = Counter()
+        for connection in self._client_connections():
+            if not is_responding(connection):
+                closed[connection.state.name.lower()] += 1
+                connection.force_close()
+        return dict(closed)
+
+    def _client_connections(self) -> list[Connection]:
+        return [c for c in list(self._accepted) if isinstance(c, Connection)]
+
     async def stop(self) -> None:
         """Close the connections that are still open."""
         if self._sweep_timer:
--- a/mothstall/net/client_side/lingering_close.py
+++ b/mothstall/net/client_side/lingering_close.py
@@ -12,14 +12,24 @@
 if TYPE_CHECKING:
     from mothstall.net.client_side.connection import Connection
 
-__all__ = ["LINGER_BYTES", "LINGER_S", "begin", "discard", "discard_further_input", "reset"]
+__all__ = [
+    "LINGER_BYTES",
+    "LINGER_S",
+    "begin",
+    "discard",
+    "discard_further_input",
+    "reset",
+    "set_reset_on_close",
+]
 
 LINGER_BYTES = 256 * 1024  # a lingering close reads at most this much further input
 # Limit of the input discarded while a request is open: more than both kernels' buffers hold.
 MAX_DISCARDED_BYTES = 16 * 1024 * 1024
 DISCARD_READ_BYTES = 1024 * 1024  # maximum size of one read of such input
 
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, with a timeout of 0
+# SO_LINGER: on, with a timeout of 0; and off.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_END_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 def begin(connection: Connection, state: ConnectionState = ConnectionState.LINGERING) -> None:
@@ -66,11 +76,20 @@
     connection.set_max_read(DISCARD_READ_BYTES)
 
 
+def set_reset_on_close(sock: socket.socket, is_on: bool) -> None:
+    """Let the kernel reset the connection when it is closed, or end it in order.
+
+    This holds for a close by the end of the process as well.
+    """
+    value = _RESET_ON_CLOSE if is_on else _END_ON_CLOSE
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
+
 def reset(connection: Connection) -> None:
     """Close the connection with a reset, so that the client sees that a response was cut."""
     transport = connection.transport
     if transport is not None:
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            set_reset_on_close(sock, True)
         transport.abort()
--- a/mothstall/net/client_side/response_relay.py
+++ b/mothstall/net/client_side/response_relay.py
@@ -42,6 +42,11 @@
         self.acknowledged_bytes = 0
         self._connection = connection
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection tells the client that the body is complete."""
+        return not (self.is_chunked or self.has_length)
+
     def write_body(self, data: bytes) -> None:
         """Write the next bytes of the body."""
         transport = self._connection.transport
@@ -57,6 +62,8 @@
         connection.end_exchange(ExchangeEnd.RELAYED)
         connection.body.payload = None
         if transport is not None:
+            if self.ends_with_connection:
+                lingering_close.set_reset_on_close(transport.get_extra_info("socket"), False)
             transport.set_write_buffer_limits()
             connection.after_response(transport)
 
@@ -68,10 +75,10 @@
         """
         connection = self._connection
         connection.end_exchange(ExchangeEnd.CUT)
-        if (self.is_chunked or self.has_length) and connection.transport is not None:
-            lingering_close.begin(connection)
-        else:
+        if self.ends_with_connection or connection.transport is None:
             lingering_close.reset(connection)
+        else:
+            lingering_close.begin(connection)
 
     def check_progress(self, now: float) -> None:
         """Reset the connection if data sent to the client makes no progress for STALL_S.
@@ -121,6 +128,9 @@
     if sock is not None:
         # Guards against megabytes of kernel buffer per slow reader, which also hide its progress.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        if relay.ends_with_connection:
+            # Guards against a response that looks complete because this process was killed.
+            lingering_close.set_reset_on_close(sock, True)
     transport.write(
         protocol.encode_response_head(
             response.head, response.length, is_http11, not connection.keeps_alive
--- a/mothstall/net/handover/stream_takeover.py
+++ b/mothstall/net/handover/stream_takeover.py
@@ -5,12 +5,12 @@
 import asyncio
 import logging
 import socket
-import struct
 from collections.abc import Callable
 
 from mothstall.net import protocol
 from mothstall.net.body_relay import MAX_READ_BYTES, BufferGrants, Stream
 from mothstall.net.chunked_coding import ChunkedCodingError, ChunkedDecoder
+from mothstall.net.client_side.lingering_close import set_reset_on_close
 from mothstall.net.handover.messages import StreamHandover
 from mothstall.net.listener import unsent_bytes
 
@@ -85,6 +85,7 @@
 
         Guards against closing with unread bytes, which would lose the end of the response.
         """
+        set_reset_on_close(transport.get_extra_info("socket"), False)
         transport.resume_reading()
         try:
             transport.write_eof()
@@ -102,8 +103,7 @@
 
     def abort(self) -> None:
         if self.transport is not None:
-            sock = self.transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            set_reset_on_close(self.transport.get_extra_info("socket"), True)
             self.transport.abort()
 
 
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -43,7 +43,10 @@
 ENDPOINTS_TIMEOUT_S = 4.0  # a new process waits for an endpoint list before it takes clients over
 # Upper limit for the longest deadline at shutdown: a process may be killed 0.7 s after it.
 MAX_DEADLINE_S = 3.0
-CLOSE_AFTER_DEADLINE_S = 0.3  # after that deadline all connections are closed
+# After that deadline all connections are closed but those with a response that has begun.
+CLOSE_AFTER_DEADLINE_S = 0.3
+LONG_RESPONSES_S = 660.0  # for the rest of those: the longest body at 64 kB a second
+STOP_POLL_S = 0.01  # between two checks of what is still open
 ACCEPT_AFTER_STOP_S = 0.5  # new connections are still accepted after the signal to stop
 
 
@@ -378,7 +381,7 @@
         self.config = replace(self.config, discovery=fresh.discovery, log_level=fresh.log_level)
 
     async def stop(self, drain_s: float = ACCEPT_AFTER_STOP_S) -> None:
-        """Stop in order: accept requests for `drain_s`, answer all, close everything."""
+        """Stop in order: accept requests for `drain_s`, answer all, end long responses, close."""
         began = self.loop.time()
         # Guards against a kill before the longest deadline of a class or of a client.
         longest = min(MAX_DEADLINE_S, max(c.deadline_ns for c in self.config.settings.classes) / NS)
@@ -391,22 +394,41 @@
         await self._frontend.close()
         end = began + longest + CLOSE_AFTER_DEADLINE_S
         while (self._frontend.close_idle() or self._stream_takeovers) and self.loop.time() < end:
-            if self._lifecycle.is_handing_over:
-                for takeover in list(self._stream_takeovers):
-                    takeover.hand_over(self._hand_over_response)
-            await asyncio.sleep(0.01)
-        if self.loop.time() >= end:
-            still_open = {
-                "stream_takeovers": len(self._stream_takeovers),
-                **self._frontend.open_by_state(),
-            }
-            log.warning("shutdown timed out", extra={"kv": still_open})
+            await self._hand_over_adopted()
+        closed = self._frontend.close_unanswered()
+        if closed:
+            log.warning("shutdown timed out", extra={"kv": closed})
+        await asyncio.gather(self._stop_services(), self._finish_responses())
         await self._frontend.stop()
-        if self._admin_server:
-            self._admin_server.stop()
         if self._handover:
             self._handover.close()
+        self._pool.close()
+
+    async def _hand_over_adopted(self) -> None:
+        """Hand over the responses adopted from a predecessor, if a successor takes them; pause."""
+        if self._lifecycle.is_handing_over:
+            for takeover in list(self._stream_takeovers):
+                takeover.hand_over(self._hand_over_response)
+        await asyncio.sleep(STOP_POLL_S)
+
+    async def _finish_responses(self) -> None:
+        """Relay the responses that have begun to their end.
+
+        Guards against cutting off what backends still give and clients still read: the platform may
+        kill this process later than its own deadlines. A peer that stalls ends its response.
+        """
+        end = self.loop.time() + LONG_RESPONSES_S
+        while self.loop.time() < end:
+            self._frontend.close_idle()
+            count = self._frontend.responding_count() + len(self._stream_takeovers)
+            if not count:
+                return
+            await self._hand_over_adopted()
+        log.warning("long responses cut", extra={"kv": {"responses": count}})
+
+    async def _stop_services(self) -> None:
+        if self._admin_server:
+            self._admin_server.stop()
         if self._fleet:
             await self._fleet.agent.stop()
         await self._discovery.stop()
-        self._pool.close()
