Fix: long requests are not ended while their clients still write them

Seen by callers: a body written in lumps of 64 KiB, or one in chunks whose first 64 KiB come slower than its client would wait, got 503 in the middle.

--- a/mothstall/net/client_side/connection.py
+++ b/mothstall/net/client_side/connection.py
@@ -61,6 +61,7 @@
             response.
         discarded_bytes: Bytes discarded since the connection began to discard input.
         is_read_blocked: Whether reading is paused because the body's stream is full.
+        max_read_bytes: Size of a full read of a long body.
     """
 
     __slots__ = (
@@ -77,6 +78,7 @@
         "is_http11",
         "is_read_blocked",
         "keeps_alive",
+        "max_read_bytes",
         "pipelined",
         "request",
         "state",
@@ -99,6 +101,7 @@
         self.deferred_error: tuple[int, str] | None = None
         self.discarded_bytes = 0
         self.is_read_blocked = False
+        self.max_read_bytes = MAX_READ_BYTES
         # Accepting was delayed, so that the first request may have waited long in the backlog.
         self._is_late = False
         # The last input arrived while a request was being read or open: a part of this input may
--- a/mothstall/net/client_side/request_body.py
+++ b/mothstall/net/client_side/request_body.py
@@ -8,7 +8,7 @@
 
 from mothstall.net import protocol
 from mothstall.net.body_arrival import BodyArrival
-from mothstall.net.body_relay import MAX_READ_BYTES, Stream
+from mothstall.net.body_relay import Stream
 from mothstall.net.client_side import lingering_close, rejection
 from mothstall.net.client_side.connection_states import IS_CLOSING, READS_BODY, ConnectionState
 from mothstall.net.listener import has_peer_hung_up, unread_byte_count
@@ -145,8 +145,9 @@
         return
     clock = connection.frontend.clock
     # Pipelined input has waited: it says nothing about what the kernel still holds.
-    byte_count = MAX_READ_BYTES if connection.pipelined.pieces else len(data)
-    arrival.on_read(byte_count, clock.arrived_after_ns(), clock.now())
+    max_read_bytes = connection.max_read_bytes
+    byte_count = max_read_bytes if connection.pipelined.pieces else len(data)
+    arrival.on_read(byte_count, clock.arrived_after_ns(), clock.now(), max_read_bytes)
 
 
 def begin_stream(connection: Connection, length: int | None) -> bool:
@@ -161,6 +162,7 @@
         connection.arrived_ns,
         None if length is None else length - body.received_bytes,
         is_drained=not connection.pipelined.pieces and not unread_byte_count(connection.transport),
+        begun_ns=connection.frontend.clock.now(),
     )
     stream = Stream(connection, connection.frontend.grants)
     request.stream = body.stream = stream
--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -164,8 +164,7 @@
 
     def _on_arrived(self, message: RequestArrived, now: int) -> io.Event | None:
         inbound = message.client_request
-        entry = PendingRequest(message, message.received_ns + inbound.remaining_ns, now)
-        # The estimate of a long body is left out: the balancer's deadline begins with the head.
+        entry = PendingRequest(message, inbound.deadline_ns(now), now)
         deadline = entry.deadline_ns = self._limited_ns(entry, entry.deadline_ns)
         self._pending[message.request] = entry
         self._start_backstop(message.request, entry)
