--- a/mothstall/net/backend_side/connection.py
+++ b/mothstall/net/backend_side/connection.py
@@ -17,8 +17,9 @@
 from mothstall.net import protocol
 from mothstall.net.backend_side.attempt import OpenAttempt
 from mothstall.net.backend_side.response_reader import STATUS_OK, ResponseReader
-from mothstall.net.body_relay import MAX_READ_BYTES, Stream
+from mothstall.net.body_relay import MAX_READ_BYTES, BufferSizes, Stream
 from mothstall.net.listener import unread_byte_count
+from mothstall.net.socket_buffers import limit_send_buffer
 
 if TYPE_CHECKING:
     from mothstall.net.backend_side.backend import Backend
@@ -161,6 +162,7 @@
         self._reader.reset()
         self._body_parts = []
         self._is_upload_cut = False
+        self.transport.max_size = MAX_READ_BYTES  # type: ignore[attr-defined]
         self.transport.write(raw_request)
         upload = attempt.command.client_request.stream if attempt.command else None
         if attempt.command is not None and upload is not None:
@@ -204,8 +206,17 @@
         if self.attempt is not None:
             self.owner.cancel(self.attempt, AttemptResult.CANCELLED)
 
+    def limit_output(self, sizes: BufferSizes) -> None:
+        """Limit what the kernel takes of a request's body before the backend has it."""
+        limit_send_buffer(self.transport, sizes.send_bytes)
+
     # A response's long body
 
+    def limit_input(self, sizes: BufferSizes) -> None:
+        """Limit what is read of a response at once."""
+        if self.transport is not None:
+            self.transport.max_size = sizes.read_bytes  # type: ignore[attr-defined]
+
     def pause(self) -> None:
         """Pause reading the response; called by its stream."""
         if self.transport is not None and not self.transport.is_closing():
--- a/mothstall/net/body_relay.py
+++ b/mothstall/net/body_relay.py
@@ -1,23 +1,42 @@
 """Relays long bodies from one peer to the other with bounded buffers.
 
 A stream connects a source, which can be paused, to a sink, which reports when it is blocked. A
-stream buffers at most its window plus one read of the source. Permits limit the number of
-concurrent streams. Pure: no sockets, no clock.
+stream buffers at most its window plus one read of the source. Permits limit the number of streams
+with wide buffers; the others have narrow ones, and none waits. Pure: no sockets, no clock.
 """
 
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 from typing import Protocol
 
-WINDOW_BYTES = 64 * 1024  # buffered per stream while its sink is blocked
 MAX_READ_BYTES = 64 * 1024  # per read of a peer's connection
 MAX_SINK_WRITE_BYTES = 16 * 1024  # per write to a sink, so that its transport buffers little
-# Maximum memory of one stream, including the buffers of its sink's transport.
-STREAM_COST_BYTES = 2 * (WINDOW_BYTES + MAX_READ_BYTES)
-STREAMS_MEMORY_FRACTION = 0.25  # of the memory limit, for all streams
+
+
+@dataclass(frozen=True, slots=True)
+class BufferSizes:
+    """The sizes of one stream's buffers.
+
+    Attributes:
+        window_bytes: Buffered by the stream while its sink is blocked.
+        read_bytes: Maximum of one read of the source.
+        send_bytes: Of the kernel's send buffer of the sink's socket.
+    """
+
+    window_bytes: int
+    read_bytes: int
+    send_bytes: int
+
+
+WIDE_BUFFERS = BufferSizes(64 * 1024, MAX_READ_BYTES, 64 * 1024)
+NARROW_BUFFERS = BufferSizes(8 * 1024, 16 * 1024, 16 * 1024)
+# Maximum memory of one stream with wide buffers, including its sink's transport.
+STREAM_COST_BYTES = 2 * (WIDE_BUFFERS.window_bytes + WIDE_BUFFERS.read_bytes)
+STREAMS_MEMORY_FRACTION = 0.25  # of the memory limit, for all streams with wide buffers
 DIRECTIONS = 2  # requests and responses
-MIN_STREAMS = 4  # per direction, even with a smaller memory limit
+MIN_STREAMS = 4  # with wide buffers per direction, even with a smaller memory limit
 
 
 class Source(Protocol):
@@ -32,6 +51,9 @@
     def sink_closed(self) -> None:
         """Stop providing the body: the sink no longer accepts data."""
 
+    def limit_input(self, sizes: BufferSizes) -> None:
+        """Limit what is read at once."""
+
 
 class Sink(Protocol):
     """The side of a stream that receives the body."""
@@ -45,9 +67,15 @@
     def abort_body(self) -> None:
         """End an incomplete body in a way that shows its reader that it was truncated."""
 
+    def limit_output(self, sizes: BufferSizes) -> None:
+        """Limit what the kernel takes before the peer has it."""
+
 
 class BufferGrants:
-    """Permits that limit the concurrent streams, granted in the order of calls of `request`.
+    """Permits for wide buffers, granted in the order of calls of `request`.
+
+    Guards against a body that waits, once it has begun, for peers of other bodies: a stream without
+    a permit is relayed through narrow buffers.
 
     Attributes:
         max_streams: Maximum number of streams that hold a permit at once.
@@ -80,7 +108,7 @@
 
 
 def max_streams_for(memory_bytes: int) -> int:
-    """Return the maximum number of streams per direction under a memory limit."""
+    """Return the maximum number of streams with wide buffers per direction."""
     share_bytes = memory_bytes * STREAMS_MEMORY_FRACTION / DIRECTIONS
     return max(MIN_STREAMS, int(share_bytes / STREAM_COST_BYTES))
 
@@ -118,7 +146,8 @@
         self._sink_is_blocked = False
         self._paused = False
         self._frozen = False
-        self._granted = grants.request(self)
+        self._sizes = WIDE_BUFFERS if grants.request(self) else NARROW_BUFFERS
+        source.limit_input(self._sizes)
         self._apply_backpressure()
 
     # Called by the source
@@ -175,6 +204,7 @@
         """Attach the sink and start to deliver."""
         self._sink = sink
         self.is_opened = True
+        sink.limit_output(self._sizes)
         self._deliver()
         self._apply_backpressure()
 
@@ -240,9 +270,12 @@
     # Between source and sink
 
     def on_granted(self) -> None:
-        """Start to relay: `BufferGrants` granted the permit that the stream waited for."""
-        self._granted = True
-        self._deliver()
+        """Widen the buffers: `BufferGrants` granted the permit that was requested."""
+        self._sizes = WIDE_BUFFERS
+        if self._source is not None:
+            self._source.limit_input(self._sizes)
+        if self._sink is not None:
+            self._sink.limit_output(self._sizes)
         self._apply_backpressure()
 
     def _deliver(self) -> None:
@@ -270,16 +303,15 @@
             sink.abort_body()
 
     def _can_deliver(self) -> bool:
-        return self._granted and not self._sink_is_blocked and not self._frozen
+        return not self._sink_is_blocked and not self._frozen
 
     def _apply_backpressure(self) -> None:
         """Pause or resume the source so that the buffer stays bounded."""
         if self.is_over or self._source is None:
             return
         must_pause = (
-            not self._granted
-            or self._frozen
-            or self.buffered_bytes >= WINDOW_BYTES
+            self._frozen
+            or self.buffered_bytes >= self._sizes.window_bytes
             or (self._sink_is_blocked and self.buffered_bytes > 0)
         )
         if must_pause != self._paused:
--- a/mothstall/net/client_side/connection.py
+++ b/mothstall/net/client_side/connection.py
@@ -11,7 +11,7 @@
 
 from mothstall.net import protocol
 from mothstall.net.aiohttp_internals import ParserConnection, ends_http
-from mothstall.net.body_relay import MAX_READ_BYTES
+from mothstall.net.body_relay import MAX_READ_BYTES, BufferSizes
 from mothstall.net.client_side import (
     lingering_close,
     rejection,
@@ -415,6 +415,11 @@
         if not self._buffer_paused and not self._reading_paused:
             self._resume_transport_reading()
 
+    def limit_input(self, sizes: BufferSizes) -> None:
+        """Limit what is read at once."""
+        self.max_read_bytes = sizes.read_bytes
+        self.set_max_read(sizes.read_bytes)
+
     def sink_closed(self) -> None:
         """Pause reading: the backend no longer reads the body; the response may still follow."""
         self.pause()
--- a/mothstall/net/client_side/response_relay.py
+++ b/mothstall/net/client_side/response_relay.py
@@ -3,23 +3,22 @@
 from __future__ import annotations
 
 import fcntl
-import socket
 import struct
 import termios
 from typing import TYPE_CHECKING
 
 from mothstall.net import protocol
-from mothstall.net.body_relay import Stream
+from mothstall.net.body_relay import BufferSizes, Stream
 from mothstall.net.client_side import lingering_close
 from mothstall.net.client_side.connection_states import ConnectionState
 from mothstall.net.client_side.open_exchange import ExchangeEnd
 from mothstall.net.decider_messages import ClientResponse
+from mothstall.net.socket_buffers import limit_send_buffer
 
 if TYPE_CHECKING:
     from mothstall.net.client_side.connection import Connection
 
 STALL_S = 10.0  # a client may stop reading a long response for this time
-SEND_BUFFER_BYTES = 128 * 1024  # the kernel's send buffer for a long response
 
 
 class ResponseRelay:
@@ -80,6 +79,10 @@
         else:
             lingering_close.begin(connection)
 
+    def limit_output(self, sizes: BufferSizes) -> None:
+        """Limit what the kernel takes; more would hide as well whether the client reads."""
+        limit_send_buffer(self._connection.transport, sizes.send_bytes)
+
     def check_progress(self, now: float) -> None:
         """Reset the connection if data sent to the client makes no progress for STALL_S.
 
@@ -125,12 +128,9 @@
     connection.enter(ConnectionState.RELAYING)
     transport.set_write_buffer_limits(high=0)
     sock = transport.get_extra_info("socket")
-    if sock is not None:
-        # Guards against megabytes of kernel buffer per slow reader, which also hide its progress.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-        if relay.ends_with_connection:
-            # Guards against a response that looks complete because this process was killed.
-            lingering_close.set_reset_on_close(sock, True)
+    if sock is not None and relay.ends_with_connection:
+        # Guards against a response that looks complete because this process was killed.
+        lingering_close.set_reset_on_close(sock, True)
     transport.write(
         protocol.encode_response_head(
             response.head, response.length, is_http11, not connection.keeps_alive
--- a/mothstall/net/handover/stream_takeover.py
+++ b/mothstall/net/handover/stream_takeover.py
@@ -8,11 +8,18 @@
 from collections.abc import Callable
 
 from mothstall.net import protocol
-from mothstall.net.body_relay import MAX_READ_BYTES, BufferGrants, Stream
+from mothstall.net.body_relay import (
+    MAX_READ_BYTES,
+    NARROW_BUFFERS,
+    BufferGrants,
+    BufferSizes,
+    Stream,
+)
 from mothstall.net.chunked_coding import ChunkedCodingError, ChunkedDecoder
 from mothstall.net.client_side.lingering_close import set_reset_on_close
 from mothstall.net.handover.messages import StreamHandover
 from mothstall.net.listener import unsent_bytes
+from mothstall.net.socket_buffers import limit_send_buffer
 
 log = logging.getLogger("mothstall.stream_takeover")
 
@@ -80,6 +87,9 @@
         else:
             self.abort()
 
+    def limit_output(self, sizes: BufferSizes) -> None:
+        limit_send_buffer(self.transport, sizes.send_bytes)
+
     def _finish(self, transport: asyncio.Transport) -> None:
         """Close the connection with a lingering close, which reads and discards further input.
 
@@ -110,6 +120,14 @@
 class _BackendSide(_Side):
     """The connection to the backend: the stream's source."""
 
+    def __init__(self, takeover: StreamTakeover) -> None:
+        super().__init__(takeover)
+        self._sizes = NARROW_BUFFERS
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.limit_input(self._sizes)
+
     def data_received(self, data: bytes) -> None:
         self._takeover.on_backend_data(data)
 
@@ -128,6 +146,11 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def limit_input(self, sizes: BufferSizes) -> None:
+        self._sizes = sizes
+        if self.transport is not None:
+            self.transport.max_size = sizes.read_bytes  # type: ignore[attr-defined]
+
 
 class StreamTakeover:
     """Relays the rest of one response, with the flow control of a `Stream`."""
