--- a/mothstall/net/client_side/frontend.py
+++ b/mothstall/net/client_side/frontend.py
@@ -211,7 +211,6 @@
             return None
         self._open_ids.add(request.request_id)
         request.client = connection
-        request.received_ns = arrived_ns
         number = next(self._request_numbers)
         connection.open_exchange(OpenExchange(number, request), state)
         self._decide(RequestArrived(number, request, arrived_ns, connection.send_response))
--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -164,6 +164,7 @@
 
     def _on_arrived(self, message: RequestArrived, now: int) -> io.Event | None:
         inbound = message.client_request
+        inbound.received_ns = message.received_ns
         entry = PendingRequest(message, inbound.deadline_ns(now), now)
         deadline = entry.deadline_ns = self._limited_ns(entry, entry.deadline_ns)
         self._pending[message.request] = entry
