Fix: slow responses of unknown length are relayed before they time out

Cause: without a length a response counted as short until 64 KiB had come, and its attempt timed out; with one the head tells that it is long, and only its first bytes are due. Change: a 200 response of unknown length that still comes after a quarter of its attempt's remaining time is relayed then, any other 20 ms before the timeout.

--- a/mothstall/net/backend_side/connection.py
+++ b/mothstall/net/backend_side/connection.py
@@ -12,6 +12,7 @@
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_parser import RawResponseMessage
 
 from mothstall.interface import AttemptResult
 from mothstall.net import protocol
@@ -26,6 +27,11 @@
 
 STALL_S = 10.0  # timeout without progress of a long body, in either direction
 STALL_CHECKS = 4  # number of progress checks within STALL_S
+# A response of unknown length that still comes after this part of its attempt's remaining time is
+# relayed as a long one: it may be one, and the first bytes of a long response are due in time.
+UNKNOWN_LENGTH_FRACTION = 1 / 4
+# It is relayed this long before its attempt times out in any case: its next part may come later.
+RELAY_MARGIN_S = 0.02
 PARSER_BUFFER_BYTES = 16 * MAX_READ_BYTES  # never full: each read leaves the parser at once
 
 
@@ -59,6 +65,8 @@
         self._last_progress_s = 0.0  # loop time of the last progress of a long body
         self._progress_mark = 0  # bytes of the upload handed to the socket at the last progress
         self._stall_timer: asyncio.TimerHandle | None = None
+        # Begins to relay a response of unknown length that is still incomplete then.
+        self._relay_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the transport's limits and prepare aiohttp's parser."""
@@ -114,6 +122,7 @@
 
     def _release_streams(self) -> None:
         self._stop_watching()
+        self._stop_relay_timer()
         upload = self._upload
         self._upload = None
         if upload is not None:
@@ -233,8 +242,42 @@
         self._stream = None
         self.drop()
 
+    def _schedule_relay(self, attempt: OpenAttempt) -> None:
+        """Set the timer that relays a response of unknown length before its attempt times out.
+
+        Guards against a long response that its backend writes slowly: until 64 KiB of it have come
+        nothing would tell it from a short one, and its attempt would time out.
+        """
+        if self._relay_timer is not None:
+            return
+        now = self.owner.loop.time()
+        remaining_s = attempt.due_s - now
+        due_s = now + min(UNKNOWN_LENGTH_FRACTION * remaining_s, remaining_s - RELAY_MARGIN_S)
+        self._relay_timer = self.owner.loop.call_at(
+            due_s, self._on_relay_due, attempt, self._reader.received_bytes
+        )
+
+    def _on_relay_due(self, attempt: OpenAttempt, first_bytes: int) -> None:
+        """Begin to relay, or wait if no more has come than the `first_bytes`: it may be stalled."""
+        self._relay_timer = None
+        if self.attempt is not attempt or self._stream is not None:
+            return
+        latest_s = attempt.due_s - RELAY_MARGIN_S
+        if self._reader.received_bytes > first_bytes or self.owner.loop.time() >= latest_s:
+            self._begin_relay()
+        else:
+            self._relay_timer = self.owner.loop.call_at(
+                latest_s, self._on_relay_due, attempt, first_bytes
+            )
+
+    def _stop_relay_timer(self) -> None:
+        if self._relay_timer is not None:
+            self._relay_timer.cancel()
+            self._relay_timer = None
+
     def _begin_relay(self) -> None:
         """Begin to relay a long response; its attempt ends as successful."""
+        self._stop_relay_timer()
         attempt = self.attempt
         message = self._reader.message
         assert attempt is not None
@@ -334,6 +377,7 @@
         if is_long and self._stream is None and self.attempt is not None:
             self._begin_relay()
         if not payload.is_eof() or reader.is_until_close:
+            self._watch_unknown_length(message)
             return
         if has_more:
             self.owner.counters.add("answers_with_more")
@@ -341,7 +385,15 @@
         keep = not (has_more or message.should_close or is_early or self._is_upload_cut)
         self._on_response_complete(keep=keep)
 
+    def _watch_unknown_length(self, message: RawResponseMessage) -> None:
+        attempt = self.attempt
+        if attempt is None or attempt.command is None or message.code != STATUS_OK:
+            return
+        if message.chunked or self._reader.is_until_close:
+            self._schedule_relay(attempt)
+
     def _on_response_complete(self, keep: bool) -> None:
+        self._stop_relay_timer()
         message = self._reader.message
         parts = self._body_parts
         self._reader.message = None
--- a/tests/net/client_side/test_broken_uploads.py
+++ b/tests/net/client_side/test_broken_uploads.py
@@ -225,6 +225,8 @@
         connection_made(connection, transport)
 
     monkeypatch.setattr(BackendConnection, "connection_made", connection_made_with_small_buffer)
+    # A long body would widen the buffer again.
+    monkeypatch.setattr(BackendConnection, "limit_output", lambda connection, sizes: None)
 
 
 @pytest.mark.processes
