Fix: the kernel's buffers of all connections are bounded by the memory limit

Seen: operators' process with hundreds of slow or stalled clients passed its memory limit. Reproduced where socket buffers count as the process's memory: 382 MB at a limit of 192, 239 at 96, with 280 requests stopped in the middle at hung backends; 251 and 192 with all kinds of slow peers together. Cause: the kernel lets each socket's buffers grow to megabytes. Change: all connections have buffers by memory limit and descriptors, set before a connection is set up; long bodies 128 KiB for sending.

--- a/mothstall/net/backend_side/backend.py
+++ b/mothstall/net/backend_side/backend.py
@@ -42,6 +42,7 @@
 from mothstall.net.counters import Counters
 from mothstall.net.listener import CHECK_CLIENT_AFTER_NS
 from mothstall.net.metrics import RequestMetrics
+from mothstall.net.socket_buffers import connect
 
 log = logging.getLogger("mothstall.backend")
 
@@ -294,8 +295,11 @@
         connection = BackendConnection(self)
         try:
             async with asyncio.timeout(self._connect_timeout_s):
-                await self.loop.create_connection(
-                    lambda: connection, self.address.host, self.address.port
+                await connect(
+                    self.loop,
+                    lambda: connection,
+                    self.address,
+                    self._pool.socket_buffer_bytes,
                 )
         except BaseException as error:
             self._on_connect_failed(attempt, error)
--- a/mothstall/net/backend_side/pool.py
+++ b/mothstall/net/backend_side/pool.py
@@ -8,6 +8,7 @@
 from mothstall.net import protocol
 from mothstall.net.body_relay import BufferGrants
 from mothstall.net.counters import Counters
+from mothstall.net.socket_buffers import MAX_BUFFER_BYTES
 
 if TYPE_CHECKING:
     from mothstall.net.backend_side.connection import BackendConnection
@@ -22,6 +23,7 @@
         max_connections: Maximum of `open_count`.
         buffer_grants: Permits for relaying long responses.
         max_body_bytes: Limit of one response's body.
+        socket_buffer_bytes: Size of each of the kernel's buffers of a connection.
         open_count: Number of connections that are open or being opened.
         connections: The open connections.
     """
@@ -34,12 +36,14 @@
         loop: asyncio.AbstractEventLoop,
         grants: BufferGrants | None = None,
         max_body_bytes: int = protocol.MAX_BUFFERED_BODY_BYTES,
+        socket_buffer_bytes: int = MAX_BUFFER_BYTES,
     ) -> None:
         self.max_connections = max_connections
         self.counters = counters
         self.loop = loop
         self.buffer_grants = grants or BufferGrants(1)
         self.max_body_bytes = max_body_bytes
+        self.socket_buffer_bytes = socket_buffer_bytes
         self.open_count = 0
         self.connections: set[BackendConnection] = set()
         self._idle_timeout_s = idle_timeout_s
--- a/mothstall/net/body_relay.py
+++ b/mothstall/net/body_relay.py
@@ -30,7 +30,7 @@
     send_bytes: int
 
 
-WIDE_BUFFERS = BufferSizes(64 * 1024, MAX_READ_BYTES, 64 * 1024)
+WIDE_BUFFERS = BufferSizes(64 * 1024, MAX_READ_BYTES, 128 * 1024)
 NARROW_BUFFERS = BufferSizes(8 * 1024, 16 * 1024, 16 * 1024)
 # Maximum memory of one stream with wide buffers, including its sink's transport.
 STREAM_COST_BYTES = 2 * (WIDE_BUFFERS.window_bytes + WIDE_BUFFERS.read_bytes)
--- a/mothstall/net/client_side/acceptor.py
+++ b/mothstall/net/client_side/acceptor.py
@@ -14,6 +14,7 @@
 from mothstall.net.counters import Counters
 from mothstall.net.lifecycle import Lifecycle
 from mothstall.net.listener import inherit_socket, open_listener
+from mothstall.net.socket_buffers import limit_socket
 
 if TYPE_CHECKING:
     from mothstall.net.client_side.connection import Connection
@@ -42,6 +43,7 @@
         counters: Counters,
         clock: Clock,
         phases: Lifecycle,
+        socket_buffer_bytes: int,
     ) -> None:
         """Listen on `address`, or on the inherited socket `listen_fd` unless that is None."""
         self._address = address
@@ -51,6 +53,7 @@
         self._counters = counters
         self._clock = clock
         self._phases = phases
+        self._socket_buffer_bytes = socket_buffer_bytes
         self._budget: ConnectionBudget | None = None
         self._listener: socket.socket | None = None
         self.accepting: set[asyncio.Task[None]] = set()
@@ -67,6 +70,7 @@
             sock = await open_listener("listen", self._address, BACKLOG)
         else:
             sock = inherit_socket(self._listen_fd)
+        limit_socket(sock, self._socket_buffer_bytes)
         self._listener = sock
         self.port = sock.getsockname()[1]
         self._loop.add_reader(sock, self._accept)
--- a/mothstall/net/client_side/frontend.py
+++ b/mothstall/net/client_side/frontend.py
@@ -49,12 +49,14 @@
         max_body_bytes: The longest request body that is accepted.
         memory_bytes: The memory limit of the process.
         retry_after_ns: The Retry-After of a rejection (503) on the client side.
+        socket_buffer_bytes: Size of each of the kernel's buffers of a connection.
     """
 
     max_connections: int
     max_body_bytes: int
     memory_bytes: int
     retry_after_ns: int
+    socket_buffer_bytes: int
 
 
 def is_responding(connection: Connection) -> bool:
@@ -138,7 +140,16 @@
         self._server = Server(self)
         self._accepted = open_connections(self._server)
         self.table = ConnectionTable()
-        self.acceptor = Acceptor(address, listen_fd, self._server, loop, counters, clock, phases)
+        self.acceptor = Acceptor(
+            address,
+            listen_fd,
+            self._server,
+            loop,
+            counters,
+            clock,
+            phases,
+            limits.socket_buffer_bytes,
+        )
         self.budget = ConnectionBudget(
             limits.max_connections,
             self.table,
--- a/mothstall/net/proxy.py
+++ b/mothstall/net/proxy.py
@@ -26,6 +26,7 @@
 from mothstall.net.discovery.discovery import Discovery, DiscoveryAddressChanged, EndpointsUpdated
 from mothstall.net.lifecycle import Lifecycle, Phase
 from mothstall.net.metrics import RequestMetrics
+from mothstall.net.socket_buffers import buffer_bytes_for
 
 if TYPE_CHECKING:
     from mothstall.fleet.operator_config import OperatorConfig
@@ -94,6 +95,7 @@
             self.loop,
             grants=BufferGrants(max_streams),
             max_body_bytes=config.max_body_bytes,
+            socket_buffer_bytes=buffer_bytes_for(config.memory_bytes, config.descriptors),
         )
         self.metrics = RequestMetrics(config.names.classes, self.counters)
         self._lifecycle = Lifecycle()
@@ -144,6 +146,7 @@
                 max_body_bytes=self.config.max_body_bytes,
                 memory_bytes=self.config.memory_bytes,
                 retry_after_ns=retry_after_ns(self.config.settings),
+                socket_buffer_bytes=self._pool.socket_buffer_bytes,
             ),
             loop=self.loop,
             counters=self.counters,
