Fix: an unsafe request does not run again under its id once its client left

A request of an unsafe class was forwarded, its client closed, the same id came again and ran a second time. Cause: the client side frees an id as its client leaves, whatever a backend does with the request.

--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -36,6 +36,7 @@
 from mothstall.net.lifecycle import ResponseLimit
 from mothstall.net.metrics import Outcome, RequestMetrics
 from mothstall.net.pending_request import PendingRequest
+from mothstall.net.spent_ids import SpentIds
 from mothstall.policy import Balancer
 
 log = logging.getLogger("mothstall.decider")
@@ -68,6 +69,7 @@
         self._balancer = Balancer(config.settings, config.seed)
         self._restarts = 0
         self._pending: dict[int, PendingRequest] = {}
+        self._spent_ids = SpentIds(config.settings.classes)
         # Entries to check for removal once the actions of this batch are executed.
         self._ended_entries: list[PendingRequest] = []
         self._backends: dict[int, Backend] = {}
@@ -91,8 +93,7 @@
         """Apply a limit to all open requests and to those that still arrive; None lifts it.
 
         Guards against a process that ends, or a drain that should be over, while a request with a
-        longer deadline is open, or one whose long body came slowly or is not read by its backend.
-        Linear in the number of open requests.
+        longer deadline is open. Linear in the number of open requests.
         """
         self._response_limit = limit
         now = self._clock.now()
@@ -164,6 +165,8 @@
 
     def _on_arrived(self, message: RequestArrived, now: int) -> io.Event | None:
         inbound = message.client_request
+        if self._spent_ids.rejects(message, now):
+            return None
         inbound.received_ns = message.received_ns
         entry = PendingRequest(message, inbound.deadline_ns(now), now)
         deadline = entry.deadline_ns = self._limited_ns(entry, entry.deadline_ns)
@@ -200,11 +203,7 @@
         return self._limited_ns(entry, entry.arrived.client_request.deadline_ns(now))
 
     def _limited_ns(self, entry: PendingRequest, deadline_ns: int) -> int:
-        """Return a deadline cut to what a drain or a shutdown allows.
-
-        An incomplete request is cut as well: if it is complete in time to be exempt, its deadline
-        is extended again once the limit is reached.
-        """
+        """Return a deadline cut to what a drain or a shutdown allows, also if incomplete yet."""
         limit = self._response_limit
         if limit is None:
             return deadline_ns
@@ -232,6 +231,7 @@
         if message.response and message.response.stream and (entry is None or entry.is_answered):
             message.response.stream.drop()
         if entry:
+            self._spent_ids.on_attempt_ended(entry, message.result)
             upload = entry.arrived.client_request.stream
             is_repeatable = upload is None or not upload.is_opened
             entry.in_flight -= 1
@@ -263,6 +263,7 @@
         self._on_relay_ended(request, Outcome.LEFT)
         if entry is None or entry.is_answered:
             return None
+        self._spent_ids.on_client_left(entry, self._clock.now())
         self._answer(entry, None, Outcome.LEFT)
         self._remove_when_done(entry)
         return io.ClientLeft(request)
@@ -342,8 +343,8 @@
             if isinstance(action, io.SendAttempt):
                 self._send(action, now)
             elif isinstance(action, io.SetTimer):
-                due_s = self._clock.loop_time(action.at_ns)
-                self.loop.call_at(due_s, self.tell, TimerDue(action.token))
+                at_s = self._clock.loop_time(action.at_ns)
+                self.loop.call_at(at_s, self.tell, TimerDue(action.token))
             elif isinstance(action, io.CancelAttempt):
                 self._cancel(action)
             elif isinstance(action, io.Reject):
