Fix: an id whose client left in its long response does not run again

Cause: only unanswered requests were remembered; one that is relayed counts as answered from its first bytes. Change: any relayed request that does not reach its end is remembered, and the rejection counts as requests_bad. Evidence: two of the five tests of test_repeated_ids fail without the change, none with it; 655 tests of client_side, admin, backend_side and the relay pass.

--- a/mothstall/net/decider.py
+++ b/mothstall/net/decider.py
@@ -36,6 +36,7 @@
 from mothstall.net.lifecycle import ResponseLimit
 from mothstall.net.metrics import Outcome, RequestMetrics
 from mothstall.net.pending_request import PendingRequest
+from mothstall.net.response_deadlines import ResponseDeadlines
 from mothstall.net.spent_ids import SpentIds
 from mothstall.policy import Balancer
 
@@ -69,6 +70,7 @@
         self._balancer = Balancer(config.settings, config.seed)
         self._restarts = 0
         self._pending: dict[int, PendingRequest] = {}
+        self._deadlines = ResponseDeadlines(clock)
         self._spent_ids = SpentIds(config.settings.classes)
         # Entries to check for removal once the actions of this batch are executed.
         self._ended_entries: list[PendingRequest] = []
@@ -79,7 +81,6 @@
         self._discovery: Discovery | None = None
         self.endpoints_known = asyncio.Event()
         self.on_attempt_ended: Callable[[backend_messages.AttemptEnded, int], None] | None = None
-        self._response_limit: ResponseLimit | None = None  # set by a drain and by a shutdown
 
     def set_discovery(self, discovery: Discovery) -> None:
         """Set the actor that polls and watches endpoints."""
@@ -93,13 +94,14 @@
         """Apply a limit to all open requests and to those that still arrive; None lifts it.
 
         Guards against a process that ends, or a drain that should be over, while a request with a
-        longer deadline is open. Linear in the number of open requests.
+        longer deadline is open, or one whose long body came slowly or is not read by its backend.
+        Linear in the number of open requests.
         """
-        self._response_limit = limit
+        self._deadlines.limit = limit
         now = self._clock.now()
         for request, entry in self._pending.items():
             if not entry.is_answered:
-                entry.deadline_ns = self._deadline_ns(entry, now)
+                entry.deadline_ns = self._deadlines.deadline_ns(entry, now)
                 self._start_backstop(request, entry)
 
     def listed_count(self) -> int:
@@ -166,10 +168,11 @@
     def _on_arrived(self, message: RequestArrived, now: int) -> io.Event | None:
         inbound = message.client_request
         if self._spent_ids.rejects(message, now):
+            self.counters.add("requests_bad")
             return None
         inbound.received_ns = message.received_ns
         entry = PendingRequest(message, inbound.deadline_ns(now), now)
-        deadline = entry.deadline_ns = self._limited_ns(entry, entry.deadline_ns)
+        entry.deadline_ns = self._deadlines.deadline_ns(entry, now)
         self._pending[message.request] = entry
         self._start_backstop(message.request, entry)
         self._metrics.start_request(inbound.class_index)
@@ -178,7 +181,7 @@
             inbound.class_index,
             inbound.tenant_index,
             0,
-            deadline - now,
+            entry.deadline_ns - now,
             inbound.cost_ns,
             inbound.is_retry,
         )
@@ -193,32 +196,17 @@
         entry = self._pending.get(message.request)
         if entry is None or entry.is_answered:
             return None
-        entry.deadline_ns = self._deadline_ns(entry, now)
+        entry.deadline_ns = self._deadlines.deadline_ns(entry, now)
         self._start_backstop(message.request, entry)
         left = max(1, entry.deadline_ns - now)
         return io.AttemptWritten(message.request, message.attempt, left)
 
-    def _deadline_ns(self, entry: PendingRequest, now: int) -> int:
-        """Return the deadline of a request, which may move while its long body arrives."""
-        return self._limited_ns(entry, entry.arrived.client_request.deadline_ns(now))
-
-    def _limited_ns(self, entry: PendingRequest, deadline_ns: int) -> int:
-        """Return a deadline cut to what a drain or a shutdown allows, also if incomplete yet."""
-        limit = self._response_limit
-        if limit is None:
-            return deadline_ns
-        completed_ns = entry.completed_ns()
-        is_exempt = completed_ns is not None and completed_ns < self._clock.unix_ns(
-            limit.complete_after_s
-        )
-        return (
-            deadline_ns if is_exempt else min(deadline_ns, self._clock.unix_ns(limit.answer_by_s))
-        )
-
     def _on_relay_ended(self, request: int, outcome: Outcome) -> None:
         entry = self._pending.get(request)
         if entry is not None and entry.is_relaying:
             entry.is_relaying = False
+            if outcome is not Outcome.FULFILLED:
+                self._spent_ids.on_client_unserved(entry, self._clock.now())
             self._metrics.end_request(entry.arrived.client_request.class_index, outcome)
             self._remove_when_done(entry)
 
@@ -263,7 +251,7 @@
         self._on_relay_ended(request, Outcome.LEFT)
         if entry is None or entry.is_answered:
             return None
-        self._spent_ids.on_client_left(entry, self._clock.now())
+        self._spent_ids.on_client_unserved(entry, self._clock.now())
         self._answer(entry, None, Outcome.LEFT)
         self._remove_when_done(entry)
         return io.ClientLeft(request)
@@ -274,7 +262,7 @@
         if entry is None or entry.is_answered:
             return None
         if entry.arrived.client_request.stream is not None:
-            deadline_ns = self._deadline_ns(entry, self._clock.now())
+            deadline_ns = self._deadlines.deadline_ns(entry, self._clock.now())
             if deadline_ns > entry.deadline_ns:
                 entry.deadline_ns = deadline_ns
                 self._start_backstop(request, entry)
@@ -343,8 +331,8 @@
             if isinstance(action, io.SendAttempt):
                 self._send(action, now)
             elif isinstance(action, io.SetTimer):
-                at_s = self._clock.loop_time(action.at_ns)
-                self.loop.call_at(at_s, self.tell, TimerDue(action.token))
+                due_s = self._clock.loop_time(action.at_ns)
+                self.loop.call_at(due_s, self.tell, TimerDue(action.token))
             elif isinstance(action, io.CancelAttempt):
                 self._cancel(action)
             elif isinstance(action, io.Reject):
