Test: a return home that meets a lost observer is tried again at once

Cause, shown on the selector alone: the test lets each proxy return home at once, one time. Change: the test sets the delay to 0 as well, so that the return is tried again. What it asks, that all are at o1, is unchanged.

--- a/tests/observer/test_attachments.py
+++ b/tests/observer/test_attachments.py
@@ -100,6 +100,8 @@
             for agent in cluster.agents.values():
                 assert agent.observer_client
                 agent.observer_client.selector.home_return_not_before_ns = 0
+                # A return that meets o2, which is still gone, ends at o3 and is tried again.
+                agent.observer_client.selector.home_return_delay_ns = 0
             await wait_until(
                 lambda: all(cluster.observer_of(f"p{i}") == "o1" for i in range(12)),
                 "all at o1 again",
